--- /dev/null
+++ b/src/bin/chestnuthub-emulator.rs
@@ -0,0 +1,7 @@
+//! Entry point of `chestnuthub-emulator`.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    chestnuthub::emulator::run()
+}
--- /dev/null
+++ b/src/decision/mod.rs
@@ -0,0 +1,19 @@
+//! Decisions about replicas: which model version may be loaded on which backend server.
+
+mod record;
+mod table;
+
+pub use record::{
+    Body,
+    Record, //
+};
+pub use table::{
+    Epoch,
+    Outcome,
+    Slot,
+    State,
+    Table, //
+};
+
+/// Name of the log stream that holds the decisions.
+pub const STREAM: &str = "decisions";
--- /dev/null
+++ b/src/decision/record.rs
@@ -0,0 +1,97 @@
+//! Records of the stream `decisions`.
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use uuid::Uuid;
+
+use crate::id;
+
+/// A record of the stream `decisions`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Unique id, by which the writer finds its record in the stream.
+    pub id: Uuid,
+    /// What is decided or reported.
+    #[serde(flatten)]
+    pub body: Body,
+}
+
+impl Record {
+    /// Makes a record with a new id.
+    pub fn new(body: Body) -> Self {
+        Self {
+            id: Uuid::new_v4(),
+            body,
+        }
+    }
+}
+
+/// What a record says.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum Body {
+    /// An agent process starts on a backend server; the record's offset is its epoch.
+    Register {
+        /// The backend server.
+        server: id::Instance,
+        /// Unique id of the agent process.
+        incarnation: Uuid,
+        /// Accelerator memory in MiB.
+        memory_mb: u64,
+        /// Pool of the backend server.
+        pool: id::Pool,
+        /// Region of the backend server.
+        region: String,
+        /// Failure domain of the backend server.
+        failure_domain: String,
+    },
+    /// Adds a slot.
+    Grant {
+        /// The model version.
+        model: id::Model,
+        /// The backend server.
+        server: id::Instance,
+        /// Offset of the newest valid record of the model's chain, 0 if there is none.
+        replaces: u64,
+        /// Most slots of the model version, granted or retiring, after this record.
+        limit: u32,
+    },
+    /// Marks a slot as retiring.
+    Retire {
+        /// The model version.
+        model: id::Model,
+        /// The backend server.
+        server: id::Instance,
+        /// Offset of the newest valid record of the model's chain.
+        replaces: u64,
+    },
+    /// Frees a retiring slot; written by the agent once the model is unloaded.
+    Released {
+        /// The model version.
+        model: id::Model,
+        /// The backend server.
+        server: id::Instance,
+        /// Offset of the grant that made the slot.
+        grant: u64,
+    },
+    /// Frees all slots of a backend server that left the instance list.
+    Gone {
+        /// The backend server.
+        server: id::Instance,
+        /// Its newest epoch when the writer decided.
+        epoch: u64,
+    },
+    /// The state after offset `at`, in parts.
+    Snapshot {
+        /// Offset up to which the state holds.
+        at: u64,
+        /// Number of this part, from 0.
+        part: u32,
+        /// Number of parts.
+        parts: u32,
+        /// This part of the state, JSON text.
+        state: String,
+    },
+}
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,121 @@
+//! Settings of a daemon, JSON with comments.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    path::PathBuf, //
+};
+
+use serde::Deserialize;
+
+use crate::id;
+
+/// Settings of a daemon.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of this instance in the instance list and in its certificate.
+    pub instance: id::Instance,
+    /// Region of this instance.
+    pub region: String,
+    /// Failure domain of this instance.
+    pub failure_domain: String,
+    /// Address of the peer port (UDP).
+    pub peer_addr: SocketAddr,
+    /// Address of the operator port (TCP).
+    pub operator_addr: SocketAddr,
+    /// The platform's services.
+    pub platform: Platform,
+    /// Keys for connections between daemons.
+    pub tls: Tls,
+    /// SHA-256 digests of the operators' bearer tokens in hex, by operator name.
+    #[serde(default)]
+    pub operators: BTreeMap<String, String>,
+    /// Level of the log: error, warn, info or debug.
+    #[serde(default = "default_log_level")]
+    pub log_level: String,
+    /// What the daemon does.
+    pub role: Role,
+}
+
+fn default_log_level() -> String {
+    "info".to_owned()
+}
+
+/// Addresses of the platform's services.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Platform {
+    /// Base URL of the append-only log.
+    pub log: String,
+    /// Hours for which the log keeps records.
+    pub log_retention_h: u64,
+    /// URL of the instance list's service.
+    pub list: String,
+    /// Base URL of the weight store.
+    pub store: String,
+}
+
+/// Keys for connections between daemons, PEM files.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tls {
+    /// Certificate of the authority that signs all daemons' certificates.
+    pub authority: PathBuf,
+    /// This instance's certificate.
+    pub certificate: PathBuf,
+    /// This instance's private key.
+    pub key: PathBuf,
+}
+
+/// What the daemon does.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum Role {
+    /// Accepts callers' requests.
+    Entry(Entry),
+    /// Runs beside a backend server.
+    Agent(Agent),
+}
+
+/// Settings of an entry.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Entry {
+    /// Address of the caller port (TCP).
+    pub caller_addr: SocketAddr,
+    /// SHA-256 digests of callers' bearer tokens in hex, by institution.
+    pub institutions: BTreeMap<id::Institution, Vec<String>>,
+}
+
+/// Settings of an agent.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Agent {
+    /// Pool of the backend server.
+    pub pool: id::Pool,
+    /// The backend server.
+    pub backend: Backend,
+}
+
+/// The backend server beside an agent.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum Backend {
+    /// A model engine.
+    Engine {
+        /// Base URL.
+        url: String,
+        /// Accelerator memory in MiB.
+        memory_mb: u64,
+        /// Share of the memory kept for adapters, in MiB.
+        adapter_memory_mb: u64,
+        /// Whether the engine refuses orders with an old fencing number.
+        checks_fence: bool,
+    },
+    /// A plain service.
+    Service {
+        /// Base URL.
+        url: String,
+    },
+}
--- /dev/null
+++ b/src/timer.rs
@@ -0,0 +1,100 @@
+//! Monotonic time and the timer service that parts of a daemon subscribe to.
+
+use std::{
+    ops::{
+        Add,
+        Sub, //
+    },
+    thread,
+    time::Duration, //
+};
+
+use rustix::time::{
+    ClockId,
+    clock_gettime, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// Milliseconds on a monotonic clock that also counts time while the machine is suspended.
+///
+/// A lease checked against this clock has lapsed after a pause of its holder.
+///
+/// # Examples
+///
+/// ```
+/// use chestnuthub::timer::Time;
+/// use std::time::Duration;
+///
+/// let start = Time::from_millis(1_000);
+/// let later = start + Duration::from_secs(2);
+/// assert_eq!(later - start, Duration::from_secs(2));
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Time(u64);
+
+impl Time {
+    /// The start of the clock.
+    pub const ZERO: Self = Self(0);
+
+    /// Returns the current time.
+    pub fn now() -> Self {
+        let now = clock_gettime(ClockId::Boottime);
+        let millis = now.tv_sec * 1_000 + now.tv_nsec / 1_000_000;
+        Self(u64::try_from(millis).unwrap_or(0))
+    }
+
+    /// Makes a time from milliseconds since the start of the clock.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis)
+    }
+
+    /// Returns the milliseconds since the start of the clock.
+    pub const fn as_millis(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the time left until `self`, or zero if it has passed.
+    pub fn remaining(self, now: Self) -> Duration {
+        self - now
+    }
+}
+
+impl Add<Duration> for Time {
+    type Output = Self;
+
+    fn add(self, duration: Duration) -> Self {
+        let millis = u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(millis))
+    }
+}
+
+impl Sub for Time {
+    type Output = Duration;
+
+    /// Returns the time from `earlier` to `self`, or zero if `earlier` is later.
+    fn sub(self, earlier: Self) -> Duration {
+        Duration::from_millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
+/// Calls `tick` every `period` on a thread of its own until `tick` returns false.
+///
+/// # Errors
+///
+/// Returns the operating system's error if the thread can't be started.
+pub fn subscribe<F>(name: &str, period: Duration, mut tick: F) -> std::io::Result<()>
+where
+    F: FnMut(Time) -> bool + Send + 'static,
+{
+    thread::Builder::new()
+        .name(name.to_owned())
+        .spawn(move || {
+            while tick(Time::now()) {
+                thread::sleep(period);
+            }
+        })
+        .map(drop)
+}
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,29 @@
+//! Messages between daemons.
+
+mod frame;
+mod piece;
+mod request;
+
+pub use frame::{
+    Failure,
+    Frame,
+    Head,
+    Heads,
+    Leaving,
+    Load,
+    Reason,
+    Refusal, //
+};
+pub use piece::Piece;
+pub use request::{
+    Call,
+    Chat,
+    Request,
+    Work, //
+};
+
+/// Largest encoded frame in bytes, without its length prefix.
+pub const MAX_FRAME_BYTES: usize = 1 << 20;
+
+/// Largest request body in bytes.
+pub const MAX_BODY_BYTES: usize = 8 << 20;
