core: add platform clients, peer connections and the daemon's frame

Cause: the parts of the system can only be written side by side against one set of clients, frames and shared state. Change: one client module for each outside system, QUIC exchanges with mutual TLS, the view of catalogue, decisions and instances, and a daemon that starts its role's part. Pooled connections are not used for appends and calls, since a pooled connection may be closed by the server while a call is sent on it.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,8 +1,254 @@
-//! Placeholder.
+//! The daemon: starts the parts of its role and stops them gracefully.
 
-use std::process::ExitCode;
+use std::{
+    fmt,
+    io,
+    path::{
+        Path,
+        PathBuf, //
+    },
+    process::ExitCode,
+    sync::Arc,
+    time::Duration, //
+};
 
-/// Runs the program and returns its exit code.
+use bpaf::{
+    OptionParser,
+    Parser, //
+};
+use signal_hook::{
+    consts::{
+        SIGINT,
+        SIGTERM, //
+    },
+    iterator::Signals,
+};
+use tokio::{
+    runtime::Runtime,
+    sync::watch, //
+};
+
+use crate::{
+    agent::Agent,
+    context::Context,
+    decision,
+    entry::Entry,
+    follow,
+    metrics::Metrics,
+    peer::{
+        self,
+        Endpoint,
+        Exchange,
+        Identity, //
+    },
+    platform::{
+        list::List,
+        log::Log, //
+    },
+    report,
+    settings::{
+        Role,
+        Settings, //
+    },
+    timer,
+    view::View,
+    wire::Frame, //
+};
+
+/// Time for which requests are still accepted after SIGTERM while the balancer reacts.
+const LAME_DUCK: Duration = Duration::from_secs(3);
+
+/// Longest time for which requests in flight are waited for at shutdown.
+const DRAIN_LIMIT: Duration = Duration::from_secs(300);
+
+/// Why the daemon can't run.
+#[derive(Debug)]
+enum Error {
+    Settings(String),
+    Peer(peer::Error),
+    Io(io::Error),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Settings(findings) => f.write_str(findings),
+            Self::Peer(error) => write!(f, "{error}"),
+            Self::Io(error) => write!(f, "{error}"),
+        }
+    }
+}
+
+impl From<peer::Error> for Error {
+    fn from(error: peer::Error) -> Self {
+        Self::Peer(error)
+    }
+}
+
+impl From<io::Error> for Error {
+    fn from(error: io::Error) -> Self {
+        Self::Io(error)
+    }
+}
+
+/// The part of the daemon that its role asks for.
+#[derive(Debug, Clone)]
+enum Part {
+    Agent(Agent),
+    Entry(Entry),
+}
+
+/// Runs `chestnuthubd` and returns its exit code.
 pub fn run() -> ExitCode {
-    ExitCode::SUCCESS
+    match serve(&options().run()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("chestnuthubd: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn options() -> OptionParser<PathBuf> {
+    bpaf::long("settings")
+        .help("Settings of this instance, JSON with comments")
+        .argument::<PathBuf>("FILE")
+        .to_options()
+        .descr("Serves rarely used models, as an entry or as an agent")
+}
+
+fn serve(path: &Path) -> Result<(), Error> {
+    let settings = Settings::load(path).map_err(|error| Error::Settings(error.to_string()))?;
+    // Fails only when a logger exists already, which then serves as well.
+    let _ = report::start(&settings.log_level, settings.instance.as_str());
+    let runtime = Runtime::new()?;
+    let (stop, stopping) = watch::channel(false);
+    let context = context(settings, &runtime, stopping)?;
+    follow_platform(&context)?;
+    let part = start(&context)?;
+    runtime.spawn(accept(context.clone(), part.clone()));
+    report::info("started", &[("peer_addr", &context.settings.peer_addr)]);
+    wait_for_signal()?;
+    let _ = stop.send(true);
+    runtime.block_on(drain(&part));
+    report::info("stopped", &[]);
+    context.endpoint.close();
+    Ok(())
+}
+
+fn context(
+    settings: Settings,
+    runtime: &Runtime,
+    stopping: watch::Receiver<bool>,
+) -> Result<Context, Error> {
+    let identity = Identity::load(&settings.tls)?;
+    let endpoint = {
+        let _guard = runtime.enter();
+        Endpoint::bind(settings.peer_addr, &identity)?
+    };
+    Ok(Context {
+        log: Log::new(&settings.platform.log),
+        settings: Arc::new(settings),
+        view: Arc::new(View::default()),
+        endpoint,
+        runtime: runtime.handle().clone(),
+        metrics: Arc::new(Metrics::default()),
+        stopping,
+    })
+}
+
+fn follow_platform(context: &Context) -> io::Result<()> {
+    let (log, view) = (&context.log, &context.view);
+    follow::stream(
+        log.clone(),
+        "releases",
+        view.clone(),
+        follow::apply_releases,
+    );
+    follow::stream(
+        log.clone(),
+        decision::STREAM,
+        view.clone(),
+        follow::apply_decisions,
+    );
+    let list = List::new(&context.settings.platform.list);
+    let view = view.clone();
+    let mut etag = None;
+    timer::subscribe("list", follow::LIST_PERIOD, move |_| {
+        follow::instances(&list, &view, &mut etag);
+        true
+    })
+}
+
+fn start(context: &Context) -> io::Result<Part> {
+    Ok(match &context.settings.role {
+        Role::Agent(settings) => Part::Agent(Agent::start(context.clone(), settings)),
+        Role::Entry(settings) => Part::Entry(Entry::start(context.clone(), settings)?),
+    })
+}
+
+async fn accept(context: Context, part: Part) {
+    while let Some(incoming) = context.endpoint.accept().await {
+        let part = part.clone();
+        tokio::spawn(async move {
+            let Ok(connection) = incoming.await else {
+                return;
+            };
+            while let Ok((send, receive)) = connection.accept_bi().await {
+                tokio::spawn(answer(part.clone(), Exchange::new(send, receive)));
+            }
+        });
+    }
+}
+
+async fn answer(part: Part, mut exchange: Exchange) {
+    let frame = match exchange.next().await {
+        Ok(Some(frame)) => frame,
+        Ok(None) => return,
+        Err(error) => return report::warn("exchange_failed", &[("error", &error)]),
+    };
+    match (part, frame) {
+        (Part::Agent(agent), Frame::Open(request)) => agent.serve(*request, exchange).await,
+        (Part::Agent(agent), Frame::Widen { model }) => {
+            agent.widen(&model);
+            confirm(exchange).await;
+        }
+        (Part::Agent(agent), Frame::Drain) => {
+            agent.leave();
+            confirm(exchange).await;
+        }
+        _ => exchange.cancel(),
+    }
+}
+
+async fn confirm(mut exchange: Exchange) {
+    if exchange.send(&Frame::End).await.is_ok() {
+        exchange.finish();
+        exchange.flush().await;
+    }
+}
+
+async fn drain(part: &Part) {
+    let drained = async {
+        match part {
+            Part::Agent(agent) => {
+                agent.leave();
+                agent.drained().await;
+            }
+            Part::Entry(entry) => {
+                tokio::time::sleep(LAME_DUCK).await;
+                entry.drained().await;
+            }
+        }
+    };
+    if tokio::time::timeout(DRAIN_LIMIT, drained).await.is_err() {
+        report::warn("drain_limit", &[("limit_s", &DRAIN_LIMIT.as_secs())]);
+    }
+}
+
+fn wait_for_signal() -> io::Result<()> {
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let signal = signals.forever().next();
+    report::info("stopping", &[("signal", &signal.unwrap_or_default())]);
+    Ok(())
 }
--- /dev/null
+++ b/src/peer/identity.rs
@@ -0,0 +1,86 @@
+//! The keys by which daemons authenticate each other.
+
+use std::{
+    path::Path,
+    sync::Arc, //
+};
+
+use quinn::crypto::rustls::{
+    QuicClientConfig,
+    QuicServerConfig, //
+};
+use rustls::{
+    RootCertStore,
+    pki_types::{
+        CertificateDer,
+        PrivateKeyDer,
+        pem::PemObject, //
+    },
+    server::WebPkiClientVerifier,
+};
+
+use super::Error;
+use crate::settings::Tls;
+
+/// Protocol name in the TLS handshake; changes when the frames change incompatibly.
+const ALPN: &[u8] = b"chestnuthub/1";
+
+/// A daemon's certificate and key, and the authority that signs its peers' certificates.
+#[derive(Debug)]
+pub struct Identity {
+    authority: CertificateDer<'static>,
+    certificate: CertificateDer<'static>,
+    key: PrivateKeyDer<'static>,
+}
+
+impl Identity {
+    /// Reads the PEM files that the settings name.
+    ///
+    /// # Errors
+    ///
+    /// `Config` names the file that can't be read.
+    pub fn load(tls: &Tls) -> Result<Self, Error> {
+        Ok(Self {
+            authority: read_certificate(&tls.authority)?,
+            certificate: read_certificate(&tls.certificate)?,
+            key: PrivateKeyDer::from_pem_file(&tls.key)
+                .map_err(|error| config(format!("{}: {error}", tls.key.display())))?,
+        })
+    }
+
+    pub(super) fn client(&self) -> Result<QuicClientConfig, Error> {
+        let mut tls = rustls::ClientConfig::builder()
+            .with_root_certificates(self.roots()?)
+            .with_client_auth_cert(vec![self.certificate.clone()], self.key.clone_key())
+            .map_err(config)?;
+        tls.alpn_protocols = vec![ALPN.to_vec()];
+        QuicClientConfig::try_from(tls).map_err(config)
+    }
+
+    pub(super) fn server(&self) -> Result<QuicServerConfig, Error> {
+        let verifier = WebPkiClientVerifier::builder(Arc::new(self.roots()?))
+            .build()
+            .map_err(config)?;
+        let mut tls = rustls::ServerConfig::builder()
+            .with_client_cert_verifier(verifier)
+            .with_single_cert(vec![self.certificate.clone()], self.key.clone_key())
+            .map_err(config)?;
+        tls.alpn_protocols = vec![ALPN.to_vec()];
+        QuicServerConfig::try_from(tls).map_err(config)
+    }
+
+    fn roots(&self) -> Result<RootCertStore, Error> {
+        let mut roots = RootCertStore::empty();
+        roots.add(self.authority.clone()).map_err(config)?;
+        Ok(roots)
+    }
+}
+
+fn read_certificate(path: &Path) -> Result<CertificateDer<'static>, Error> {
+    CertificateDer::from_pem_file(path)
+        .map_err(|error| config(format!("{}: {error}", path.display())))
+}
+
+fn config<E: ToString>(error: E) -> Error {
+    Error::Config(error.to_string())
+}
--- /dev/null
+++ b/src/peer/mod.rs
@@ -0,0 +1,11 @@
+//! Connections between daemons: QUIC with mutual TLS.
+
+mod endpoint;
+mod error;
+mod exchange;
+mod identity;
+
+pub use endpoint::Endpoint;
+pub use error::Error;
+pub use exchange::Exchange;
+pub use identity::Identity;
--- /dev/null
+++ b/src/platform/engine.rs
@@ -0,0 +1,228 @@
+//! Client of a model engine.
+
+use std::{
+    io::Read,
+    time::Duration, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use ureq::{
+    Agent,
+    Body,
+    http::Response, //
+};
+use uuid::Uuid;
+
+use super::{
+    Error,
+    http, //
+};
+use crate::id;
+
+/// Longest wait for an inventory, a load report or a cancellation.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// State of a model version in an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    /// Weights are being fetched; the memory is taken.
+    Loading,
+    /// Ready to serve.
+    Loaded,
+    /// Being removed; the memory is still taken.
+    Unloading,
+}
+
+/// A model version in an engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Resident {
+    /// Model version.
+    pub model: id::Model,
+    /// State.
+    pub state: State,
+    /// Accelerator memory in MiB, without adapters.
+    pub memory_mb: u64,
+    /// Loaded adapters with their memory in MiB.
+    #[serde(default)]
+    pub adapters: Vec<(id::Adapter, u64)>,
+}
+
+/// What an engine holds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Inventory {
+    /// Highest fencing number seen, 0 if the engine does not check it.
+    pub fence: u64,
+    /// Accelerator memory in MiB.
+    pub memory_mb: u64,
+    /// Model versions.
+    pub models: Vec<Resident>,
+}
+
+/// What an order does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// Loads a model version; answered when it is loaded.
+    Load,
+    /// Unloads a model version; answered when its memory is free.
+    Unload,
+    /// Loads an adapter; answered when it is loaded.
+    LoadAdapter,
+    /// Unloads an adapter.
+    UnloadAdapter,
+}
+
+/// An order to an engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Order {
+    /// Unique id; the engine carries out an id once.
+    pub id: Uuid,
+    /// Fencing number.
+    pub fence: u64,
+    /// What to do.
+    pub kind: Kind,
+    /// Model version.
+    pub model: id::Model,
+    /// Adapter, for orders about adapters.
+    #[serde(default)]
+    pub adapter: Option<id::Adapter>,
+    /// Accelerator memory that the model version or adapter takes, in MiB.
+    pub memory_mb: u64,
+}
+
+/// Load report of an engine; lags behind.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait in the engine.
+    pub waiting: u32,
+}
+
+/// A completion request, the caller's body with the system's additions.
+#[derive(Debug)]
+pub struct Completion<'a> {
+    /// Id by which the stream can be cancelled or resumed.
+    pub request: &'a id::Request,
+    /// Model version.
+    pub model: &'a id::Model,
+    /// Adapter, if any.
+    pub adapter: Option<&'a id::Adapter>,
+    /// Priority; 0 is served first.
+    pub priority: u8,
+    /// Pieces to skip when a stream is resumed.
+    pub resume_from: u64,
+    /// The caller's JSON body.
+    pub body: &'a [u8],
+    /// Longest time for the whole answer.
+    pub timeout: Duration,
+}
+
+/// An answer whose body is read as it arrives.
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Content type of the body.
+    pub content_type: String,
+    /// Body; a read returns as soon as bytes have arrived.
+    pub body: Box<dyn Read + Send>,
+}
+
+impl From<Response<Body>> for Answer {
+    fn from(response: Response<Body>) -> Self {
+        let (parts, body) = response.into_parts();
+        let content_type = parts.headers.get("content-type");
+        Self {
+            status: parts.status.as_u16(),
+            content_type: content_type
+                .and_then(|value| value.to_str().ok())
+                .unwrap_or("application/octet-stream")
+                .to_owned(),
+            body: Box::new(body.into_reader()),
+        }
+    }
+}
+
+/// Client of a model engine.
+#[derive(Debug, Clone)]
+pub struct Engine {
+    base: String,
+    agent: Agent,
+}
+
+impl Engine {
+    /// Makes a client for the engine at the base URL.
+    pub fn new(base: &str) -> Self {
+        Self {
+            base: base.trim_end_matches('/').to_owned(),
+            agent: http::client(TIMEOUT),
+        }
+    }
+
+    /// Returns what the engine holds.
+    ///
+    /// # Errors
+    ///
+    /// Any error means that the inventory is not known.
+    pub fn inventory(&self) -> Result<Inventory, Error> {
+        http::get(&self.agent, &format!("{}/v1/inventory", self.base))
+    }
+
+    /// Gives an order and waits up to `timeout` until it is carried out.
+    ///
+    /// # Errors
+    ///
+    /// `Status` with 409 means that the fencing number is old, with 507 that the memory does not
+    /// suffice. After `NoAnswer` the order may have been carried out or still be in progress.
+    pub fn order(&self, order: &Order, timeout: Duration) -> Result<(), Error> {
+        let agent = http::unpooled_client(timeout);
+        let url = format!("{}/v1/orders", self.base);
+        let _: serde_json::Value = http::post(&agent, &url, order)?;
+        Ok(())
+    }
+
+    /// Starts a completion and returns its answer as it arrives.
+    ///
+    /// # Errors
+    ///
+    /// After `NoAnswer` the engine may have begun.
+    pub fn complete(&self, completion: &Completion<'_>) -> Result<Answer, Error> {
+        let agent = http::unpooled_client(completion.timeout);
+        let mut request = agent
+            .post(format!("{}/v1/chat/completions", self.base))
+            .header("Content-Type", "application/json")
+            .header("X-Request-Id", completion.request.as_str())
+            .header("X-Model", completion.model.as_str())
+            .header("X-Priority", completion.priority.to_string())
+            .header("X-Resume-From", completion.resume_from.to_string());
+        if let Some(adapter) = completion.adapter {
+            request = request.header("X-Adapter", adapter.as_str());
+        }
+        Ok(Answer::from(request.send(completion.body)?))
+    }
+
+    /// Cancels a completion.
+    ///
+    /// # Errors
+    ///
+    /// Any error means that the completion may still run.
+    pub fn cancel(&self, request: &id::Request) -> Result<(), Error> {
+        let url = format!("{}/v1/cancel", self.base);
+        let body = serde_json::json!({ "id": request });
+        let _: serde_json::Value = http::post(&self.agent, &url, &body)?;
+        Ok(())
+    }
+
+    /// Returns the engine's load report.
+    ///
+    /// # Errors
+    ///
+    /// Any error means that the load is not known.
+    pub fn load(&self) -> Result<Load, Error> {
+        http::get(&self.agent, &format!("{}/v1/load", self.base))
+    }
+}
--- /dev/null
+++ b/src/platform/error.rs
@@ -0,0 +1,67 @@
+//! Errors of calls to outside systems.
+
+use std::{
+    fmt,
+    io, //
+};
+
+/// Why a call to an outside system gave no usable answer.
+#[derive(Debug)]
+pub enum Error {
+    /// No connection was made, so the call certainly had no effect.
+    Unreachable(String),
+    /// The call was sent and its answer is missing; it may have had its effect.
+    NoAnswer(String),
+    /// The system answered with an error status.
+    Status {
+        /// HTTP status.
+        status: u16,
+        /// Body of the answer.
+        body: String,
+    },
+    /// The answer can't be understood; the call may have had its effect.
+    Malformed(String),
+}
+
+impl Error {
+    /// Returns whether the call certainly had no effect.
+    pub fn had_no_effect(&self) -> bool {
+        match self {
+            Self::Unreachable(_) => true,
+            Self::Status { status, .. } => (400..500).contains(status),
+            Self::NoAnswer(_) | Self::Malformed(_) => false,
+        }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unreachable(detail) => write!(f, "can't connect: {detail}"),
+            Self::NoAnswer(detail) => write!(f, "no answer: {detail}"),
+            Self::Status { status, body } => write!(f, "answered status {status}: {body}"),
+            Self::Malformed(detail) => write!(f, "malformed answer: {detail}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<ureq::Error> for Error {
+    fn from(error: ureq::Error) -> Self {
+        let detail = error.to_string();
+        match error {
+            ureq::Error::HostNotFound
+            | ureq::Error::ConnectionFailed
+            | ureq::Error::BadUri(_)
+            | ureq::Error::Timeout(ureq::Timeout::Resolve | ureq::Timeout::Connect) => {
+                Self::Unreachable(detail)
+            }
+            ureq::Error::Io(cause) if cause.kind() == io::ErrorKind::ConnectionRefused => {
+                Self::Unreachable(detail)
+            }
+            ureq::Error::Json(_) => Self::Malformed(detail),
+            _ => Self::NoAnswer(detail),
+        }
+    }
+}
--- /dev/null
+++ b/src/platform/list.rs
@@ -0,0 +1,108 @@
+//! Client of the platform's instance list.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use ureq::Agent;
+
+use super::{
+    Error,
+    http, //
+};
+use crate::id;
+
+/// Longest wait for the list.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What an instance does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    /// An entry.
+    Entry,
+    /// An agent and its backend server.
+    Agent,
+}
+
+/// State of an instance, as the list knows it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    /// In service.
+    Live,
+    /// About to be taken away.
+    Leaving,
+}
+
+/// An instance in the list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Instance {
+    /// Unique name.
+    pub name: id::Instance,
+    /// What it does.
+    pub role: Role,
+    /// Address of its peer port.
+    pub addr: SocketAddr,
+    /// Address of its operator port.
+    pub operator_addr: SocketAddr,
+    /// Pool of its backend server, empty for an entry.
+    pub pool: id::Pool,
+    /// Region.
+    pub region: String,
+    /// Failure domain.
+    pub failure_domain: String,
+    /// State.
+    pub state: State,
+}
+
+/// The list at one moment.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listing {
+    /// Tag by which the next poll asks for changes.
+    pub etag: Option<String>,
+    /// All instances.
+    pub instances: Vec<Instance>,
+}
+
+/// Client of the instance list.
+#[derive(Debug, Clone)]
+pub struct List {
+    url: String,
+    agent: Agent,
+}
+
+impl List {
+    /// Makes a client for the list service at the base URL.
+    pub fn new(base: &str) -> Self {
+        Self {
+            url: format!("{}/instances", base.trim_end_matches('/')),
+            agent: http::client(TIMEOUT),
+        }
+    }
+
+    /// Returns the list, or nothing if it is the one that `etag` tags.
+    ///
+    /// # Errors
+    ///
+    /// Any error means that the list is not known anew.
+    pub fn poll(&self, etag: Option<&str>) -> Result<Option<Listing>, Error> {
+        let mut request = self.agent.get(&self.url);
+        if let Some(etag) = etag {
+            request = request.header("If-None-Match", etag);
+        }
+        let response = http::check_status(request.call()?)?;
+        if response.status().as_u16() == 304 {
+            return Ok(None);
+        }
+        let tag = response.headers().get("ETag");
+        let etag = tag.and_then(|value| value.to_str().ok()).map(str::to_owned);
+        let instances = http::decode(response)?;
+        Ok(Some(Listing { etag, instances }))
+    }
+}
--- /dev/null
+++ b/src/platform/log.rs
@@ -0,0 +1,87 @@
+//! Client of the platform's append-only log service.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use ureq::Agent;
+
+use super::{
+    Error,
+    http, //
+};
+
+/// Longest wait for the answer to an append.
+pub const APPEND_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time allowed for a read beyond its long poll.
+const READ_MARGIN: Duration = Duration::from_secs(2);
+
+/// A record of a stream.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct Record {
+    /// Offset in the stream, from 1.
+    pub offset: u64,
+    /// Content.
+    pub body: String,
+}
+
+/// Records read from a stream.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct Page {
+    /// Offset of the oldest record that the log still keeps.
+    pub first: u64,
+    /// Offset that the next appended record gets.
+    pub next: u64,
+    /// Records in the order of their offsets.
+    pub records: Vec<Record>,
+}
+
+#[derive(Deserialize)]
+struct Appended {
+    offset: u64,
+}
+
+/// Client of the log service.
+#[derive(Debug, Clone)]
+pub struct Log {
+    base: String,
+    append: Agent,
+}
+
+impl Log {
+    /// Makes a client for the service at the base URL.
+    pub fn new(base: &str) -> Self {
+        Self {
+            base: base.trim_end_matches('/').to_owned(),
+            append: http::unpooled_client(APPEND_TIMEOUT),
+        }
+    }
+
+    /// Appends a record and returns its offset.
+    ///
+    /// # Errors
+    ///
+    /// After `NoAnswer` and `Malformed` the record may be in the stream, now or later; look for
+    /// its id before appending again.
+    pub fn append(&self, stream: &str, body: &str) -> Result<u64, Error> {
+        let url = format!("{}/streams/{stream}", self.base);
+        let response = self.append.post(&url).send(body)?;
+        let appended: Appended = http::decode(response)?;
+        Ok(appended.offset)
+    }
+
+    /// Reads up to `limit` records from offset `from`, waiting up to `wait` for the first.
+    ///
+    /// # Errors
+    ///
+    /// Any error means that nothing was read.
+    pub fn read(&self, stream: &str, from: u64, limit: u32, wait: Duration) -> Result<Page, Error> {
+        let url = format!(
+            "{}/streams/{stream}?from={from}&limit={limit}&wait_ms={}",
+            self.base,
+            wait.as_millis()
+        );
+        let agent = http::client(wait + READ_MARGIN);
+        http::get(&agent, &url)
+    }
+}
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,11 @@
+//! Clients of the outside systems, one module each.
+
+pub mod engine;
+mod error;
+mod http;
+pub mod list;
+pub mod log;
+pub mod service;
+pub mod store;
+
+pub use error::Error;
--- /dev/null
+++ b/src/platform/service.rs
@@ -0,0 +1,63 @@
+//! Client of a plain service.
+
+use std::time::Duration;
+
+use ureq::http::Request;
+
+use super::{
+    Error,
+    engine::Answer,
+    http, //
+};
+
+/// A call of a plain service.
+#[derive(Debug)]
+pub struct Call<'a> {
+    /// HTTP method.
+    pub method: &'a str,
+    /// Path and query, beginning with `/`.
+    pub path: &'a str,
+    /// Content type of the body, if given.
+    pub content_type: Option<&'a str>,
+    /// Request id for the service's log.
+    pub request: &'a str,
+    /// Body.
+    pub body: &'a [u8],
+    /// Longest time for the whole answer.
+    pub timeout: Duration,
+}
+
+/// Client of a plain service.
+#[derive(Debug, Clone)]
+pub struct Service {
+    base: String,
+}
+
+impl Service {
+    /// Makes a client for the service at the base URL.
+    pub fn new(base: &str) -> Self {
+        Self {
+            base: base.trim_end_matches('/').to_owned(),
+        }
+    }
+
+    /// Sends a call once and returns its answer, whatever its status.
+    ///
+    /// # Errors
+    ///
+    /// `Unreachable` means that nothing was sent. After `NoAnswer` the service may have run it.
+    pub fn call(&self, call: &Call<'_>) -> Result<Answer, Error> {
+        let agent = http::unpooled_client(call.timeout);
+        let mut request = Request::builder()
+            .method(call.method)
+            .uri(format!("{}{}", self.base, call.path))
+            .header("X-Request-Id", call.request);
+        if let Some(content_type) = call.content_type {
+            request = request.header("Content-Type", content_type);
+        }
+        let request = request
+            .body(call.body)
+            .map_err(|error| Error::Unreachable(error.to_string()))?;
+        Ok(Answer::from(agent.run(request)?))
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -2,10 +2,15 @@
 
 use std::{
     collections::BTreeMap,
+    fs,
     net::SocketAddr,
-    path::PathBuf, //
+    path::{
+        Path,
+        PathBuf, //
+    },
 };
 
+use jsonc_parser::ParseOptions;
 use serde::Deserialize;
 
 use crate::id;
@@ -119,3 +124,20 @@
         url: String,
     },
 }
+
+impl Settings {
+    /// Reads the settings from a file.
+    ///
+    /// # Errors
+    ///
+    /// Says what is wrong with the file.
+    pub fn load(path: &Path) -> Result<Self, String> {
+        let text = fs::read_to_string(path).map_err(|error| error.to_string())?;
+        let value = jsonc_parser::parse_to_serde_value::<serde_json::Value>(
+            &text,
+            &ParseOptions::default(),
+        )
+        .map_err(|error| error.to_string())?;
+        serde_json::from_value(value).map_err(|error| error.to_string())
+    }
+}
