--- /dev/null
+++ b/src/bench/fleet.rs
@@ -0,0 +1,493 @@
+//! A small system on loopback: emulators and daemons as separate processes.
+
+use std::{
+    fs,
+    net::{
+        Ipv4Addr,
+        SocketAddr,
+        TcpListener,
+        UdpSocket, //
+    },
+    path::{
+        Path,
+        PathBuf, //
+    },
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use serde_json::{
+    Value,
+    json, //
+};
+use sha2::{
+    Digest,
+    Sha256, //
+};
+use uuid::Uuid;
+
+use super::{
+    Caller,
+    Deployment,
+    Error,
+    Process,
+    process, //
+};
+
+/// Longest wait until all daemons are ready.
+const READY_LIMIT: Duration = Duration::from_secs(30);
+
+/// Pause between checks of readiness.
+const READY_PAUSE: Duration = Duration::from_millis(100);
+
+/// What to start.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// The deployment.
+    pub deployment: Deployment,
+    /// Number of entries.
+    pub entries: usize,
+    /// Number of model engines, each with an agent.
+    pub engines: usize,
+    /// Number of backend servers of the plain service, each with an agent.
+    pub services: usize,
+    /// Accelerator memory of each engine in MiB.
+    pub memory_mb: u64,
+    /// Time between tokens of an engine in milliseconds.
+    pub token_interval_ms: u64,
+    /// Whether the engines refuse orders with an old fencing number.
+    pub checks_fence: bool,
+    /// Bytes a second that the weight store sends at full speed.
+    pub store_bytes_per_s: u64,
+    /// Seconds for which the log keeps records.
+    pub log_retention_s: u64,
+}
+
+impl Plan {
+    /// Returns a plan with two entries, two engines and one plain service.
+    pub fn new(deployment: Deployment) -> Self {
+        Self {
+            deployment,
+            entries: 2,
+            engines: 2,
+            services: 1,
+            memory_mb: 40_000,
+            token_interval_ms: 20,
+            checks_fence: true,
+            store_bytes_per_s: 20 << 30,
+            log_retention_s: 86_400,
+        }
+    }
+}
+
+/// A daemon of the fleet.
+#[derive(Debug)]
+pub struct Daemon {
+    /// Name of its instance.
+    pub name: String,
+    /// Address of its operator port.
+    pub operator_addr: SocketAddr,
+    /// Address of its caller port, for an entry.
+    pub caller_addr: Option<SocketAddr>,
+    /// The process.
+    pub process: Process,
+    settings: PathBuf,
+    directory: PathBuf,
+}
+
+impl Daemon {
+    /// Starts the daemon anew, with the same settings and nothing in memory.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process can't be started.
+    pub fn restart(&mut self) -> Result<(), Error> {
+        self.process.kill();
+        self.process = start_daemon(&self.name, &self.settings, &self.directory)?;
+        Ok(())
+    }
+
+    /// Returns whether the daemon says that it is ready.
+    pub fn is_ready(&self) -> bool {
+        let url = format!("http://{}/readyz", self.operator_addr);
+        ureq::get(url).call().is_ok()
+    }
+}
+
+/// An emulator of the fleet.
+#[derive(Debug)]
+pub struct Emulator {
+    /// Base URL.
+    pub url: String,
+    /// The process.
+    pub process: Process,
+}
+
+impl Emulator {
+    /// Returns the emulator's record of what happened.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the emulator does not answer.
+    pub fn record(&self) -> Result<Value, Error> {
+        let mut response = ureq::get(format!("{}/record", self.url)).call()?;
+        Ok(response.body_mut().read_json()?)
+    }
+
+    /// Sets faults.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the emulator does not answer or refuses the faults.
+    pub fn set_faults(&self, faults: &Value) -> Result<(), Error> {
+        ureq::post(format!("{}/faults", self.url)).send_json(faults)?;
+        Ok(())
+    }
+}
+
+/// A small system on loopback.
+#[derive(Debug)]
+pub struct Fleet {
+    /// What was started.
+    pub plan: Plan,
+    /// Entries.
+    pub entries: Vec<Daemon>,
+    /// Agents of the model engines, in the order of `engines`.
+    pub engine_agents: Vec<Daemon>,
+    /// Agents of the plain service, in the order of `services`.
+    pub service_agents: Vec<Daemon>,
+    /// Emulated model engines.
+    pub engines: Vec<Emulator>,
+    /// Emulated plain services.
+    pub services: Vec<Emulator>,
+    /// Emulated log service.
+    pub log: Emulator,
+    /// Emulated instance list.
+    pub list: Emulator,
+    /// Emulated weight store.
+    pub store: Emulator,
+    /// Bearer token of the institution's callers.
+    pub caller_token: String,
+    /// Bearer token of the operator.
+    pub operator_token: String,
+    directory: PathBuf,
+}
+
+impl Fleet {
+    /// Starts all processes and waits until every daemon is ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a program is not built, can't be started or is not ready in time.
+    pub fn start(plan: Plan) -> Result<Self, Error> {
+        let mut fleet = Self::start_platform(plan)?;
+        fleet.create_keys()?;
+        for number in 0..fleet.plan.engines {
+            fleet.start_engine(number)?;
+        }
+        for number in 0..fleet.plan.services {
+            fleet.start_service(number)?;
+        }
+        for number in 0..fleet.plan.entries {
+            fleet.start_entry(number)?;
+        }
+        fleet.publish_first_note()?;
+        fleet.wait_until_ready()?;
+        Ok(fleet)
+    }
+
+    /// Returns a caller of the entry with this number.
+    pub fn caller(&self, entry: usize) -> Caller {
+        let addr = self.entries[entry].caller_addr;
+        Caller::new(
+            addr.unwrap_or(self.entries[entry].operator_addr),
+            &self.caller_token,
+        )
+    }
+
+    /// Returns the folder of settings, keys and logs.
+    pub fn directory(&self) -> &Path {
+        &self.directory
+    }
+
+    /// Runs the command-line tool and returns its standard output.
+    ///
+    /// # Errors
+    ///
+    /// Fails with what the tool printed if its exit code is not 0.
+    pub fn command<const N: usize>(&self, args: [&str; N]) -> Result<String, Error> {
+        run_command(&args)
+    }
+
+    /// Publishes a release note from a file through the command-line tool.
+    ///
+    /// # Errors
+    ///
+    /// Fails with what the tool printed if the note was not accepted and in force.
+    pub fn publish(&self, file: &Path) -> Result<String, Error> {
+        let token = self.directory.join("operator.token");
+        run_command(&[
+            "release",
+            "publish",
+            &file.display().to_string(),
+            "--log",
+            &self.log.url,
+            "--list",
+            &self.list.url,
+            "--token-file",
+            &token.display().to_string(),
+            "--wait",
+            "20",
+        ])
+    }
+
+    fn start_platform(plan: Plan) -> Result<Self, Error> {
+        let directory = std::env::temp_dir().join(format!("chestnuthub-{}", Uuid::new_v4()));
+        fs::create_dir_all(&directory)
+            .map_err(|error| Error::Io(directory.display().to_string(), error))?;
+        let retention = plan.log_retention_s.to_string();
+        let loads = plan.deployment.store_loads_per_s.to_string();
+        let bytes = plan.store_bytes_per_s.to_string();
+        let log = start_emulator("log", "log", &directory, &["--retention-s", &retention])?;
+        let list = start_emulator("list", "list", &directory, &[])?;
+        let store_args = ["--loads-per-s", &loads, "--bytes-per-s", &bytes];
+        let store = start_emulator("store", "store", &directory, &store_args)?;
+        Ok(Self {
+            plan,
+            entries: Vec::new(),
+            engine_agents: Vec::new(),
+            service_agents: Vec::new(),
+            engines: Vec::new(),
+            services: Vec::new(),
+            log,
+            list,
+            store,
+            caller_token: Uuid::new_v4().to_string(),
+            operator_token: Uuid::new_v4().to_string(),
+            directory,
+        })
+    }
+
+    fn create_keys(&self) -> Result<(), Error> {
+        let token = self.directory.join("operator.token");
+        write(&token, &self.operator_token)?;
+        let mut args = vec!["keys".to_owned(), "create".to_owned(), "--out".to_owned()];
+        args.push(self.directory.display().to_string());
+        for name in self.names() {
+            args.extend(["--name".to_owned(), name]);
+        }
+        run_command(&args.iter().map(String::as_str).collect::<Vec<_>>())?;
+        Ok(())
+    }
+
+    fn names(&self) -> Vec<String> {
+        let pool = self.plan.deployment.model_pool;
+        let service = self.plan.deployment.service;
+        let engines = (0..self.plan.engines).map(|n| format!("{pool}-{n}"));
+        let services = (0..self.plan.services).map(|n| format!("{service}-{n}"));
+        let entries = (0..self.plan.entries).map(|n| format!("entry-{n}"));
+        engines.chain(services).chain(entries).collect()
+    }
+
+    fn start_engine(&mut self, number: usize) -> Result<(), Error> {
+        let pool = self.plan.deployment.model_pool;
+        let memory = self.plan.memory_mb.to_string();
+        let interval = self.plan.token_interval_ms.to_string();
+        let mut args = vec!["--store", &self.store.url, "--memory-mb", &memory];
+        args.extend(["--token-interval-ms", &interval]);
+        if self.plan.checks_fence {
+            args.push("--checks-fence");
+        }
+        let name = format!("engine-{number}");
+        let engine = start_emulator("engine", &name, &self.directory, &args)?;
+        let role = json!({ "agent": { "pool": pool, "backend": { "engine": {
+            "url": engine.url,
+            "memory_mb": self.plan.memory_mb,
+            "adapter_memory_mb": 1_000,
+            "checks_fence": self.plan.checks_fence,
+        }}}});
+        let agent = self.start_daemon(&format!("{pool}-{number}"), number, &role)?;
+        self.engines.push(engine);
+        self.engine_agents.push(agent);
+        Ok(())
+    }
+
+    fn start_service(&mut self, number: usize) -> Result<(), Error> {
+        let pool = self.plan.deployment.service;
+        let name = format!("service-{number}");
+        let service = start_emulator("service", &name, &self.directory, &[])?;
+        let backend = json!({ "service": { "url": service.url } });
+        let role = json!({ "agent": { "pool": pool, "backend": backend } });
+        let agent = self.start_daemon(&format!("{pool}-{number}"), number, &role)?;
+        self.services.push(service);
+        self.service_agents.push(agent);
+        Ok(())
+    }
+
+    fn start_entry(&mut self, number: usize) -> Result<(), Error> {
+        let institution = self.plan.deployment.institution;
+        let caller_addr = free_tcp_addr()?;
+        let role = json!({ "entry": {
+            "caller_addr": caller_addr,
+            "institutions": { institution: [digest(&self.caller_token)] },
+        }});
+        let mut entry = self.start_daemon(&format!("entry-{number}"), number, &role)?;
+        entry.caller_addr = Some(caller_addr);
+        self.entries.push(entry);
+        Ok(())
+    }
+
+    fn start_daemon(&self, name: &str, number: usize, role: &Value) -> Result<Daemon, Error> {
+        let domains = self.plan.deployment.failure_domains;
+        let (region, failure_domain) = domains[number % domains.len()];
+        let operator_addr = free_tcp_addr()?;
+        let peer_addr = free_udp_addr()?;
+        let file = |suffix: &str| self.directory.join(format!("{name}{suffix}"));
+        let settings = json!({
+            "instance": name,
+            "region": region,
+            "failure_domain": failure_domain,
+            "peer_addr": peer_addr,
+            "operator_addr": operator_addr,
+            "platform": {
+                "log": self.log.url,
+                "log_retention_h": 24,
+                "list": self.list.url,
+                "store": self.store.url,
+            },
+            "tls": {
+                "authority": self.directory.join("authority.pem"),
+                "certificate": file(".pem"),
+                "key": file(".key.pem"),
+            },
+            "operators": { "operator": digest(&self.operator_token) },
+            "role": role,
+        });
+        let path = file(".json");
+        write(&path, &settings.to_string())?;
+        let process = start_daemon(name, &path, &self.directory)?;
+        self.register(name, number, peer_addr, operator_addr, role)?;
+        Ok(Daemon {
+            name: name.to_owned(),
+            operator_addr,
+            caller_addr: None,
+            process,
+            settings: path,
+            directory: self.directory.clone(),
+        })
+    }
+
+    fn register(
+        &self,
+        name: &str,
+        number: usize,
+        peer_addr: SocketAddr,
+        operator_addr: SocketAddr,
+        role: &Value,
+    ) -> Result<(), Error> {
+        let domains = self.plan.deployment.failure_domains;
+        let (region, failure_domain) = domains[number % domains.len()];
+        let pool = role["agent"]["pool"].as_str().unwrap_or_default();
+        let instance = json!({
+            "name": name,
+            "role": if pool.is_empty() { "entry" } else { "agent" },
+            "addr": peer_addr,
+            "operator_addr": operator_addr,
+            "pool": pool,
+            "region": region,
+            "failure_domain": failure_domain,
+            "state": "live",
+        });
+        ureq::put(format!("{}/instances/{name}", self.list.url)).send_json(&instance)?;
+        Ok(())
+    }
+
+    fn publish_first_note(&self) -> Result<(), Error> {
+        let note = serde_json::to_string(&self.plan.deployment.first_note())
+            .map_err(|error| Error::Call(error.to_string()))?;
+        let file = self.directory.join("first-release.json");
+        write(&file, &note)?;
+        self.publish(&file)?;
+        Ok(())
+    }
+
+    fn wait_until_ready(&self) -> Result<(), Error> {
+        let deadline = Instant::now() + READY_LIMIT;
+        let daemons = self.entries.iter().chain(&self.engine_agents);
+        for daemon in daemons.chain(&self.service_agents) {
+            while !daemon.is_ready() {
+                if Instant::now() > deadline {
+                    return Err(Error::NotReady(daemon.name.clone()));
+                }
+                thread::sleep(READY_PAUSE);
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        // Logs are kept for inspection if a test fails.
+        if !thread::panicking() {
+            let _ = fs::remove_dir_all(&self.directory);
+        }
+    }
+}
+
+fn start_emulator(
+    kind: &str,
+    name: &str,
+    directory: &Path,
+    args: &[&str],
+) -> Result<Emulator, Error> {
+    let first = [kind, "--listen", "127.0.0.1:0"];
+    let all = first.iter().chain(args);
+    let mut process = Process::start("chestnuthub-emulator", name, directory, all)?;
+    let addr = process.listening()?;
+    Ok(Emulator {
+        url: format!("http://{addr}"),
+        process,
+    })
+}
+
+fn start_daemon(name: &str, settings: &Path, directory: &Path) -> Result<Process, Error> {
+    let args = [Path::new("--settings"), settings];
+    Process::start("chestnuthubd", name, directory, args)
+}
+
+fn run_command(args: &[&str]) -> Result<String, Error> {
+    let output = std::process::Command::new(process::executable("chestnuthub")?)
+        .args(args)
+        .output()
+        .map_err(|error| Error::Io("chestnuthub".to_owned(), error))?;
+    let stdout = String::from_utf8_lossy(&output.stdout).into_owned();
+    if output.status.success() {
+        return Ok(stdout);
+    }
+    let stderr = String::from_utf8_lossy(&output.stderr);
+    Err(Error::Call(format!("{args:?}: {stdout}{stderr}")))
+}
+
+fn write(path: &Path, text: &str) -> Result<(), Error> {
+    fs::write(path, text).map_err(|error| Error::Io(path.display().to_string(), error))
+}
+
+fn digest(token: &str) -> String {
+    format!("{:x}", Sha256::digest(token))
+}
+
+fn free_tcp_addr() -> Result<SocketAddr, Error> {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+        .and_then(|listener| listener.local_addr())
+        .map_err(|error| Error::Io("free TCP port".to_owned(), error))
+}
+
+fn free_udp_addr() -> Result<SocketAddr, Error> {
+    UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))
+        .and_then(|socket| socket.local_addr())
+        .map_err(|error| Error::Io("free UDP port".to_owned(), error))
+}
--- /dev/null
+++ b/src/bench/process.rs
@@ -0,0 +1,148 @@
+//! A process that the load tool or a test starts, signals and ends.
+
+use std::{
+    ffi::OsStr,
+    fs::File,
+    io::{
+        BufRead,
+        BufReader, //
+    },
+    net::SocketAddr,
+    path::{
+        Path,
+        PathBuf, //
+    },
+    process::{
+        Child,
+        Command,
+        ExitStatus,
+        Stdio, //
+    },
+};
+
+use rustix::process::{
+    Pid,
+    Signal,
+    kill_process, //
+};
+
+use super::Error;
+
+/// A started process; it is killed when dropped.
+#[derive(Debug)]
+pub struct Process {
+    name: String,
+    child: Child,
+}
+
+impl Process {
+    /// Starts a program of this package; its log goes to `{directory}/{name}.log`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the program is not built or can't be started.
+    pub fn start<I, S>(program: &str, name: &str, directory: &Path, args: I) -> Result<Self, Error>
+    where
+        I: IntoIterator<Item = S>,
+        S: AsRef<OsStr>,
+    {
+        let path = directory.join(format!("{name}.log"));
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(&path)
+            .map_err(|error| Error::Io(path.display().to_string(), error))?;
+        let child = Command::new(executable(program)?)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(log)
+            .spawn()
+            .map_err(|error| Error::Io(program.to_owned(), error))?;
+        Ok(Self {
+            name: name.to_owned(),
+            child,
+        })
+    }
+
+    /// Waits for the line `listening addr=...` of an emulator and returns the address.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process ends or prints something else first.
+    pub fn listening(&mut self) -> Result<SocketAddr, Error> {
+        let not_ready = || Error::NotReady(self.name.clone());
+        let stdout = self.child.stdout.take().ok_or_else(not_ready)?;
+        let mut line = String::new();
+        BufReader::new(stdout)
+            .read_line(&mut line)
+            .map_err(|error| Error::Io(self.name.clone(), error))?;
+        let address = line.trim().strip_prefix("listening addr=");
+        address
+            .and_then(|text| text.parse().ok())
+            .ok_or_else(not_ready)
+    }
+
+    /// Sends SIGKILL and waits for the end.
+    pub fn kill(&mut self) {
+        // Fails only if the process has ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Stops the process without ending it, as a long pause would.
+    pub fn freeze(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Continues a frozen process.
+    pub fn thaw(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Asks the process to shut down gracefully.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Waits for the end.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process can't be waited for.
+    pub fn wait(&mut self) -> Result<ExitStatus, Error> {
+        self.child
+            .wait()
+            .map_err(|error| Error::Io(self.name.clone(), error))
+    }
+
+    /// Returns whether the process still runs.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        if let Some(pid) = pid {
+            // Fails only if the process has ended already.
+            let _ = kill_process(pid, signal);
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Returns the path of a program of this package, next to the running one.
+pub(super) fn executable(program: &str) -> Result<PathBuf, Error> {
+    let current =
+        std::env::current_exe().map_err(|error| Error::Io("current program".to_owned(), error))?;
+    let directories = current.ancestors().skip(1).take(2);
+    let mut candidates = directories.map(|directory| directory.join(program));
+    candidates
+        .find(|path| path.is_file())
+        .ok_or_else(|| Error::NotReady(format!("{program}: build it with `cargo build --bins`")))
+}
