--- a/src/catalogue/mod.rs
+++ b/src/catalogue/mod.rs
@@ -98,6 +98,11 @@
         Outcome::Accepted
     }
 
+    /// Passes over the record at `offset`, which changes nothing.
+    pub fn skip(&mut self, offset: u64) {
+        self.applied = self.applied.max(offset);
+    }
+
     /// Returns all that is wrong with `note` against the current state.
     pub fn check(&self, note: &Note) -> Vec<Finding> {
         note.check(&self.items)
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -30,10 +30,17 @@
 
 use crate::{
     agent::Agent,
+    catalogue::Catalogue,
     context::Context,
-    decision,
+    decision::Table,
     entry::Entry,
-    follow,
+    follow::{
+        self,
+        Fold,
+        Stream, //
+    },
+    gossip,
+    id,
     metrics::Metrics,
     peer::{
         self,
@@ -42,9 +49,13 @@
         Identity, //
     },
     platform::{
-        list::List,
-        log::Log, //
+        list::{
+            self,
+            List, //
+        },
+        log::Log,
     },
+    rank,
     report,
     settings::{
         Role,
@@ -61,6 +72,11 @@
 /// Longest time for which requests in flight are waited for at shutdown.
 const DRAIN_LIMIT: Duration = Duration::from_secs(300);
 
+/// Period of checks whether a snapshot is due.
+const SNAPSHOT_PERIOD: Duration = Duration::from_secs(5);
+
+const SECONDS_PER_HOUR: u64 = 3_600;
+
 /// Why the daemon can't run.
 #[derive(Debug)]
 enum Error {
@@ -98,6 +114,13 @@
     Entry(Entry),
 }
 
+/// The streams that every daemon follows.
+#[derive(Debug, Clone)]
+struct Streams {
+    releases: Arc<Stream<Catalogue>>,
+    decisions: Arc<Stream<Table>>,
+}
+
 /// Runs `chestnuthubd` and returns its exit code.
 pub fn run() -> ExitCode {
     match serve(&options().run()) {
@@ -124,13 +147,17 @@
     let runtime = Runtime::new()?;
     let (stop, stopping) = watch::channel(false);
     let context = context(settings, &runtime, stopping)?;
-    follow_platform(&context)?;
+    let streams = follow_platform(&context)?;
     let part = start(&context)?;
-    runtime.spawn(accept(context.clone(), part.clone()));
+    if let Part::Agent(_) = part {
+        write_snapshots(&context, &streams)?;
+    }
+    let node = gossip(&context, streams, &part);
+    runtime.spawn(accept(context.clone(), part.clone(), node.clone()));
     report::info("started", &[("peer_addr", &context.settings.peer_addr)]);
     wait_for_signal()?;
     let _ = stop.send(true);
-    runtime.block_on(drain(&part));
+    runtime.block_on(drain(&part, &node));
     report::info("stopped", &[]);
     context.endpoint.close();
     Ok(())
@@ -157,29 +184,69 @@
     })
 }
 
-fn follow_platform(context: &Context) -> io::Result<()> {
+fn follow_platform(context: &Context) -> io::Result<Streams> {
     let (log, view) = (&context.log, &context.view);
-    follow::stream(
-        log.clone(),
-        "releases",
-        view.clone(),
-        follow::apply_releases,
-    );
-    follow::stream(
-        log.clone(),
-        decision::STREAM,
-        view.clone(),
-        follow::apply_decisions,
-    );
+    let streams = Streams {
+        releases: Arc::new(Stream::new(log.clone(), view.clone(), View::set_catalogue)),
+        decisions: Arc::new(Stream::new(log.clone(), view.clone(), View::set_table)),
+    };
+    streams.releases.follow()?;
+    streams.decisions.follow()?;
     let list = List::new(&context.settings.platform.list);
     let view = view.clone();
     let mut etag = None;
     timer::subscribe("list", follow::LIST_PERIOD, move |_| {
         follow::instances(&list, &view, &mut etag);
         true
+    })?;
+    Ok(streams)
+}
+
+fn write_snapshots(context: &Context, streams: &Streams) -> io::Result<()> {
+    let view = context.view.clone();
+    let name = context.settings.instance.clone();
+    let hours = context.settings.platform.log_retention_h;
+    let retention = Duration::from_secs(hours.saturating_mul(SECONDS_PER_HOUR));
+    let streams = streams.clone();
+    timer::subscribe("snapshots", SNAPSHOT_PERIOD, move |now| {
+        if let Some(rank) = agent_rank(&view, Catalogue::STREAM, &name) {
+            streams.releases.write_snapshot(now, retention, rank);
+        }
+        if let Some(rank) = agent_rank(&view, Table::STREAM, &name) {
+            streams.decisions.write_snapshot(now, retention, rank);
+        }
+        true
     })
 }
 
+/// Returns the rank of the agent `name` among the live agents for the stream.
+fn agent_rank(view: &View, stream: &str, name: &id::Instance) -> Option<usize> {
+    let instances = view.instances();
+    let agents = instances.iter().filter(|instance| {
+        instance.role == list::Role::Agent && instance.state == list::State::Live
+    });
+    let ranked = rank::order(stream, agents.map(|instance| instance.name.as_str()));
+    ranked.iter().position(|agent| *agent == name.as_str())
+}
+
+fn gossip(context: &Context, streams: Streams, part: &Part) -> Arc<gossip::Node> {
+    let listener = part.clone();
+    let node = Arc::new(gossip::Node::new(
+        context.settings.instance.clone(),
+        context.endpoint.clone(),
+        context.view.clone(),
+        streams.releases,
+        streams.decisions,
+        Box::new(move |server| {
+            if let Part::Entry(entry) = &listener {
+                entry.note_leaving(server);
+            }
+        }),
+    ));
+    context.runtime.spawn(node.clone().run());
+    node
+}
+
 fn start(context: &Context) -> io::Result<Part> {
     Ok(match &context.settings.role {
         Role::Agent(settings) => Part::Agent(Agent::start(context.clone(), settings)),
@@ -187,27 +254,30 @@
     })
 }
 
-async fn accept(context: Context, part: Part) {
+async fn accept(context: Context, part: Part, node: Arc<gossip::Node>) {
     while let Some(incoming) = context.endpoint.accept().await {
-        let part = part.clone();
+        let (part, node) = (part.clone(), node.clone());
         tokio::spawn(async move {
             let Ok(connection) = incoming.await else {
                 return;
             };
             while let Ok((send, receive)) = connection.accept_bi().await {
-                tokio::spawn(answer(part.clone(), Exchange::new(send, receive)));
+                let exchange = Exchange::new(send, receive);
+                tokio::spawn(answer(part.clone(), node.clone(), exchange));
             }
         });
     }
 }
 
-async fn answer(part: Part, mut exchange: Exchange) {
+async fn answer(part: Part, node: Arc<gossip::Node>, mut exchange: Exchange) {
     let frame = match exchange.next().await {
         Ok(Some(frame)) => frame,
         Ok(None) => return,
         Err(error) => return report::warn("exchange_failed", &[("error", &error)]),
     };
     match (part, frame) {
+        (_, Frame::Heads(heads)) => node.answer(heads, exchange).await,
+        (_, Frame::Pull { stream, after }) => node.answer_pull(&stream, after, exchange).await,
         (Part::Agent(agent), Frame::Open(request)) => agent.serve(*request, exchange).await,
         (Part::Agent(agent), Frame::Widen { model }) => {
             agent.widen(&model);
@@ -215,6 +285,7 @@
         }
         (Part::Agent(agent), Frame::Drain) => {
             agent.leave();
+            node.announce_leaving();
             confirm(exchange).await;
         }
         _ => exchange.cancel(),
@@ -228,11 +299,12 @@
     }
 }
 
-async fn drain(part: &Part) {
+async fn drain(part: &Part, node: &gossip::Node) {
     let drained = async {
         match part {
             Part::Agent(agent) => {
                 agent.leave();
+                node.announce_leaving();
                 agent.drained().await;
             }
             Part::Entry(entry) => {
--- a/src/decision/record.rs
+++ b/src/decision/record.rs
@@ -6,7 +6,10 @@
 };
 use uuid::Uuid;
 
-use crate::id;
+use crate::{
+    id,
+    snapshot::Part, //
+};
 
 /// A record of the stream `decisions`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -83,15 +86,6 @@
         /// Its newest epoch when the writer decided.
         epoch: u64,
     },
-    /// The state after offset `at`, in parts.
-    Snapshot {
-        /// Offset up to which the state holds.
-        at: u64,
-        /// Number of this part, from 0.
-        part: u32,
-        /// Number of parts.
-        parts: u32,
-        /// This part of the state, JSON text.
-        state: String,
-    },
+    /// Part of the state after an earlier offset.
+    Snapshot(Part),
 }
--- a/src/decision/table.rs
+++ b/src/decision/table.rs
@@ -154,6 +154,11 @@
         }
     }
 
+    /// Passes over the record at `offset`, which changes nothing.
+    pub fn skip(&mut self, offset: u64) {
+        self.applied = self.applied.max(offset);
+    }
+
     fn change(&mut self, offset: u64, body: &Body) -> bool {
         match body {
             Body::Register {
@@ -192,7 +197,7 @@
                 grant,
             } => self.release(offset, model, server, *grant),
             Body::Gone { server, epoch } => self.remove(offset, server, *epoch),
-            Body::Snapshot { .. } => false,
+            Body::Snapshot(_) => false,
         }
     }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -17,6 +17,9 @@
         Ok(Self { context })
     }
 
+    /// Notes that a backend server takes no new work.
+    pub(crate) fn note_leaving(&self, _server: &crate::id::Instance) {}
+
     /// Waits until no request is in flight.
     pub(crate) async fn drained(&self) {
         let _ = (
--- /dev/null
+++ b/src/follow/reader.rs
@@ -0,0 +1,174 @@
+//! Applies pages of a log stream to a fold, from the start or from a snapshot.
+
+use super::{
+    Entry,
+    Fold, //
+};
+use crate::{
+    platform::log::{
+        Page,
+        Record, //
+    },
+    snapshot::{
+        Age,
+        Assembly,
+        Part,
+        unix_millis, //
+    },
+    timer::Time,
+};
+
+/// What became of a record, for the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Applied {
+    /// Offset of the record.
+    pub offset: u64,
+    /// What became of it.
+    pub outcome: String,
+}
+
+/// Reads a stream into a fold. Pure: takes pages, keeps the state.
+#[derive(Debug)]
+pub struct Reader<F> {
+    state: F,
+    next: u64,
+    assembly: Assembly,
+    records_since_snapshot: u64,
+    snapshot_written_ms: Option<u64>,
+    started: Time,
+}
+
+impl<F: Fold> Reader<F> {
+    /// Makes a reader with an empty state.
+    pub fn new(now: Time) -> Self {
+        Self {
+            state: F::default(),
+            next: 1,
+            assembly: Assembly::default(),
+            records_since_snapshot: 0,
+            snapshot_written_ms: None,
+            started: now,
+        }
+    }
+
+    /// Returns the state.
+    pub fn state(&self) -> &F {
+        &self.state
+    }
+
+    /// Returns the offset to read from.
+    pub fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// Returns how long ago the last snapshot was.
+    pub fn age(&self, now: Time) -> Age {
+        let time = match self.snapshot_written_ms {
+            Some(written) => {
+                std::time::Duration::from_millis(unix_millis().saturating_sub(written))
+            }
+            None => now - self.started,
+        };
+        Age {
+            records: self.records_since_snapshot,
+            time,
+        }
+    }
+
+    /// Applies a page that was read from `next`.
+    ///
+    /// If records between the state and the page are gone from the log, nothing is applied until
+    /// a snapshot closes the gap; applying later records to an older state would give a state
+    /// that no other daemon has.
+    pub fn apply_page(&mut self, page: &Page) -> Vec<Applied> {
+        let mut applied = Vec::new();
+        for record in &page.records {
+            if record.offset <= self.state.applied() {
+                continue;
+            }
+            if record.offset == self.state.applied() + 1 {
+                applied.push(self.apply_record(record));
+            } else if self.restore(page.first, record) {
+                // Records after the snapshot's offset may precede it in the stream.
+                self.next = self.state.applied() + 1;
+                return applied;
+            }
+        }
+        self.advance(page);
+        applied
+    }
+
+    /// Takes over a state that a peer relayed, if it is newer.
+    pub fn relay(&mut self, state: F) -> bool {
+        if state.applied() <= self.state.applied() {
+            return false;
+        }
+        self.next = state.applied() + 1;
+        self.state = state;
+        true
+    }
+
+    /// Applies a record that a peer relayed, if it follows the state.
+    pub fn relay_record(&mut self, record: &Record) -> Option<Applied> {
+        if record.offset != self.state.applied() + 1 {
+            return None;
+        }
+        let applied = self.apply_record(record);
+        self.next = self.next.max(record.offset + 1);
+        Some(applied)
+    }
+
+    fn advance(&mut self, page: &Page) {
+        let last = page
+            .records
+            .last()
+            .map_or(self.next - 1, |last| last.offset);
+        self.next = (last + 1).max(self.next);
+    }
+
+    fn apply_record(&mut self, record: &Record) -> Applied {
+        self.records_since_snapshot += 1;
+        let outcome = match F::decode(&record.body) {
+            Ok(Entry::Change(change)) => self.state.apply_change(record.offset, &change),
+            Ok(Entry::Snapshot(part)) => {
+                self.note_snapshot(&part);
+                self.state.skip(record.offset);
+                "snapshot".to_owned()
+            }
+            Err(error) => {
+                self.state.skip(record.offset);
+                format!("malformed: {error}")
+            }
+        };
+        Applied {
+            offset: record.offset,
+            outcome,
+        }
+    }
+
+    fn note_snapshot(&mut self, part: &Part) {
+        if part.part + 1 == part.parts {
+            self.snapshot_written_ms = Some(part.written_ms);
+            self.records_since_snapshot = 0;
+        }
+    }
+
+    /// Loads the state of a complete snapshot that leaves no gap to the oldest kept record.
+    fn restore(&mut self, first: u64, record: &Record) -> bool {
+        let Ok(Entry::Snapshot(part)) = F::decode(&record.body) else {
+            return false;
+        };
+        let Some((at, json)) = self.assembly.add(&part) else {
+            return false;
+        };
+        let Ok(state) = serde_json::from_str::<F>(&json) else {
+            return false;
+        };
+        if at + 1 < first || state.applied() != at {
+            return false;
+        }
+        self.snapshot_written_ms = Some(part.written_ms);
+        self.records_since_snapshot = 0;
+        self.relay(state)
+    }
+}
--- /dev/null
+++ b/src/gossip/mod.rs
@@ -0,0 +1,9 @@
+//! Exchange of log positions and leaving notices with a few neighbours.
+
+mod neighbours;
+mod node;
+mod notices;
+
+pub use neighbours::neighbours;
+pub(crate) use node::Node;
+pub use notices::Notices;
--- /dev/null
+++ b/src/gossip/node.rs
@@ -0,0 +1,227 @@
+//! A daemon's side of the exchange with its neighbours.
+
+use std::{
+    fmt,
+    sync::{
+        Arc,
+        Mutex,
+        PoisonError, //
+    },
+    time::Duration,
+};
+
+use super::{
+    Notices,
+    neighbours, //
+};
+use crate::{
+    catalogue::Catalogue,
+    decision::Table,
+    follow::{
+        Fold,
+        Stream, //
+    },
+    id,
+    peer::{
+        self,
+        Endpoint,
+        Exchange, //
+    },
+    platform::list::Instance,
+    report,
+    timer::Time,
+    view::View,
+    wire::{
+        Frame,
+        Heads,
+        Leaving, //
+    },
+};
+
+/// Time between exchanges.
+pub(crate) const PERIOD: Duration = Duration::from_secs(1);
+
+/// Longest time for one exchange.
+const EXCHANGE_LIMIT: Duration = Duration::from_secs(2);
+
+/// Called with each backend server that is newly known to be leaving.
+type OnLeaving = Box<dyn Fn(&id::Instance) + Send + Sync>;
+
+/// A daemon's side of the exchange with its neighbours.
+pub(crate) struct Node {
+    name: id::Instance,
+    endpoint: Endpoint,
+    view: Arc<View>,
+    releases: Arc<Stream<Catalogue>>,
+    decisions: Arc<Stream<Table>>,
+    notices: Mutex<Notices>,
+    on_leaving: OnLeaving,
+}
+
+impl fmt::Debug for Node {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Node").field("name", &self.name).finish()
+    }
+}
+
+impl Node {
+    pub(crate) fn new(
+        name: id::Instance,
+        endpoint: Endpoint,
+        view: Arc<View>,
+        releases: Arc<Stream<Catalogue>>,
+        decisions: Arc<Stream<Table>>,
+        on_leaving: OnLeaving,
+    ) -> Self {
+        Self {
+            name,
+            endpoint,
+            view,
+            releases,
+            decisions,
+            notices: Mutex::default(),
+            on_leaving,
+        }
+    }
+
+    /// Tells neighbours from now on that this backend server is leaving.
+    pub(crate) fn announce_leaving(&self) {
+        let epoch = self
+            .view
+            .table()
+            .epoch(&self.name)
+            .map_or(0, |epoch| epoch.offset);
+        let notice = Leaving {
+            server: self.name.clone(),
+            epoch,
+        };
+        self.with_notices(|notices| notices.add(&notice, Time::now()));
+    }
+
+    /// Exchanges positions with one neighbour after the other, for the life of the process.
+    pub(crate) async fn run(self: Arc<Self>) {
+        let mut round = 0;
+        loop {
+            tokio::time::sleep(PERIOD).await;
+            let neighbours = neighbours(&self.name, &self.view.instances());
+            if let Some(neighbour) = neighbours.get(round % neighbours.len().max(1)) {
+                self.visit(neighbour).await;
+            }
+            round += 1;
+        }
+    }
+
+    /// Answers a neighbour's positions.
+    pub(crate) async fn answer(&self, heads: Heads, mut exchange: Exchange) {
+        self.note(&heads);
+        let sent = exchange.send(&Frame::Heads(self.heads())).await;
+        finish(sent, exchange).await;
+    }
+
+    /// Answers a peer that asks for records.
+    pub(crate) async fn answer_pull(&self, stream: &str, after: u64, mut exchange: Exchange) {
+        let frames = if stream == Catalogue::STREAM {
+            self.releases.answer_pull(after)
+        } else if stream == Table::STREAM {
+            self.decisions.answer_pull(after)
+        } else {
+            Vec::new()
+        };
+        for frame in frames {
+            if exchange.send(&frame).await.is_err() {
+                return;
+            }
+        }
+        let sent = exchange.send(&Frame::End).await;
+        finish(sent, exchange).await;
+    }
+
+    async fn visit(&self, neighbour: &Instance) {
+        let visit = self.exchange(neighbour);
+        match tokio::time::timeout(EXCHANGE_LIMIT, visit).await {
+            Ok(Ok(())) => (),
+            Ok(Err(error)) => self.report_failure(neighbour, &error),
+            Err(_) => self.report_failure(neighbour, &"no answer in time"),
+        }
+    }
+
+    async fn exchange(&self, neighbour: &Instance) -> Result<(), peer::Error> {
+        let mut exchange = self.endpoint.open(&neighbour.name, neighbour.addr).await?;
+        exchange.send(&Frame::Heads(self.heads())).await?;
+        let Some(Frame::Heads(heads)) = exchange.next().await? else {
+            return Err(peer::Error::Protocol("expected heads".to_owned()));
+        };
+        self.note(&heads);
+        if heads.releases > self.releases.applied() {
+            self.pull(neighbour, &self.releases).await?;
+        }
+        if heads.decisions > self.decisions.applied() {
+            self.pull(neighbour, &self.decisions).await?;
+        }
+        Ok(())
+    }
+
+    async fn pull<F: Fold + Send + 'static>(
+        &self,
+        neighbour: &Instance,
+        stream: &Stream<F>,
+    ) -> Result<(), peer::Error> {
+        let mut exchange = self.endpoint.open(&neighbour.name, neighbour.addr).await?;
+        let request = Frame::Pull {
+            stream: F::STREAM.to_owned(),
+            after: stream.applied(),
+        };
+        exchange.send(&request).await?;
+        loop {
+            match exchange.next().await? {
+                Some(Frame::Records(records)) => stream.accept_records(records),
+                Some(Frame::State(part)) => stream.accept_part(&part),
+                _ => return Ok(()),
+            }
+        }
+    }
+
+    fn heads(&self) -> Heads {
+        let now = Time::now();
+        let age = self.view.news().map(|news| now - news);
+        let age_ms = age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
+        Heads {
+            decisions: self.decisions.applied(),
+            releases: self.releases.applied(),
+            news_age_ms: age_ms.unwrap_or(u64::MAX),
+            leaving: self.with_notices(|notices| notices.current(now)),
+        }
+    }
+
+    fn note(&self, heads: &Heads) {
+        let now = Time::now();
+        let behind = heads.releases < self.releases.applied();
+        if !behind && let Some(time) = now.as_millis().checked_sub(heads.news_age_ms) {
+            self.view.note_news(Time::from_millis(time));
+        }
+        for notice in &heads.leaving {
+            if self.with_notices(|notices| notices.add(notice, now)) {
+                report::info("leaving_notice", &[("server", &notice.server)]);
+                (self.on_leaving)(&notice.server);
+            }
+        }
+    }
+
+    fn report_failure(&self, neighbour: &Instance, error: &dyn fmt::Display) {
+        let pairs: [(&str, &dyn fmt::Display); 2] =
+            [("neighbour", &neighbour.name), ("error", error)];
+        report::event(log::Level::Debug, "gossip_failed", &pairs);
+    }
+
+    fn with_notices<T>(&self, change: impl FnOnce(&mut Notices) -> T) -> T {
+        let mut notices = self.notices.lock().unwrap_or_else(PoisonError::into_inner);
+        change(&mut notices)
+    }
+}
+
+async fn finish(sent: Result<(), peer::Error>, mut exchange: Exchange) {
+    if sent.is_ok() {
+        exchange.finish();
+        exchange.flush().await;
+    }
+}
--- /dev/null
+++ b/src/gossip/notices.rs
@@ -0,0 +1,63 @@
+//! Notices of backend servers that take no new work.
+
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+use crate::{
+    id,
+    timer::Time,
+    wire::Leaving, //
+};
+
+/// Time for which a notice is passed on.
+const LIFETIME: Duration = Duration::from_secs(60);
+
+/// Most notices in one message.
+const MAX_NOTICES: usize = 8;
+
+/// Notices of backend servers that take no new work. Pure.
+#[derive(Debug, Default)]
+pub struct Notices {
+    known: BTreeMap<id::Instance, (u64, Time)>,
+}
+
+impl Notices {
+    /// Adds a notice; returns whether it is new.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::{gossip::Notices, timer::Time, wire::Leaving};
+    ///
+    /// let mut notices = Notices::default();
+    /// let leaving = Leaving { server: "gearmind-1".into(), epoch: 4 };
+    /// assert!(notices.add(&leaving, Time::ZERO));
+    /// assert!(!notices.add(&leaving, Time::ZERO));
+    /// ```
+    pub fn add(&mut self, notice: &Leaving, now: Time) -> bool {
+        let known = self.known.get(&notice.server);
+        if known.is_some_and(|(epoch, _)| *epoch >= notice.epoch) {
+            return false;
+        }
+        self.known
+            .insert(notice.server.clone(), (notice.epoch, now));
+        true
+    }
+
+    /// Returns the newest notices that are still passed on.
+    pub fn current(&mut self, now: Time) -> Vec<Leaving> {
+        self.known.retain(|_, (_, since)| now - *since < LIFETIME);
+        let mut newest: Vec<_> = self.known.iter().collect();
+        newest.sort_by_key(|(_, (_, since))| std::cmp::Reverse(*since));
+        newest
+            .into_iter()
+            .take(MAX_NOTICES)
+            .map(|(server, (epoch, _))| Leaving {
+                server: server.clone(),
+                epoch: *epoch,
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/snapshot.rs
@@ -0,0 +1,143 @@
+//! Snapshots of a fold's state, cut into parts that fit a record or a frame.
+
+use std::{
+    collections::BTreeMap,
+    time::{
+        Duration,
+        SystemTime,
+        UNIX_EPOCH, //
+    },
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// Largest part of a snapshot in bytes of JSON text.
+pub const PART_BYTES: usize = 256 << 10;
+
+/// Most parts of a snapshot; bounds the memory that a malformed record can claim.
+const MAX_PARTS: u32 = 1_024;
+
+/// Most snapshots that are assembled at once.
+const MAX_ASSEMBLIES: usize = 4;
+
+/// Records after a snapshot that make another one due.
+const DUE_RECORDS: u64 = 2_000;
+
+/// Share of the log's retention after which another snapshot is due.
+const DUE_RETENTION_SHARE: u32 = 4;
+
+/// Additional wait of each rank behind the first before it writes a snapshot.
+const RANK_DELAY: Duration = Duration::from_secs(60);
+
+/// One part of the state after an offset.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// Offset up to which the state holds.
+    pub at: u64,
+    /// Number of this part, from 0.
+    pub part: u32,
+    /// Number of parts.
+    pub parts: u32,
+    /// Milliseconds since the Unix epoch when the snapshot was made.
+    pub written_ms: u64,
+    /// This part of the state's JSON text.
+    pub state: String,
+}
+
+/// Cuts the JSON text of a state into parts.
+///
+/// # Examples
+///
+/// ```
+/// use chestnuthub::snapshot::{self, Assembly};
+///
+/// let parts = snapshot::split(7, "{\"applied\":7}");
+/// let mut assembly = Assembly::default();
+/// assert_eq!(assembly.add(&parts[0]), Some((7, "{\"applied\":7}".to_owned())));
+/// ```
+pub fn split(at: u64, json: &str) -> Vec<Part> {
+    let written_ms = unix_millis();
+    let mut pieces = Vec::new();
+    let mut rest = json;
+    while rest.len() > PART_BYTES {
+        let (piece, tail) = rest.split_at(rest.floor_char_boundary(PART_BYTES));
+        pieces.push(piece);
+        rest = tail;
+    }
+    pieces.push(rest);
+    let parts = u32::try_from(pieces.len()).unwrap_or(u32::MAX);
+    (0..parts)
+        .zip(pieces)
+        .map(|(part, piece)| Part {
+            at,
+            part,
+            parts,
+            written_ms,
+            state: piece.to_owned(),
+        })
+        .collect()
+}
+
+/// Collects the parts of snapshots until one is complete.
+#[derive(Debug, Default)]
+pub struct Assembly {
+    parts: BTreeMap<u64, BTreeMap<u32, String>>,
+}
+
+impl Assembly {
+    /// Adds a part; returns the offset and JSON text of its snapshot once that is complete.
+    ///
+    /// Parts of several writers of one snapshot fit together, since the text of a part follows
+    /// from the log up to `at`.
+    pub fn add(&mut self, part: &Part) -> Option<(u64, String)> {
+        if part.parts == 0 || part.parts > MAX_PARTS || part.part >= part.parts {
+            return None;
+        }
+        let pieces = self.parts.entry(part.at).or_default();
+        pieces.insert(part.part, part.state.clone());
+        if pieces.len() < part.parts as usize {
+            self.drop_oldest();
+            return None;
+        }
+        let pieces = self.parts.remove(&part.at)?;
+        Some((part.at, pieces.into_values().collect()))
+    }
+
+    fn drop_oldest(&mut self) {
+        while self.parts.len() > MAX_ASSEMBLIES {
+            self.parts.pop_first();
+        }
+    }
+}
+
+/// What an agent knows about the need for a snapshot of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Age {
+    /// Records applied since the last snapshot, or since the oldest record.
+    pub records: u64,
+    /// Time since the last snapshot was made, or since the process started without one.
+    pub time: Duration,
+}
+
+impl Age {
+    /// Returns whether the agent of this rank should write a snapshot now.
+    pub fn is_due(self, retention: Duration, rank: usize) -> bool {
+        if self.records == 0 {
+            return false;
+        }
+        let rank = u32::try_from(rank).unwrap_or(u32::MAX);
+        let delay = RANK_DELAY.saturating_mul(rank);
+        let late = self.time >= (retention / DUE_RETENTION_SHARE).saturating_add(delay);
+        let many = self.records >= DUE_RECORDS.saturating_mul(u64::from(rank) + 1);
+        late || many
+    }
+}
+
+/// Returns the milliseconds since the Unix epoch.
+pub(crate) fn unix_millis() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    u64::try_from(now.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
+}
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -11,7 +11,10 @@
     Piece,
     Request, //
 };
-use crate::id;
+use crate::{
+    id,
+    snapshot::Part, //
+};
 
 /// A message on a QUIC stream; the first frame of a stream says what the exchange is.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -46,13 +49,8 @@
     Failed(Failure),
     /// Records of a log stream, in the order of their offsets.
     Records(Vec<(u64, String)>),
-    /// JSON text of a fold's state after an offset, where records are no longer held.
-    State {
-        /// Offset up to which the state holds.
-        at: u64,
-        /// The state.
-        json: String,
-    },
+    /// Part of a fold's state, where records are no longer held.
+    State(Part),
 }
 
 /// Begins the answer to a request.
