--- a/src/gossip/neighbours.rs
+++ b/src/gossip/neighbours.rs
@@ -48,14 +48,6 @@
 }
 
 fn ranked<'a>(own: &id::Instance, instances: &'a [Instance]) -> Vec<&'a Instance> {
-    let names = instances.iter().map(|instance| instance.name.as_str());
-    let others = names.filter(|name| *name != own.as_str());
-    rank::order(own.as_str(), others)
-        .into_iter()
-        .filter_map(|name| {
-            instances
-                .iter()
-                .find(|instance| instance.name.as_str() == name)
-        })
-        .collect()
+    let others = instances.iter().filter(|instance| instance.name != *own);
+    rank::order_by(own.as_str(), others, |instance| instance.name.as_str())
 }
--- a/src/rank.rs
+++ b/src/rank.rs
@@ -31,10 +31,30 @@
 where
     I: IntoIterator<Item = &'a str>,
 {
-    let mut ranked: Vec<_> = names
+    order_by(key, names, |name| name)
+}
+
+/// Sorts `items` by descending rendezvous weight of their names for `key`.
+///
+/// # Examples
+///
+/// ```
+/// use chestnuthub::rank;
+///
+/// let servers = [("a", 1), ("b", 2)];
+/// let ranked = rank::order_by("key", &servers, |(name, _)| name);
+/// assert_eq!(ranked.len(), 2);
+/// ```
+pub fn order_by<I, F>(key: &str, items: I, name: F) -> Vec<I::Item>
+where
+    I: IntoIterator,
+    F: Fn(&I::Item) -> &str,
+{
+    let mut ranked: Vec<_> = items
         .into_iter()
-        .map(|name| (weight(key, name), name))
+        .map(|item| (weight(key, name(&item)), item))
         .collect();
-    ranked.sort_unstable_by(|a, b| b.cmp(a));
-    ranked.into_iter().map(|(_, name)| name).collect()
+    // Equal weights are as unlikely as hash collisions; the name settles them.
+    ranked.sort_by(|(a, x), (b, y)| b.cmp(a).then_with(|| name(y).cmp(name(x))));
+    ranked.into_iter().map(|(_, item)| item).collect()
 }
