--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -34,6 +34,7 @@
     Deployment,
     Error,
     Process,
+    meter::Meter,
     process, //
 };
 
@@ -64,6 +65,8 @@
     pub store_bytes_per_s: u64,
     /// Seconds for which the log keeps records.
     pub log_retention_s: u64,
+    /// Whether the bytes between daemons and the log and list are counted.
+    pub metered: bool,
 }
 
 impl Plan {
@@ -79,6 +82,7 @@
             checks_fence: true,
             store_bytes_per_s: 20 << 30,
             log_retention_s: 86_400,
+            metered: false,
         }
     }
 }
@@ -94,6 +98,8 @@
     pub caller_addr: Option<SocketAddr>,
     /// The process.
     pub process: Process,
+    /// Counters of the bytes to and from the log and list, if metered.
+    pub(super) meters: Vec<Meter>,
     settings: PathBuf,
     directory: PathBuf,
 }
@@ -122,6 +128,8 @@
 pub struct Emulator {
     /// Base URL.
     pub url: String,
+    /// Address.
+    pub addr: SocketAddr,
     /// The process.
     pub process: Process,
 }
@@ -346,6 +354,7 @@
         let operator_addr = free_tcp_addr()?;
         let peer_addr = free_udp_addr()?;
         let file = |suffix: &str| self.directory.join(format!("{name}{suffix}"));
+        let (log, list, meters) = self.platform_urls()?;
         let settings = json!({
             "instance": name,
             "region": region,
@@ -353,9 +362,9 @@
             "peer_addr": peer_addr,
             "operator_addr": operator_addr,
             "platform": {
-                "log": self.log.url,
+                "log": log,
                 "log_retention_h": 24,
-                "list": self.list.url,
+                "list": list,
                 "store": self.store.url,
             },
             "tls": {
@@ -375,11 +384,21 @@
             operator_addr,
             caller_addr: None,
             process,
+            meters,
             settings: path,
             directory: self.directory.clone(),
         })
     }
 
+    /// Returns the URLs of the log and the list for one daemon, through meters if wanted.
+    fn platform_urls(&self) -> Result<(String, String, Vec<Meter>), Error> {
+        if !self.plan.metered {
+            return Ok((self.log.url.clone(), self.list.url.clone(), Vec::new()));
+        }
+        let meters = vec![Meter::start(self.log.addr)?, Meter::start(self.list.addr)?];
+        Ok((meters[0].url(), meters[1].url(), meters))
+    }
+
     fn register(
         &self,
         name: &str,
@@ -450,6 +469,7 @@
     let addr = process.listening()?;
     Ok(Emulator {
         url: format!("http://{addr}"),
+        addr,
         process,
     })
 }
--- a/src/bench/process.rs
+++ b/src/bench/process.rs
@@ -83,6 +83,11 @@
             .ok_or_else(not_ready)
     }
 
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends SIGKILL and waits for the end.
     pub fn kill(&mut self) {
         // Fails only if the process has ended already.
