cli: add keys create, token and release publish

Cause: the first end-to-end run needs keys, tokens and a way to publish a release note. Change: the command line with exit codes and text or JSON output; keys by rcgen, tokens from the TLS library's random numbers; the way of a note into the stream is a pure state machine that reads before each append.

--- a/src/catalogue/mod.rs
+++ b/src/catalogue/mod.rs
@@ -2,6 +2,7 @@
 
 mod item;
 mod note;
+mod publication;
 
 use std::collections::BTreeMap;
 
@@ -19,6 +20,12 @@
     Finding,
     Note, //
 };
+pub use publication::{
+    Action,
+    End,
+    Event,
+    Publication, //
+};
 use serde::{
     Deserialize,
     Serialize, //
--- /dev/null
+++ b/src/cli/exit.rs
@@ -0,0 +1,111 @@
+//! Exit codes and what a command prints.
+
+use std::{
+    fmt,
+    process::ExitCode, //
+};
+
+use serde_json::{
+    Value,
+    json, //
+};
+
+/// Exit code of a command.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Exit {
+    /// The command is done.
+    Done = 0,
+    /// There are findings, or the command failed.
+    Failed = 1,
+    /// The command line can't be understood.
+    Usage = 2,
+    /// Another release note was accepted first.
+    Conflict = 3,
+    /// The release note is accepted but not in force on every daemon in time.
+    NotInForce = 4,
+    /// The platform can't be reached, or the outcome is unknown.
+    Unknown = 5,
+}
+
+impl Exit {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Failed => "failed",
+            Self::Usage => "usage",
+            Self::Conflict => "conflict",
+            Self::NotInForce => "not_in_force",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> Self {
+        Self::from(exit as u8)
+    }
+}
+
+/// What a command has to say: text for people and the same as JSON.
+#[derive(Debug, Clone)]
+pub(super) struct Report {
+    pub(super) exit: Exit,
+    pub(super) text: String,
+    pub(super) json: Value,
+}
+
+impl Report {
+    pub(super) fn done(text: String, json: Value) -> Self {
+        Self {
+            exit: Exit::Done,
+            text,
+            json,
+        }
+    }
+}
+
+/// Why a command could not do its work.
+#[derive(Debug, Clone)]
+pub(super) struct Error {
+    pub(super) exit: Exit,
+    pub(super) detail: String,
+}
+
+impl Error {
+    pub(super) fn failed(detail: impl fmt::Display) -> Self {
+        Self {
+            exit: Exit::Failed,
+            detail: detail.to_string(),
+        }
+    }
+
+    pub(super) fn unknown(detail: impl fmt::Display) -> Self {
+        Self {
+            exit: Exit::Unknown,
+            detail: detail.to_string(),
+        }
+    }
+}
+
+/// Prints a command's result: reports go to standard output, errors to standard error. With
+/// `json`, standard output gets one JSON document in both cases.
+pub(super) fn print(result: Result<Report, Error>, json: bool) -> Exit {
+    match result {
+        Ok(report) => {
+            if json {
+                println!("{:#}", report.json);
+            } else {
+                print!("{}", report.text);
+            }
+            report.exit
+        }
+        Err(error) => {
+            if json {
+                let (outcome, detail) = (error.exit.as_str(), &error.detail);
+                println!("{:#}", json!({ "outcome": outcome, "detail": detail }));
+            }
+            eprintln!("chestnuthub: {}", error.detail);
+            error.exit
+        }
+    }
+}
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,97 @@
+//! The operators' command line.
+
+mod exit;
+mod fleet;
+mod keys;
+mod release;
+mod stream;
+mod token;
+
+use std::process::ExitCode;
+
+use bpaf::{
+    Args,
+    OptionParser,
+    ParseFailure,
+    Parser,
+    construct, //
+};
+
+use exit::{
+    Error,
+    Exit,
+    Report, //
+};
+
+/// Width to which help is wrapped, in characters.
+const HELP_WIDTH: usize = 100;
+
+/// A command with its options.
+#[derive(Debug, Clone)]
+enum Command {
+    Keys(keys::Command),
+    Release(release::Command),
+    Token(token::Command),
+}
+
+impl Command {
+    fn json(&self) -> bool {
+        match self {
+            Self::Keys(command) => command.json(),
+            Self::Release(command) => command.json(),
+            Self::Token(command) => command.json,
+        }
+    }
+
+    fn run(&self) -> Result<Report, Error> {
+        match self {
+            Self::Keys(command) => command.run(),
+            Self::Release(command) => command.run(),
+            Self::Token(command) => command.run(),
+        }
+    }
+}
+
+/// Runs the program and returns its exit code.
+pub fn run() -> ExitCode {
+    match options().run_inner(Args::current_args()) {
+        Ok(command) => exit::print(command.run(), command.json()).into(),
+        Err(failure) => {
+            failure.print_message(HELP_WIDTH);
+            match failure {
+                ParseFailure::Stderr(_) => Exit::Usage.into(),
+                ParseFailure::Stdout(..) | ParseFailure::Completion(_) => Exit::Done.into(),
+            }
+        }
+    }
+}
+
+fn options() -> OptionParser<Command> {
+    let keys = keys::options().map(Command::Keys);
+    let keys = keys.to_options().descr("Makes keys").command("keys");
+    let release = release::options().map(Command::Release);
+    let release = release
+        .to_options()
+        .descr("Checks and publishes release notes")
+        .command("release");
+    let token = token::options().map(Command::Token);
+    let token = token
+        .to_options()
+        .descr("Makes a random bearer token and shows the digest that settings hold")
+        .command("token");
+    construct!([keys, release, token])
+        .to_options()
+        .version(env!("CARGO_PKG_VERSION"))
+        .descr("Operates a chestnuthub fleet")
+        .footer(
+            "Exit codes: 0 done, 1 findings or failure, 2 usage, 3 conflict, \
+             4 not in force in time, 5 platform unreachable or outcome unknown.",
+        )
+}
+
+/// The option that every command has.
+fn json() -> impl Parser<bool> {
+    bpaf::long("json")
+        .help("Prints one JSON document instead of text")
+        .switch()
+}
