emulator: add the five servers and their faults

Cause: the tests, the demo and the load tool need a log service, an instance list, a weight store, model engines and plain services that answer in the published formats and show faults on demand.

Change: `chestnuthub-emulator` has the subcommands log, list, store, engine and service. Each serves `GET /record` (what really happened) and `/faults` (POST adds one, DELETE clears all). hyper serves all of them instead of rouille: an emulator has to close a connection without an answer, for which rouille sends status 500, and rouille 3.6 leaves a connection of a burst unanswered until another connection closes.

--- /dev/null
+++ b/src/emulator/cli.rs
@@ -0,0 +1,176 @@
+//! Command line of the emulators.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use bpaf::{
+    OptionParser,
+    Parser,
+    construct,
+    long, //
+};
+
+use super::{
+    engine,
+    log,
+    store, //
+};
+
+/// What the command line asks for.
+#[derive(Debug, Clone)]
+pub(super) struct Options {
+    /// Address to bind; port 0 picks a free one.
+    pub(super) listen: SocketAddr,
+    /// Whether the process ends when its standard input closes.
+    pub(super) until_stdin_closes: bool,
+    /// Which emulator to run.
+    pub(super) command: Command,
+}
+
+/// An emulator with its settings.
+#[derive(Debug, Clone)]
+pub(super) enum Command {
+    /// The append-only log service.
+    Log(log::Limits),
+    /// The instance list.
+    List {
+        /// Time after which a change becomes visible.
+        lag: Duration,
+    },
+    /// The weight store.
+    Store(store::Limits),
+    /// A model engine.
+    Engine(engine::Settings),
+    /// A plain service.
+    Service {
+        /// Time that a call takes.
+        call_time: Duration,
+    },
+}
+
+/// Returns the parser of the command line.
+pub(super) fn parser() -> OptionParser<Options> {
+    let log = subcommand(log(), "log", "Emulates the append-only log service");
+    let list = subcommand(list(), "list", "Emulates the instance list");
+    let store = subcommand(store(), "store", "Emulates the weight store");
+    let engine = subcommand(engine(), "engine", "Emulates a model engine");
+    let service = subcommand(service(), "service", "Emulates a plain service");
+    construct!([log, list, store, engine, service])
+        .to_options()
+        .descr("Emulators of the systems around chestnuthub")
+}
+
+/// Makes a subcommand from the parser of its own options.
+fn subcommand<P>(command: P, name: &'static str, description: &'static str) -> impl Parser<Options>
+where
+    P: Parser<Command> + 'static,
+{
+    let listen = long("listen")
+        .help("Address to bind; port 0 picks a free one")
+        .argument::<SocketAddr>("ADDR");
+    let until_stdin_closes = long("until-stdin-closes")
+        .help("End when standard input closes")
+        .switch();
+    construct!(Options {
+        listen,
+        until_stdin_closes,
+        command,
+    })
+    .to_options()
+    .descr(description)
+    .command(name)
+}
+
+fn log() -> impl Parser<Command> {
+    let retention = duration_s("retention-s", "Time for which records are kept", 172_800);
+    let appends_per_s = long("appends-per-s")
+        .help("Appends accepted in a second")
+        .argument::<u32>("N")
+        .fallback(500);
+    let append_time = duration_ms("append-ms", "Time that an append takes", 0);
+    construct!(log::Limits {
+        retention,
+        appends_per_s,
+        append_time,
+    })
+    .map(Command::Log)
+}
+
+fn list() -> impl Parser<Command> {
+    let lag = duration_ms("lag-ms", "Time after which a change becomes visible", 0);
+    construct!(Command::List { lag })
+}
+
+fn store() -> impl Parser<Command> {
+    let loads_per_s = long("loads-per-s")
+        .help("Transfers that start in a second")
+        .argument::<f64>("F")
+        .guard(|rate| *rate > 0.0, "the rate must be positive")
+        .fallback(1.6);
+    let full_speed = long("full-speed")
+        .help("Transfers that run at full speed at once")
+        .argument::<u32>("N")
+        .fallback(4);
+    let bytes_per_s = long("bytes-per-s")
+        .help("Full speed of a transfer")
+        .argument::<u64>("N")
+        .fallback(1 << 30);
+    construct!(store::Limits {
+        loads_per_s,
+        full_speed,
+        bytes_per_s,
+    })
+    .map(Command::Store)
+}
+
+fn engine() -> impl Parser<Command> {
+    let store = long("store")
+        .help("Base URL of the weight store")
+        .argument::<String>("URL");
+    let memory_mb = long("memory-mb")
+        .help("Accelerator memory in MiB")
+        .argument::<u64>("N");
+    let checks_fence = long("checks-fence")
+        .help("Refuse orders with an old fencing number")
+        .switch();
+    let token_interval = duration_ms("token-interval-ms", "Time between two tokens", 20);
+    let max_running = long("max-running")
+        .help("Completions that run at once")
+        .argument::<u32>("N")
+        .fallback(8);
+    let adapter_time = duration_ms("adapter-ms", "Time that an adapter load takes", 5);
+    let load_lag = duration_ms("load-lag-ms", "Age of the load report", 500);
+    construct!(engine::Settings {
+        store,
+        memory_mb,
+        checks_fence,
+        token_interval,
+        max_running,
+        adapter_time,
+        load_lag,
+    })
+    .map(Command::Engine)
+}
+
+fn service() -> impl Parser<Command> {
+    let call_time = duration_ms("call-ms", "Time that a call takes", 0);
+    construct!(Command::Service { call_time })
+}
+
+fn duration_ms(name: &'static str, help: &'static str, default: u64) -> impl Parser<Duration> {
+    long(name)
+        .help(help)
+        .argument::<u64>("N")
+        .fallback(default)
+        .map(Duration::from_millis)
+}
+
+fn duration_s(name: &'static str, help: &'static str, default: u64) -> impl Parser<Duration> {
+    long(name)
+        .help(help)
+        .argument::<u64>("N")
+        .fallback(default)
+        .map(Duration::from_secs)
+}
--- /dev/null
+++ b/src/emulator/engine/state.rs
@@ -0,0 +1,246 @@
+//! What the engine holds.
+
+use std::collections::BTreeMap;
+
+use super::record::{
+    Completion,
+    End,
+    Record, //
+};
+use crate::{
+    id,
+    platform::engine::{
+        Inventory,
+        Order,
+        Resident,
+        State as ModelState, //
+    },
+};
+
+/// Result of an order: an HTTP status and what is wrong, if anything.
+pub(super) type Outcome = (u16, &'static str);
+
+/// The outcome of an order that was carried out.
+pub(super) const DONE: Outcome = (200, "");
+
+const BUSY: Outcome = (423, "another order about the model is in progress");
+const NO_MEMORY: Outcome = (507, "the memory does not suffice");
+const NOT_LOADED: Outcome = (404, "the model is not loaded");
+
+/// What the engine holds and what happened to it.
+#[derive(Debug)]
+pub(super) struct State {
+    memory_mb: u64,
+    checks_fence: bool,
+    fence: u64,
+    models: BTreeMap<id::Model, Resident>,
+    loading_adapters: BTreeMap<(id::Model, id::Adapter), u64>,
+    record: Record,
+}
+
+impl State {
+    /// Makes an empty engine.
+    pub(super) fn new(memory_mb: u64, checks_fence: bool) -> Self {
+        Self {
+            memory_mb,
+            checks_fence,
+            fence: 0,
+            models: BTreeMap::new(),
+            loading_adapters: BTreeMap::new(),
+            record: Record::default(),
+        }
+    }
+
+    /// Returns what happened.
+    pub(super) fn record(&self) -> &Record {
+        &self.record
+    }
+
+    /// Returns what the engine holds.
+    pub(super) fn inventory(&self) -> Inventory {
+        Inventory {
+            fence: self.fence,
+            memory_mb: self.memory_mb,
+            models: self.models.values().cloned().collect(),
+        }
+    }
+
+    /// Returns whether completions of the model version and the adapter are served.
+    pub(super) fn serves(&self, model: &id::Model, adapter: Option<&id::Adapter>) -> bool {
+        let Some(resident) = self.models.get(model) else {
+            return false;
+        };
+        let has = |wanted| resident.adapters.iter().any(|(own, _)| own == wanted);
+        resident.state == ModelState::Loaded && adapter.is_none_or(has)
+    }
+
+    /// Counts an order.
+    pub(super) fn count_order(&mut self, repeated: bool) {
+        self.record.orders += 1;
+        self.record.repeated_orders += u64::from(repeated);
+    }
+
+    /// Refuses an order with an old fencing number if the engine checks it.
+    pub(super) fn check_fence(&mut self, order: &Order) -> Result<(), Outcome> {
+        if !self.checks_fence {
+            return Ok(());
+        }
+        if order.fence < self.fence {
+            self.record.refused_fence += 1;
+            return Err((409, "the fencing number is old"));
+        }
+        self.fence = order.fence;
+        Ok(())
+    }
+
+    /// Takes the memory for a model version.
+    pub(super) fn begin_load(&mut self, order: &Order) -> Result<(), Outcome> {
+        match self.models.get(&order.model).map(|resident| resident.state) {
+            Some(ModelState::Loaded) => return Err(DONE),
+            Some(ModelState::Loading | ModelState::Unloading) => return Err(BUSY),
+            None => {}
+        }
+        self.check_memory(order.memory_mb)?;
+        let resident = Resident {
+            model: order.model.clone(),
+            state: ModelState::Loading,
+            memory_mb: order.memory_mb,
+            adapters: Vec::new(),
+        };
+        self.models.insert(order.model.clone(), resident);
+        self.record.loads_started.push(order.model.clone());
+        self.account();
+        Ok(())
+    }
+
+    /// Ends a load; a failed one frees its memory.
+    pub(super) fn end_load(&mut self, model: &id::Model, fetched: bool) -> Outcome {
+        if fetched {
+            if let Some(resident) = self.models.get_mut(model) {
+                resident.state = ModelState::Loaded;
+            }
+            self.record.loads_finished.push(model.clone());
+            return DONE;
+        }
+        self.models.remove(model);
+        self.record.loads_failed.push(model.clone());
+        self.account();
+        (502, "the weight store gave no weights")
+    }
+
+    /// Stops serving a model version whose memory stays taken until the unload ends.
+    pub(super) fn begin_unload(&mut self, model: &id::Model) -> Result<(), Outcome> {
+        let Some(resident) = self.models.get_mut(model) else {
+            return Err(DONE);
+        };
+        if resident.state != ModelState::Loaded {
+            return Err(BUSY);
+        }
+        resident.state = ModelState::Unloading;
+        Ok(())
+    }
+
+    /// Frees the memory of a model version and its adapters.
+    pub(super) fn end_unload(&mut self, model: &id::Model) -> Outcome {
+        self.models.remove(model);
+        self.record.unloads.push(model.clone());
+        self.account();
+        DONE
+    }
+
+    /// Takes the memory for an adapter.
+    pub(super) fn begin_adapter(
+        &mut self,
+        order: &Order,
+        adapter: &id::Adapter,
+    ) -> Result<(), Outcome> {
+        if !self.serves(&order.model, None) {
+            return Err(NOT_LOADED);
+        }
+        if self.serves(&order.model, Some(adapter)) {
+            return Err(DONE);
+        }
+        let key = (order.model.clone(), adapter.clone());
+        if self.loading_adapters.contains_key(&key) {
+            return Err(BUSY);
+        }
+        self.check_memory(order.memory_mb)?;
+        self.loading_adapters.insert(key, order.memory_mb);
+        self.account();
+        Ok(())
+    }
+
+    /// Ends the load of an adapter; its model may have been unloaded meanwhile.
+    pub(super) fn end_adapter(&mut self, order: &Order, adapter: &id::Adapter) -> Outcome {
+        let key = (order.model.clone(), adapter.clone());
+        self.loading_adapters.remove(&key);
+        let outcome = match self.models.get_mut(&order.model) {
+            Some(resident) => {
+                resident.adapters.push((adapter.clone(), order.memory_mb));
+                self.record.adapter_loads.push(adapter.clone());
+                DONE
+            }
+            None => NOT_LOADED,
+        };
+        self.account();
+        outcome
+    }
+
+    /// Removes an adapter.
+    pub(super) fn unload_adapter(&mut self, model: &id::Model, adapter: &id::Adapter) -> Outcome {
+        if let Some(resident) = self.models.get_mut(model) {
+            resident.adapters.retain(|(own, _)| own != adapter);
+        }
+        self.account();
+        DONE
+    }
+
+    /// Records a completion and returns its index.
+    pub(super) fn accept(&mut self, completion: Completion) -> usize {
+        self.record.completions.push(completion);
+        self.record.completions.len() - 1
+    }
+
+    /// Records that a completion runs.
+    pub(super) fn begin(&mut self, index: usize) {
+        self.record.began += 1;
+        self.record.completions[index].began = self.record.began;
+    }
+
+    /// Records an event of a completion.
+    pub(super) fn produce(&mut self, index: usize) {
+        self.record.completions[index].produced += 1;
+    }
+
+    /// Records the end of a completion.
+    pub(super) fn end(&mut self, index: usize, end: End) {
+        self.record.completions[index].end = end;
+    }
+
+    fn check_memory(&mut self, wanted_mb: u64) -> Result<(), Outcome> {
+        if self.used_mb() + wanted_mb <= self.memory_mb {
+            return Ok(());
+        }
+        self.record.refused_memory += 1;
+        Err(NO_MEMORY)
+    }
+
+    fn used_mb(&self) -> u64 {
+        let adapters = |resident: &Resident| -> u64 {
+            let sizes = resident.adapters.iter().map(|(_, memory_mb)| memory_mb);
+            sizes.sum()
+        };
+        let models = self.models.values();
+        let models: u64 = models
+            .map(|resident| resident.memory_mb + adapters(resident))
+            .sum();
+        models + self.loading_adapters.values().sum::<u64>()
+    }
+
+    fn account(&mut self) {
+        let used = self.used_mb();
+        self.record.memory_mb = used;
+        self.record.most_memory_mb = self.record.most_memory_mb.max(used);
+        self.record.most_models = self.record.most_models.max(self.models.len());
+    }
+}
--- /dev/null
+++ b/src/emulator/mod.rs
@@ -0,0 +1,56 @@
+//! Emulators of the outside systems, one HTTP server each, for tests and for the demo.
+
+mod cli;
+mod engine;
+mod fault;
+mod http;
+mod list;
+mod log;
+mod service;
+mod store;
+
+use std::{
+    io::{
+        self,
+        Read, //
+    },
+    process::{
+        self,
+        ExitCode, //
+    },
+    thread, //
+};
+
+pub use engine::token;
+
+use cli::Command;
+
+/// Runs the program and returns its exit code.
+pub fn run() -> ExitCode {
+    let options = cli::parser().run();
+    if options.until_stdin_closes {
+        thread::spawn(exit_with_stdin);
+    }
+    let listen = options.listen;
+    let served = match options.command {
+        Command::Log(limits) => log::serve(listen, limits),
+        Command::List { lag } => list::serve(listen, lag),
+        Command::Store(limits) => store::serve(listen, limits),
+        Command::Engine(settings) => engine::serve(listen, settings),
+        Command::Service { call_time } => service::serve(listen, call_time),
+    };
+    match served {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("can't serve on {listen}: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Ends the process when standard input closes, so that an emulator doesn't outlive its starter.
+fn exit_with_stdin() {
+    let mut buffer = [0; 64];
+    while matches!(io::stdin().read(&mut buffer), Ok(read) if read > 0) {}
+    process::exit(0);
+}
