--- a/src/bench/caller.rs
+++ b/src/bench/caller.rs
@@ -3,7 +3,8 @@
 use std::{
     io::{
         BufRead,
-        BufReader, //
+        BufReader,
+        Read, //
     },
     net::SocketAddr,
     time::{
@@ -95,20 +96,49 @@
         max_tokens: u32,
         timeout: Duration,
     ) -> Result<Answer, Error> {
+        let start = Instant::now();
+        let response = self.send_chat(model, prompt, max_tokens, timeout)?;
+        read(response, start)
+    }
+
+    /// Starts a streamed completion and closes the connection after its first bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no HTTP answer.
+    pub fn chat_and_leave(
+        &self,
+        model: &str,
+        prompt: &str,
+        max_tokens: u32,
+        timeout: Duration,
+    ) -> Result<(), Error> {
+        let response = self.send_chat(model, prompt, max_tokens, timeout)?;
+        let mut first = [0; 1];
+        let mut body = response.into_body().into_reader();
+        body.read_exact(&mut first)
+            .map_err(|error| Error::Call(error.to_string()))
+    }
+
+    fn send_chat(
+        &self,
+        model: &str,
+        prompt: &str,
+        max_tokens: u32,
+        timeout: Duration,
+    ) -> Result<ureq::http::Response<ureq::Body>, Error> {
         let body = json!({
             "model": model,
             "messages": [{ "role": "user", "content": prompt }],
             "stream": true,
             "max_tokens": max_tokens,
         });
-        let start = Instant::now();
-        let response = self
+        let request = self
             .agent
             .post(format!("{}/v1/chat/completions", self.base))
             .header("Authorization", format!("Bearer {}", self.token))
-            .header("Request-Timeout-Ms", timeout.as_millis().to_string())
-            .send_json(body)?;
-        read(response, start)
+            .header("Request-Timeout-Ms", timeout.as_millis().to_string());
+        Ok(request.send_json(body)?)
     }
 
     /// Calls a plain service.
--- a/src/bench/demo.rs
+++ b/src/bench/demo.rs
@@ -5,7 +5,6 @@
     time::Duration, //
 };
 
-use serde_json::Value;
 use uuid::Uuid;
 
 use super::{
@@ -65,11 +64,7 @@
         print_stream(&answer);
         check(answer.is_complete(), "the stream is whole")?;
     }
-    let loads: u64 = fleet
-        .engines
-        .iter()
-        .map(|engine| Ok(count(&engine.record()?, "loads_started")))
-        .sum::<Result<u64, Error>>()?;
+    let loads = fleet.count_engines("loads_started")?;
     println!("loads of {model}: {loads}");
     check(loads == 1, "one load serves both entries")
 }
@@ -95,11 +90,7 @@
         );
         check(answer.status < 300, "the call is answered")?;
     }
-    let runs: u64 = fleet
-        .services
-        .iter()
-        .map(|service| Ok(count(&service.record()?, "runs")))
-        .sum::<Result<u64, Error>>()?;
+    let runs = fleet.count_services("runs")?;
     println!("runs of the call: {runs}");
     check(runs == 1, "the same key does not run again")
 }
@@ -117,14 +108,6 @@
     );
 }
 
-/// Returns a counter of a record, or the length of a list.
-fn count(record: &Value, name: &str) -> u64 {
-    match &record[name] {
-        Value::Array(items) => items.len() as u64,
-        value => value.as_u64().unwrap_or(0),
-    }
-}
-
 fn check(holds: bool, what: &str) -> Result<(), Error> {
     if holds {
         Ok(())
--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -145,13 +145,35 @@
         Ok(response.body_mut().read_json()?)
     }
 
-    /// Sets faults.
+    /// Returns a counter of the record, or the length of one of its lists.
     ///
     /// # Errors
     ///
-    /// Fails if the emulator does not answer or refuses the faults.
-    pub fn set_faults(&self, faults: &Value) -> Result<(), Error> {
-        ureq::post(format!("{}/faults", self.url)).send_json(faults)?;
+    /// Fails if the emulator does not answer.
+    pub fn count(&self, name: &str) -> Result<u64, Error> {
+        Ok(match &self.record()?[name] {
+            Value::Array(items) => items.len() as u64,
+            value => value.as_u64().unwrap_or(0),
+        })
+    }
+
+    /// Adds a fault.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the emulator does not answer or refuses the fault.
+    pub fn add_fault(&self, fault: &Value) -> Result<(), Error> {
+        ureq::post(format!("{}/faults", self.url)).send_json(fault)?;
+        Ok(())
+    }
+
+    /// Ends all faults and lets held calls continue.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the emulator does not answer.
+    pub fn clear_faults(&self) -> Result<(), Error> {
+        ureq::delete(format!("{}/faults", self.url)).call()?;
         Ok(())
     }
 }
@@ -221,6 +243,24 @@
         &self.directory
     }
 
+    /// Returns the sum of a counter over the plain service's backend servers.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an emulator does not answer.
+    pub fn count_services(&self, name: &str) -> Result<u64, Error> {
+        self.services.iter().map(|server| server.count(name)).sum()
+    }
+
+    /// Returns the sum of a counter over the model engines.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an emulator does not answer.
+    pub fn count_engines(&self, name: &str) -> Result<u64, Error> {
+        self.engines.iter().map(|engine| engine.count(name)).sum()
+    }
+
     /// Runs the command-line tool and returns its standard output.
     ///
     /// # Errors
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -30,6 +30,7 @@
 pub use error::Error;
 pub use fleet::{
     Daemon,
+    Emulator,
     Fleet,
     Plan, //
 };
