agent, decision: add the coordinator, residency, queue and streaming

Cause: an agent accepted connections and answered nothing, and no record of the stream `decisions` was ever written. Change: the coordinator's plan, the ledger, the residency policy, the queue and the dispatcher are pure; registration, driver, coordination, chat and relay do the I/O around them. The fold of decisions ignores a second copy of a record, since a late copy of a registration would end its successor's epoch.

--- /dev/null
+++ b/src/agent/chat.rs
@@ -0,0 +1,306 @@
+//! Serves the requests of a model: waits for the engine's turn and relays its answer.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::sync::mpsc;
+
+use super::{
+    dispatch::Denial,
+    driver::Driver,
+    ledger::Subject,
+    queue::{
+        Key,
+        Ticket, //
+    },
+    relay::{
+        self,
+        Part, //
+    },
+    usage::Weights,
+};
+use crate::{
+    catalogue::{
+        self,
+        Item, //
+    },
+    context::Context,
+    peer::Exchange,
+    report,
+    timer::Time,
+    wire::{
+        Chat,
+        Failure,
+        Frame,
+        Head,
+        Piece,
+        Reason,
+        Refusal,
+        Request, //
+    },
+};
+
+/// Longest pause between two pieces of a stream.
+const STALL: Duration = Duration::from_secs(10);
+
+/// Milliseconds after which to come back when the engine could not be reached.
+const BACKEND_RETRY_MS: u64 = 1_000;
+
+/// How a request ended, for logs and metrics.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum End {
+    /// The whole answer was sent.
+    Served,
+    /// The request was refused.
+    Refused(Reason),
+    /// The answer was broken off.
+    Failed,
+    /// The caller left.
+    Cancelled,
+}
+
+impl End {
+    /// Returns the name of the outcome in logs and metrics.
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Self::Served => "served",
+            Self::Refused(reason) => reason.as_str(),
+            Self::Failed => "failed",
+            Self::Cancelled => "cancelled",
+        }
+    }
+}
+
+/// A request of a model on its way through the agent.
+pub(super) struct Session<'a> {
+    pub(super) context: &'a Context,
+    pub(super) driver: &'a Driver,
+    pub(super) request: &'a Request,
+    pub(super) chat: &'a Chat,
+    pub(super) deadline: Time,
+}
+
+impl Session<'_> {
+    /// Serves the request and answers on the exchange.
+    pub(super) async fn run(&self, body: Bytes, exchange: &mut Exchange) -> End {
+        let Some(adapter_mb) = self.look_up() else {
+            return self.refuse(exchange, Reason::Unknown, 0, true).await;
+        };
+        let (key, verdict) = match self.driver.submit(self.ticket(), self.weights()) {
+            Ok(submitted) => submitted,
+            Err(denial) => return self.deny(exchange, denial).await,
+        };
+        let verdict = tokio::select! {
+            verdict = verdict => verdict,
+            () = exchange.cancelled() => return self.withdraw(key),
+        };
+        match verdict {
+            Ok(Ok(())) => (),
+            Ok(Err(denial)) => return self.deny(exchange, denial).await,
+            Err(_) => return self.refuse(exchange, Reason::Backend, 0, true).await,
+        }
+        let began = Time::now();
+        let end = self.with_adapter(adapter_mb, body, exchange).await;
+        let took = (end == End::Served).then(|| Time::now() - began);
+        self.driver.end(&self.chat.model, took);
+        end
+    }
+
+    /// Returns the memory of the adapter in MiB, 0 without one, or nothing if the catalogue lacks
+    /// the model version or the adapter.
+    fn look_up(&self) -> Option<u64> {
+        let catalogue = self.context.view.catalogue();
+        catalogue.get(&catalogue::Key::Model(self.chat.model.clone()))?;
+        let Some(adapter) = &self.chat.adapter else {
+            return Some(0);
+        };
+        match catalogue.get(&catalogue::Key::Adapter(adapter.clone())) {
+            Some(Item::Adapter(item)) if item.model == self.chat.model => Some(item.memory_mb),
+            _ => None,
+        }
+    }
+
+    fn ticket(&self) -> Ticket {
+        Ticket {
+            model: self.chat.model.clone(),
+            institution: self.request.institution.clone(),
+            priority: self.request.priority,
+            max_queue: self.request.max_queue,
+            deadline: self.deadline,
+        }
+    }
+
+    fn weights(&self) -> Weights {
+        let key = catalogue::Key::Institution(self.request.institution.clone());
+        match self.context.view.catalogue().get(&key) {
+            Some(Item::Institution(item)) => Weights {
+                cold_start: item.cold_start_weight,
+                idle_hour: item.idle_hour_weight,
+            },
+            _ => Weights::default(),
+        }
+    }
+
+    fn withdraw(&self, key: Key) -> End {
+        self.driver.withdraw(key, &self.chat.model);
+        End::Cancelled
+    }
+
+    async fn with_adapter(&self, memory_mb: u64, body: Bytes, exchange: &mut Exchange) -> End {
+        let Some(adapter) = &self.chat.adapter else {
+            return self.complete(body, exchange).await;
+        };
+        let subject = Subject::adapter(&self.chat.model, adapter);
+        let left = self.deadline.remaining(Time::now());
+        let end = tokio::select! {
+            () = self.driver.need_adapter(&subject, memory_mb) => {
+                self.complete(body, exchange).await
+            }
+            () = tokio::time::sleep(left) => {
+                self.refuse(exchange, Reason::Deadline, BACKEND_RETRY_MS, true).await
+            }
+            () = exchange.cancelled() => End::Cancelled,
+        };
+        self.driver.leave_adapter(&subject);
+        end
+    }
+
+    async fn complete(&self, body: Bytes, exchange: &mut Exchange) -> End {
+        let mut parts = relay::start(
+            self.driver.engine().clone(),
+            self.request,
+            self.chat,
+            body,
+            self.deadline,
+        );
+        let end = self.relay(&mut parts, exchange).await;
+        if !matches!(end, End::Served | End::Refused(_)) {
+            self.cancel();
+        }
+        end
+    }
+
+    async fn relay(&self, parts: &mut mpsc::Receiver<Part>, exchange: &mut Exchange) -> End {
+        let left = self.deadline.remaining(Time::now());
+        let Ok(head) = self.next(parts, exchange, left).await else {
+            return self.fail(exchange, "no answer by the deadline").await;
+        };
+        match head {
+            Some(Part::Head {
+                status,
+                content_type,
+            }) => {
+                let frame = Frame::Head(Head {
+                    request: self.request.id.clone(),
+                    status,
+                    content_type,
+                    load: self.driver.load(&self.chat.model),
+                });
+                if exchange.send(&frame).await.is_err() {
+                    return End::Cancelled;
+                }
+            }
+            Some(Part::NotRun(detail)) => {
+                report::warn("engine_refused", &[("detail", &detail)]);
+                self.driver.suspect();
+                let reason = Reason::Backend;
+                return self.refuse(exchange, reason, BACKEND_RETRY_MS, true).await;
+            }
+            Some(Part::Broken(detail)) => return self.fail(exchange, &detail).await,
+            Some(Part::Piece(_) | Part::End) | None => return End::Cancelled,
+        }
+        self.pieces(parts, exchange).await
+    }
+
+    async fn pieces(&self, parts: &mut mpsc::Receiver<Part>, exchange: &mut Exchange) -> End {
+        let limit = if self.chat.stream {
+            STALL
+        } else {
+            self.deadline.remaining(Time::now())
+        };
+        loop {
+            let Ok(part) = self.next(parts, exchange, limit).await else {
+                self.driver.suspend();
+                return self.fail(exchange, "the engine stalls").await;
+            };
+            let frame = match part {
+                Some(Part::Piece(bytes)) => Frame::Piece(Piece(bytes)),
+                Some(Part::End) => Frame::End,
+                Some(Part::Broken(detail) | Part::NotRun(detail)) => {
+                    return self.fail(exchange, &detail).await;
+                }
+                Some(Part::Head { .. }) | None => return End::Cancelled,
+            };
+            if exchange.send(&frame).await.is_err() {
+                return End::Cancelled;
+            }
+            if frame == Frame::End {
+                return End::Served;
+            }
+        }
+    }
+
+    /// Waits for the next part; nothing if the caller left, an error after `limit`.
+    async fn next(
+        &self,
+        parts: &mut mpsc::Receiver<Part>,
+        exchange: &Exchange,
+        limit: Duration,
+    ) -> Result<Option<Part>, tokio::time::error::Elapsed> {
+        let next = async {
+            tokio::select! {
+                part = parts.recv() => part,
+                () = exchange.cancelled() => None,
+            }
+        };
+        tokio::time::timeout(limit, next).await
+    }
+
+    fn cancel(&self) {
+        let engine = self.driver.engine().clone();
+        let id = self.request.id.clone();
+        self.context.runtime.spawn_blocking(move || {
+            if let Err(error) = engine.cancel(&id) {
+                report::warn("cancel_failed", &[("request", &id), ("error", &error)]);
+            }
+        });
+    }
+
+    async fn deny(&self, exchange: &mut Exchange, denial: Denial) -> End {
+        self.refuse(exchange, denial.reason, denial.retry_after_ms, true)
+            .await
+    }
+
+    async fn refuse(
+        &self,
+        exchange: &mut Exchange,
+        reason: Reason,
+        retry_after_ms: u64,
+        not_run: bool,
+    ) -> End {
+        let refusal = Refusal {
+            reason,
+            not_run,
+            retry_after_ms,
+            load: self.driver.load(&self.chat.model),
+        };
+        match exchange.send(&Frame::Refused(refusal)).await {
+            Ok(()) => End::Refused(reason),
+            Err(_) => End::Cancelled,
+        }
+    }
+
+    async fn fail(&self, exchange: &mut Exchange, detail: &str) -> End {
+        report::warn(
+            "answer_broken",
+            &[("request", &self.request.id), ("detail", &detail)],
+        );
+        let failure = Failure {
+            started: true,
+            detail: detail.to_owned(),
+        };
+        // If the peer is gone, nobody is left to be told.
+        let _ = exchange.send(&Frame::Failed(failure)).await;
+        End::Failed
+    }
+}
--- /dev/null
+++ b/src/agent/coordination.rs
@@ -0,0 +1,209 @@
+//! The coordinator's tick, requests for more slots and the records that the agent appends.
+
+use std::{
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::Duration, //
+};
+
+use super::registration::Registration;
+use crate::{
+    catalogue::{
+        Item,
+        Key, //
+    },
+    context::Context,
+    decision::{
+        self, Body, Record,
+        coordinator::{
+            self,
+            Fleet,
+            Proposal,
+            Soft, //
+        },
+    },
+    id,
+    platform::{
+        Error,
+        list::Instance, //
+    },
+    report,
+    timer::{
+        self,
+        Time, //
+    },
+    wire::Frame,
+};
+
+/// Period of the coordinator's ticks.
+const TICK: Duration = Duration::from_secs(1);
+
+/// Longest wait for a coordinator's confirmation.
+const WIDEN_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The coordinator's work of this agent.
+#[derive(Debug, Clone)]
+pub(super) struct Coordination {
+    context: Context,
+    soft: Arc<Mutex<Soft>>,
+}
+
+impl Coordination {
+    /// Starts the coordinator's tick.
+    pub(super) fn start(
+        context: Context,
+        registration: Arc<Registration>,
+    ) -> std::io::Result<Self> {
+        let coordination = Self {
+            context,
+            soft: Arc::default(),
+        };
+        let ticking = coordination.clone();
+        timer::subscribe("coordinator", TICK, move |now| {
+            // Without its own epoch the agent has not read the stream as far as its start.
+            if registration.epoch().is_some() {
+                ticking.tick(now);
+            }
+            true
+        })?;
+        Ok(coordination)
+    }
+
+    /// Notes that a replica of the model version is saturated.
+    pub(super) fn widen(&self, model: &id::Model) {
+        let head = self.context.view.table().head(model);
+        report::info("widen", &[("model", model), ("offset", &head)]);
+        self.lock().widen(model, Time::now());
+    }
+
+    /// Asks the model's coordinator for one more slot.
+    pub(super) fn ask_widen(&self, model: &id::Model) {
+        let Some(coordinator) = self.coordinator(model) else {
+            return;
+        };
+        report::info(
+            "ask_widen",
+            &[
+                ("model", model),
+                ("coordinator", &coordinator.name),
+                ("reason", &"requests are refused because of load"),
+            ],
+        );
+        if coordinator.name == self.context.settings.instance {
+            return self.widen(model);
+        }
+        let context = self.context.clone();
+        let model = model.clone();
+        self.context.runtime.spawn(async move {
+            let asked = tokio::time::timeout(WIDEN_TIMEOUT, ask(&context, &coordinator, model));
+            if asked.await.is_err() {
+                report::warn("widen_unanswered", &[("coordinator", &coordinator.name)]);
+            }
+        });
+    }
+
+    /// Appends that a retiring slot's model is unloaded.
+    pub(super) fn release(&self, model: &id::Model, grant: u64) {
+        let proposal = Proposal {
+            record: Record::new(Body::Released {
+                model: model.clone(),
+                server: self.context.settings.instance.clone(),
+                grant,
+            }),
+            reason: "unloaded",
+        };
+        self.append(&proposal);
+    }
+
+    fn coordinator(&self, model: &id::Model) -> Option<Instance> {
+        let pool = match self
+            .context
+            .view
+            .catalogue()
+            .get(&Key::Model(model.clone()))
+        {
+            Some(Item::Model(model)) => model.pool.clone(),
+            _ => return None,
+        };
+        let instances = self.context.view.instances();
+        coordinator::coordinator(model, &pool, &instances).cloned()
+    }
+
+    fn tick(&self, now: Time) {
+        let mut proposals = self.plan(now).into_iter();
+        let unanswered = proposals.any(|proposal| !self.append(&proposal));
+        if unanswered {
+            // The log is in trouble, so the rest waits for the next tick.
+            proposals.for_each(|proposal| self.lock().dropped(proposal.record.id));
+        }
+    }
+
+    fn plan(&self, now: Time) -> Vec<Proposal> {
+        let view = &self.context.view;
+        let (catalogue, table, instances) = (view.catalogue(), view.table(), view.instances());
+        let fleet = Fleet {
+            table: &table,
+            catalogue: &catalogue,
+            instances: &instances,
+            own: &self.context.settings.instance,
+        };
+        coordinator::plan(&fleet, &mut self.lock(), now)
+    }
+
+    /// Appends a record and returns whether the log answered.
+    fn append(&self, proposal: &Proposal) -> bool {
+        let Ok(body) = serde_json::to_string(&proposal.record) else {
+            return false;
+        };
+        let result = self.context.log.append(decision::STREAM, &body);
+        if result.as_ref().is_err_and(Error::had_no_effect) {
+            self.lock().dropped(proposal.record.id);
+        }
+        log(proposal, &result);
+        result.is_ok()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Soft> {
+        self.soft.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn ask(context: &Context, coordinator: &Instance, model: id::Model) {
+    let opened = context.endpoint.open(&coordinator.name, coordinator.addr);
+    let Ok(mut exchange) = opened.await else {
+        return;
+    };
+    if exchange.send(&Frame::Widen { model }).await.is_ok() {
+        exchange.finish();
+        let _ = exchange.next().await;
+    }
+}
+
+fn log(proposal: &Proposal, result: &Result<u64, Error>) {
+    let (name, subject, server) = match &proposal.record.body {
+        Body::Grant { model, server, .. } => ("grant", model.as_str(), server),
+        Body::Retire { model, server, .. } => ("retire", model.as_str(), server),
+        Body::Released { model, server, .. } => ("released", model.as_str(), server),
+        Body::Gone { server, .. } => ("gone", "", server),
+        Body::Register { server, .. } => ("register", "", server),
+        Body::Snapshot { .. } => return,
+    };
+    let outcome = match result {
+        Ok(offset) => offset.to_string(),
+        Err(error) => error.to_string(),
+    };
+    report::info(
+        name,
+        &[
+            ("model", &subject),
+            ("server", server),
+            ("record", &proposal.record.id),
+            ("reason", &proposal.reason),
+            ("offset", &outcome),
+        ],
+    );
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -95,7 +95,7 @@
 #[derive(Debug, Clone)]
 enum Part {
     Agent(Agent),
-    Entry(Entry),
+    Entry(Box<Entry>),
 }
 
 /// Runs `chestnuthubd` and returns its exit code.
@@ -182,8 +182,8 @@
 
 fn start(context: &Context) -> io::Result<Part> {
     Ok(match &context.settings.role {
-        Role::Agent(settings) => Part::Agent(Agent::start(context.clone(), settings)),
-        Role::Entry(settings) => Part::Entry(Entry::start(context.clone(), settings)?),
+        Role::Agent(settings) => Part::Agent(Agent::start(context.clone(), settings)?),
+        Role::Entry(settings) => Part::Entry(Box::new(Entry::start(context.clone(), settings)?)),
     })
 }
 
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -1,5 +1,6 @@
 //! Decisions about replicas: which model version may be loaded on which backend server.
 
+pub mod coordinator;
 mod record;
 mod table;
 
--- a/src/decision/record.rs
+++ b/src/decision/record.rs
@@ -38,7 +38,7 @@
         server: id::Instance,
         /// Unique id of the agent process.
         incarnation: Uuid,
-        /// Accelerator memory in MiB.
+        /// Accelerator memory for models in MiB, without the adapter space.
         memory_mb: u64,
         /// Pool of the backend server.
         pool: id::Pool,
--- a/src/decision/table.rs
+++ b/src/decision/table.rs
@@ -1,6 +1,9 @@
 //! The fold over the stream `decisions`.
 
-use std::collections::BTreeMap;
+use std::collections::{
+    BTreeMap,
+    VecDeque, //
+};
 
 use serde::{
     Deserialize,
@@ -14,6 +17,11 @@
 };
 use crate::id;
 
+/// Number of record ids that are remembered to recognise a record that was appended twice.
+///
+/// The decisions of more than an hour at the design size; a late duplicate comes within seconds.
+const REMEMBERED_IDS: usize = 1_024;
+
 /// The running agent of a backend server.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Epoch {
@@ -21,7 +29,7 @@
     pub offset: u64,
     /// Unique id of the agent process.
     pub incarnation: Uuid,
-    /// Accelerator memory in MiB.
+    /// Accelerator memory for models in MiB, without the adapter space.
     pub memory_mb: u64,
     /// Pool of the backend server.
     pub pool: id::Pool,
@@ -77,6 +85,7 @@
     applied: u64,
     servers: BTreeMap<id::Instance, Epoch>,
     chains: BTreeMap<id::Model, Chain>,
+    recent: VecDeque<Uuid>,
 }
 
 impl Table {
@@ -125,6 +134,11 @@
         })
     }
 
+    /// Returns whether the record with this id is among the last records that were looked at.
+    pub fn has_seen(&self, record: Uuid) -> bool {
+        self.recent.contains(&record)
+    }
+
     /// Applies the record at `offset`.
     ///
     /// # Examples
@@ -147,6 +161,14 @@
             return Outcome::Repeated;
         }
         self.applied = offset;
+        // A second copy of a registration would end the epoch of the process that came after it.
+        if self.has_seen(record.id) {
+            return Outcome::Void;
+        }
+        self.recent.push_back(record.id);
+        if self.recent.len() > REMEMBERED_IDS {
+            self.recent.pop_front();
+        }
         if self.change(offset, &record.body) {
             Outcome::Applied
         } else {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
 //! Serving system for rarely used models.
 
+pub mod agent;
 pub mod bench;
 pub mod catalogue;
 pub mod cli;
@@ -17,7 +18,6 @@
 pub mod view;
 pub mod wire;
 
-pub(crate) mod agent;
 pub(crate) mod context;
 pub(crate) mod entry;
 pub(crate) mod follow;
