--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -111,7 +111,7 @@
 #[derive(Debug, Clone)]
 enum Part {
     Agent(Agent),
-    Entry(Entry),
+    Entry(Box<Entry>),
 }
 
 /// The streams that every daemon follows.
@@ -249,8 +249,8 @@
 
 fn start(context: &Context) -> io::Result<Part> {
     Ok(match &context.settings.role {
-        Role::Agent(settings) => Part::Agent(Agent::start(context.clone(), settings)),
-        Role::Entry(settings) => Part::Entry(Entry::start(context.clone(), settings)?),
+        Role::Agent(settings) => Part::Agent(Agent::start(context.clone(), settings)?),
+        Role::Entry(settings) => Part::Entry(Box::new(Entry::start(context.clone(), settings)?)),
     })
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
 //! Serving system for rarely used models.
 
+pub mod agent;
 pub mod bench;
 pub mod catalogue;
 pub mod cli;
@@ -20,6 +21,5 @@
 pub mod view;
 pub mod wire;
 
-pub(crate) mod agent;
 pub(crate) mod context;
 pub(crate) mod entry;
