entry: serve chat requests and service calls on the caller port

Cause: The entry bound no port, so that no request could reach an agent.

Change: Serve HTTP/1.1 with hyper, map bearer tokens to institutions, resolve targets in the catalogue, admit within each entry's share, choose a server, and pass the answer on as it arrives. Add the pure parts (admission, route, retry, budget, event splitter) in public modules. Make `context` and `entry` public for tests, add `Endpoint::local_addr`, and keep peer connections alive: without traffic they were closed after 10 s, which a cold start exceeds.

--- /dev/null
+++ b/src/catalogue/lookup.rs
@@ -0,0 +1,195 @@
+//! Finds what a caller names, within what its institution may call.
+
+use std::fmt;
+
+use super::{
+    Access,
+    Adapter,
+    Call,
+    Catalogue,
+    Item,
+    Key,
+    Model,
+    Service, //
+};
+use crate::id;
+
+/// A model version that an institution may call.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Target<'a> {
+    /// The model version.
+    pub model: &'a Model,
+    /// The adapter, if one was named.
+    pub adapter: Option<&'a Adapter>,
+    /// The right to call it, with its limits.
+    pub access: &'a Access,
+}
+
+/// The target does not exist or the institution may not call it; which one is not told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Unknown;
+
+impl fmt::Display for Unknown {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("no such target for this institution")
+    }
+}
+
+impl std::error::Error for Unknown {}
+
+impl Catalogue {
+    /// Finds the model version that `institution` names by `name[@version][+adapter]`.
+    ///
+    /// Without a version the highest one is meant or, with an adapter, the adapter's own.
+    ///
+    /// # Errors
+    ///
+    /// `Unknown` if there is no such target or the institution may not call it.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::catalogue::{Catalogue, Unknown};
+    ///
+    /// let catalogue = Catalogue::default();
+    /// let found = catalogue.resolve(&"cascade".into(), "gear-check@1+bevel");
+    /// assert_eq!(found, Err(Unknown));
+    /// ```
+    pub fn resolve(
+        &self,
+        institution: &id::Institution,
+        target: &str,
+    ) -> Result<Target<'_>, Unknown> {
+        let (versioned, adapter) = match target.split_once('+') {
+            Some((versioned, adapter)) => (versioned, Some(adapter)),
+            None => (target, None),
+        };
+        let (name, version) = match versioned.split_once('@') {
+            Some((name, version)) => (name, Some(parse_version(version)?)),
+            None => (versioned, None),
+        };
+        let access = self.access(institution, name)?;
+        let adapter = match adapter {
+            Some(adapter) => Some(self.adapter(adapter)?),
+            None => None,
+        };
+        let model = match (version, adapter) {
+            (Some(version), _) => self.version(name, version),
+            (None, Some(adapter)) => self.model(&adapter.model),
+            (None, None) => self.newest(name),
+        };
+        let model = model.filter(|model| model.name == name).ok_or(Unknown)?;
+        if adapter.is_some_and(|adapter| adapter.model != model.id()) {
+            return Err(Unknown);
+        }
+        Ok(Target {
+            model,
+            adapter,
+            access,
+        })
+    }
+
+    /// Finds the plain service that `institution` names.
+    ///
+    /// # Errors
+    ///
+    /// `Unknown` if there is no such service or the institution may not call it.
+    pub fn resolve_service(
+        &self,
+        institution: &id::Institution,
+        name: &str,
+    ) -> Result<(&Service, &Access), Unknown> {
+        let access = self.access(institution, name)?;
+        match self.get(&Key::Service(id::Service::from(name))) {
+            Some(Item::Service(service)) if service.name.as_str() == name => Ok((service, access)),
+            _ => Err(Unknown),
+        }
+    }
+
+    /// Returns the model versions that `institution` may call.
+    pub fn models_of<'a>(
+        &'a self,
+        institution: &'a id::Institution,
+    ) -> impl Iterator<Item = &'a Model> {
+        self.items().filter_map(|item| match item {
+            Item::Model(model) => {
+                let access = self.access(institution, &model.name);
+                access.is_ok().then_some(model)
+            }
+            _ => None,
+        })
+    }
+
+    fn access(&self, institution: &id::Institution, name: &str) -> Result<&Access, Unknown> {
+        let key = Key::Access {
+            institution: institution.clone(),
+            target: name.to_owned(),
+        };
+        match self.get(&key) {
+            // A name with a slash could form the key of another institution's item.
+            Some(Item::Access(access))
+                if access.institution == *institution && access.target == name =>
+            {
+                Ok(access)
+            }
+            _ => Err(Unknown),
+        }
+    }
+
+    fn adapter(&self, name: &str) -> Result<&Adapter, Unknown> {
+        match self.get(&Key::Adapter(id::Adapter::from(name))) {
+            Some(Item::Adapter(adapter)) => Ok(adapter),
+            _ => Err(Unknown),
+        }
+    }
+
+    fn version(&self, name: &str, version: u32) -> Option<&Model> {
+        self.model(&id::Model::from(format!("{name}@{version}").as_str()))
+    }
+
+    fn model(&self, id: &id::Model) -> Option<&Model> {
+        match self.get(&Key::Model(id.clone())) {
+            Some(Item::Model(model)) => Some(model),
+            _ => None,
+        }
+    }
+
+    fn newest(&self, name: &str) -> Option<&Model> {
+        let prefix = format!("model/{name}@");
+        let versions = self.items.range(prefix.clone()..);
+        versions
+            .take_while(|(key, _)| key.starts_with(&prefix))
+            .filter_map(|(_, item)| match item {
+                Item::Model(model) if model.name == name => Some(model),
+                _ => None,
+            })
+            .max_by_key(|model| model.version)
+    }
+}
+
+impl Service {
+    /// Returns whether a call may be repeated, as far as this service declares.
+    ///
+    /// A declared path is a prefix; the query does not count.
+    pub fn is_idempotent(&self, method: &str, path: &str) -> bool {
+        let path = path.split('?').next().unwrap_or(path);
+        !self
+            .non_idempotent
+            .iter()
+            .any(|call| covers(call, method, path))
+    }
+}
+
+fn covers(call: &Call, method: &str, path: &str) -> bool {
+    call.method == method && path.starts_with(&call.path)
+}
+
+/// Parses a version as it is printed, so that one version has one spelling.
+fn parse_version(text: &str) -> Result<u32, Unknown> {
+    let version: u32 = text.parse().map_err(|_| Unknown)?;
+    if version.to_string() == text {
+        Ok(version)
+    } else {
+        Err(Unknown)
+    }
+}
--- a/src/catalogue/mod.rs
+++ b/src/catalogue/mod.rs
@@ -1,6 +1,7 @@
 //! What the institutions may call: release notes and the state that they add up to.
 
 mod item;
+mod lookup;
 mod note;
 
 use std::collections::BTreeMap;
@@ -15,6 +16,10 @@
     Model,
     Service, //
 };
+pub use lookup::{
+    Target,
+    Unknown, //
+};
 pub use note::{
     Finding,
     Note, //
--- a/src/context.rs
+++ b/src/context.rs
@@ -17,13 +17,19 @@
 
 /// What every part of a daemon shares.
 #[derive(Debug, Clone)]
-pub(crate) struct Context {
-    pub(crate) settings: Arc<Settings>,
-    pub(crate) view: Arc<View>,
-    pub(crate) endpoint: Endpoint,
-    pub(crate) log: Log,
-    pub(crate) runtime: Handle,
-    pub(crate) metrics: Arc<Metrics>,
+pub struct Context {
+    /// Settings of this instance.
+    pub settings: Arc<Settings>,
+    /// What is known of the fleet.
+    pub view: Arc<View>,
+    /// The peer port.
+    pub endpoint: Endpoint,
+    /// Client of the log service.
+    pub log: Log,
+    /// Runtime on which requests are served.
+    pub runtime: Handle,
+    /// Metrics of this instance.
+    pub metrics: Arc<Metrics>,
     /// Becomes true once the daemon shuts down gracefully.
-    pub(crate) stopping: watch::Receiver<bool>,
+    pub stopping: watch::Receiver<bool>,
 }
--- /dev/null
+++ b/src/entry/admission.rs
@@ -0,0 +1,122 @@
+//! Admission: which requests are taken in, within the limits of an institution and target.
+
+use std::{
+    collections::HashMap,
+    time::Duration, //
+};
+
+use crate::{
+    catalogue::Access,
+    id,
+    timer::Time, //
+};
+
+/// Time whose share of requests may come at once.
+const BURST: Duration = Duration::from_secs(1);
+
+/// Time after which to come back when too many requests are in flight.
+const IN_FLIGHT_PAUSE: Duration = Duration::from_secs(1);
+
+/// An entry's share of the limits of an institution and target.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Share {
+    /// Requests a second.
+    pub requests_per_s: f64,
+    /// Most requests in flight.
+    pub max_in_flight: u32,
+}
+
+impl Share {
+    /// Returns the share of one of `entries` entries.
+    ///
+    /// Every entry may have one request in flight, since the balancer may send a caller's only
+    /// request to any of them.
+    pub fn of(access: &Access, entries: usize) -> Self {
+        let entries = u32::try_from(entries).unwrap_or(u32::MAX).max(1);
+        Self {
+            requests_per_s: access.requests_per_s / f64::from(entries),
+            max_in_flight: match access.max_in_flight {
+                0 => 0,
+                total => u32::max(1, total / entries),
+            },
+        }
+    }
+
+    fn burst(&self) -> f64 {
+        f64::max(1.0, self.requests_per_s * BURST.as_secs_f64())
+    }
+}
+
+/// Why a request is not taken in, and when to come back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Excess {
+    /// Too many requests a second.
+    Rate(Duration),
+    /// Too many requests in flight.
+    InFlight(Duration),
+}
+
+/// Names an institution and a target.
+pub type Key = (id::Institution, String);
+
+#[derive(Debug)]
+struct Account {
+    tokens: f64,
+    filled: Time,
+    in_flight: u32,
+}
+
+/// The requests that this entry has taken in.
+#[derive(Debug, Default)]
+pub struct Admission {
+    accounts: HashMap<Key, Account>,
+}
+
+impl Admission {
+    /// Takes a request in or says why not and when to come back.
+    ///
+    /// # Errors
+    ///
+    /// `Excess` if the share of the institution and target is used up.
+    pub fn admit(&mut self, key: &Key, share: Share, now: Time) -> Result<(), Excess> {
+        let burst = share.burst();
+        let account = self.accounts.entry(key.clone()).or_insert(Account {
+            tokens: burst,
+            filled: now,
+            in_flight: 0,
+        });
+        let elapsed = (now - account.filled).as_secs_f64();
+        account.filled = account.filled.max(now);
+        account.tokens = f64::min(burst, account.tokens + elapsed * share.requests_per_s);
+        if account.in_flight >= share.max_in_flight {
+            return Err(Excess::InFlight(IN_FLIGHT_PAUSE));
+        }
+        if account.tokens < 1.0 {
+            return Err(Excess::Rate(time_to_fill(account.tokens, share)));
+        }
+        account.tokens -= 1.0;
+        account.in_flight += 1;
+        Ok(())
+    }
+
+    /// Notes that a request that was taken in has ended.
+    pub fn release(&mut self, key: &Key) {
+        if let Some(account) = self.accounts.get_mut(key) {
+            account.in_flight = account.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Forgets accounts without requests in flight that are not `listed` any more.
+    pub fn retain(&mut self, listed: impl Fn(&Key) -> bool) {
+        self.accounts
+            .retain(|key, account| account.in_flight > 0 || listed(key));
+    }
+}
+
+/// Longest time after which a caller is told to come back.
+const MAX_PAUSE: Duration = Duration::from_secs(300);
+
+fn time_to_fill(tokens: f64, share: Share) -> Duration {
+    let seconds = (1.0 - tokens) / share.requests_per_s;
+    Duration::try_from_secs_f64(seconds).map_or(MAX_PAUSE, |pause| pause.min(MAX_PAUSE))
+}
--- /dev/null
+++ b/src/entry/credential.rs
@@ -0,0 +1,82 @@
+//! Bearer tokens and what they stand for.
+
+use sha2::{
+    Digest,
+    Sha256, //
+};
+use subtle::ConstantTimeEq;
+
+/// Bytes of a token's digest.
+const DIGEST_BYTES: usize = 32;
+
+/// Digests of bearer tokens and what each stands for, such as an institution.
+#[derive(Debug)]
+pub struct Credentials<T> {
+    digests: Vec<([u8; DIGEST_BYTES], T)>,
+}
+
+impl<T: Clone> Credentials<T> {
+    /// Makes the set from SHA-256 digests in hex.
+    ///
+    /// # Errors
+    ///
+    /// Returns the position of a digest that is not 64 hex digits.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::entry::credential::Credentials;
+    ///
+    /// // Digest of the token "abc".
+    /// let digest = "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad";
+    /// let credentials = Credentials::new([(digest, "cascade")]).unwrap();
+    /// assert_eq!(credentials.find("abc"), Some("cascade"));
+    /// assert_eq!(credentials.find("abd"), None);
+    /// ```
+    pub fn new<'a>(digests: impl IntoIterator<Item = (&'a str, T)>) -> Result<Self, usize> {
+        let parsed = digests.into_iter().enumerate();
+        let digests = parsed
+            .map(|(index, (hex, owner))| match parse(hex) {
+                Some(digest) => Ok((digest, owner)),
+                None => Err(index),
+            })
+            .collect::<Result<_, _>>()?;
+        Ok(Self { digests })
+    }
+
+    /// Returns what `token` stands for, in a time that does not depend on which one it is.
+    pub fn find(&self, token: &str) -> Option<T> {
+        let digest: [u8; DIGEST_BYTES] = Sha256::digest(token.as_bytes()).into();
+        let mut found = None;
+        for (known, owner) in &self.digests {
+            if bool::from(known.ct_eq(&digest)) {
+                found = Some(owner);
+            }
+        }
+        found.cloned()
+    }
+}
+
+/// Returns the token of an `Authorization` header of the scheme `Bearer`.
+pub fn bearer(header: &str) -> Option<&str> {
+    let (scheme, token) = header.split_once(' ')?;
+    let token = token.trim();
+    (scheme.eq_ignore_ascii_case("bearer") && !token.is_empty()).then_some(token)
+}
+
+fn parse(hex: &str) -> Option<[u8; DIGEST_BYTES]> {
+    let digits = hex.as_bytes();
+    if digits.len() != 2 * DIGEST_BYTES {
+        return None;
+    }
+    let mut digest = [0; DIGEST_BYTES];
+    for (byte, pair) in digest.iter_mut().zip(digits.chunks_exact(2)) {
+        *byte = digit(pair[0])? << 4 | digit(pair[1])?;
+    }
+    Some(digest)
+}
+
+fn digit(digit: u8) -> Option<u8> {
+    let value = char::from(digit).to_digit(16)?;
+    u8::try_from(value).ok()
+}
--- /dev/null
+++ b/src/entry/path.rs
@@ -0,0 +1,65 @@
+//! Paths of plain services.
+
+use super::problem::Problem;
+
+/// Root of the paths of plain services.
+const ROOT: &str = "/services/";
+
+/// Splits `/services/{service}/{path}` into the service and the path below it with the query.
+///
+/// A path with a second spelling is refused, since the prefixes that the catalogue declares would
+/// not cover it: empty and dot segments, backslashes, and escapes of characters that need none.
+///
+/// # Errors
+///
+/// A problem with status 404 if no service is named, 400 if the path has a second spelling.
+///
+/// # Examples
+///
+/// ```
+/// use chestnuthub::entry::path::split_service;
+///
+/// assert_eq!(split_service("/services/shopdesk/orders?x=1"), Ok(("shopdesk", "/orders?x=1")));
+/// assert!(split_service("/services/shopdesk/./orders").is_err());
+/// ```
+pub fn split_service(path: &str) -> Result<(&str, &str), Problem> {
+    let missing = || Problem::not_run(404, "not_found", "no service is named");
+    let rest = path.strip_prefix(ROOT).ok_or_else(missing)?;
+    let end = rest.find(['/', '?']).unwrap_or(rest.len());
+    let (name, below) = rest.split_at(end);
+    if name.is_empty() {
+        return Err(missing());
+    }
+    let below = match below {
+        "" => "/",
+        below if below.starts_with('/') => below,
+        _ => return Err(missing()),
+    };
+    let plain = below.split('?').next().unwrap_or(below);
+    if has_one_spelling(plain) {
+        Ok((name, below))
+    } else {
+        let detail = "the path has empty or dot segments or needless escapes";
+        Err(Problem::not_run(400, "bad_path", detail))
+    }
+}
+
+fn has_one_spelling(path: &str) -> bool {
+    let segments: Vec<&str> = path.split('/').skip(1).collect();
+    let last = segments.len().saturating_sub(1);
+    let empty_within = segments[..last].iter().any(|segment| segment.is_empty());
+    let dots = segments
+        .iter()
+        .any(|segment| matches!(*segment, "." | ".."));
+    !empty_within && !dots && !path.contains('\\') && escapes_are_needed(path)
+}
+
+/// Returns whether every escape stands for a character that a path can't hold as it is.
+fn escapes_are_needed(path: &str) -> bool {
+    path.split('%').skip(1).all(|after| {
+        let code = after
+            .get(..2)
+            .and_then(|hex| u8::from_str_radix(hex, 16).ok());
+        code.is_some_and(|byte| !byte.is_ascii_alphanumeric() && !b"-._~/\\".contains(&byte))
+    })
+}
--- /dev/null
+++ b/src/entry/relay.rs
@@ -0,0 +1,224 @@
+//! One attempt: a request goes to one agent and the answer comes back as it arrives.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::time;
+
+use super::reply::{
+    Gone,
+    Reply, //
+};
+use crate::{
+    peer::{
+        self,
+        Exchange, //
+    },
+    timer::Time,
+    wire::{
+        Failure,
+        Frame,
+        Head,
+        Load,
+        Piece,
+        Refusal,
+        Request,
+        Work, //
+    },
+};
+
+/// Longest wait for the next piece of an event stream that has begun.
+pub const STALL: Duration = Duration::from_secs(10);
+
+/// Bytes of the request's body in one frame.
+const CHUNK_BYTES: usize = 256 << 10;
+
+/// How an attempt ended.
+#[derive(Debug, Clone, PartialEq)]
+pub enum End {
+    /// The caller has the whole answer.
+    Complete {
+        /// HTTP status of the answer.
+        status: u16,
+    },
+    /// The caller is gone.
+    Gone,
+    /// Nothing was sent.
+    NotSent(String),
+    /// The agent refused the request.
+    Refused(Refusal),
+    /// The agent can't complete the answer.
+    Failed(Failure),
+    /// The connection was lost or the stream stalled after the request was sent.
+    Lost(String),
+    /// What came back is not an answer to this request.
+    Wrong(String),
+    /// The deadline passed after the request was sent.
+    Deadline,
+}
+
+/// What an attempt tells while it runs.
+pub(super) trait Observer {
+    /// The agent reported its load.
+    fn load(&mut self, load: Load);
+    /// A piece of the answer arrived.
+    fn piece(&mut self);
+}
+
+/// Sends a request over `exchange` and passes the answer on to `reply`.
+pub(super) async fn run(
+    mut exchange: Exchange,
+    request: &Request,
+    body: &Bytes,
+    deadline: Time,
+    reply: &mut Reply,
+    observer: &mut impl Observer,
+) -> End {
+    let attempt = Attempt {
+        exchange: &mut exchange,
+        request,
+        deadline,
+        reply,
+        observer,
+    };
+    let end = attempt.run(body).await;
+    match end {
+        Ok(end) | Err(end) if matches!(end, End::Complete { .. } | End::Refused(_)) => end,
+        Ok(end) | Err(end) => {
+            exchange.cancel();
+            end
+        }
+    }
+}
+
+struct Attempt<'a, O> {
+    exchange: &'a mut Exchange,
+    request: &'a Request,
+    deadline: Time,
+    reply: &'a mut Reply,
+    observer: &'a mut O,
+}
+
+impl<O: Observer> Attempt<'_, O> {
+    async fn run(mut self, body: &Bytes) -> Result<End, End> {
+        if let Err(error) = self.send(body).await? {
+            return self.refusal_after(error).await;
+        }
+        let head = match self.next(None).await? {
+            Some(Frame::Head(head)) => head,
+            Some(Frame::Refused(refusal)) => return Ok(self.refused(refusal)),
+            Some(Frame::Failed(failure)) => return Ok(End::Failed(failure)),
+            Some(_) => return Ok(End::Wrong("the answer has no head".to_owned())),
+            None => return Ok(End::Lost("the agent sent no answer".to_owned())),
+        };
+        self.begin(&head)?;
+        self.pass_on(head.status).await
+    }
+
+    /// Sends the request; the inner error says why the agent takes no more of it.
+    async fn send(&mut self, body: &Bytes) -> Result<Result<(), peer::Error>, End> {
+        let open = Frame::Open(Box::new(self.request.clone()));
+        let exchange = &mut *self.exchange;
+        let sending = async {
+            exchange.send(&open).await?;
+            for start in (0..body.len()).step_by(CHUNK_BYTES) {
+                let end = usize::min(start + CHUNK_BYTES, body.len());
+                let piece = Piece(body.slice(start..end));
+                exchange.send(&Frame::Piece(piece)).await?;
+            }
+            exchange.send(&Frame::End).await
+        };
+        let sent = tokio::select! {
+            biased;
+            () = self.reply.gone() => return Err(End::Gone),
+            () = sleep_until(self.deadline) => return Err(End::Deadline),
+            sent = sending => sent,
+        };
+        Ok(sent)
+    }
+
+    /// Looks for the refusal for whose sake the agent stopped reading the request.
+    async fn refusal_after(&mut self, error: peer::Error) -> Result<End, End> {
+        match self.next(Some(STALL)).await {
+            Ok(Some(Frame::Refused(refusal))) => Ok(self.refused(refusal)),
+            Ok(Some(Frame::Failed(failure))) => Ok(End::Failed(failure)),
+            Err(end @ (End::Gone | End::Deadline)) => Err(end),
+            _ => Err(End::Lost(error.to_string())),
+        }
+    }
+
+    fn refused(&mut self, refusal: Refusal) -> End {
+        self.observer.load(refusal.load);
+        End::Refused(refusal)
+    }
+
+    fn begin(&mut self, head: &Head) -> Result<(), End> {
+        if head.request != self.request.id {
+            return Err(End::Wrong("the answer is for another request".to_owned()));
+        }
+        self.observer.load(head.load);
+        if self.reply.has_begun() && head.status != 200 {
+            return Err(End::Wrong(format!("resumed with status {}", head.status)));
+        }
+        self.reply
+            .begin(head.status, &head.content_type)
+            .map_err(|Gone| End::Gone)
+    }
+
+    async fn pass_on(&mut self, status: u16) -> Result<End, End> {
+        let mut limit = None;
+        loop {
+            match self.next(limit).await {
+                Ok(Some(Frame::Piece(Piece(bytes)))) => self.piece(bytes).await?,
+                Ok(Some(Frame::End)) => return Ok(End::Complete { status }),
+                // The answer was complete; only the end of the exchange is missing.
+                Ok(_) | Err(End::Lost(_)) if self.reply.is_done() => {
+                    return Ok(End::Complete { status });
+                }
+                Ok(Some(Frame::Failed(failure))) => return Ok(End::Failed(failure)),
+                Ok(Some(_)) => return Ok(End::Wrong("a frame out of place".to_owned())),
+                Ok(None) => return Ok(End::Lost("the answer has no end".to_owned())),
+                Err(end) => return Err(end),
+            }
+            limit = self.is_stream().then_some(STALL);
+        }
+    }
+
+    async fn piece(&mut self, bytes: Bytes) -> Result<(), End> {
+        self.observer.piece();
+        tokio::select! {
+            biased;
+            sent = self.reply.piece(bytes) => sent.map_err(|Gone| End::Gone),
+            () = sleep_until(self.deadline) => Err(End::Deadline),
+        }
+    }
+
+    /// Waits for the next frame, up to `limit` if there is one.
+    async fn next(&mut self, limit: Option<Duration>) -> Result<Option<Frame>, End> {
+        let stall = async {
+            match limit {
+                Some(limit) => time::sleep(limit).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            () = self.reply.gone() => Err(End::Gone),
+            frame = self.exchange.next() => frame.map_err(|error| match error {
+                peer::Error::Protocol(detail) => End::Wrong(detail),
+                other => End::Lost(other.to_string()),
+            }),
+            () = stall => Err(End::Lost("the stream stalled".to_owned())),
+            () = sleep_until(self.deadline) => Err(End::Deadline),
+        }
+    }
+
+    fn is_stream(&self) -> bool {
+        matches!(&self.request.work, Work::Chat(chat) if chat.stream)
+    }
+}
+
+/// Waits until the deadline.
+pub(super) async fn sleep_until(deadline: Time) {
+    time::sleep(deadline.remaining(Time::now())).await;
+}
--- /dev/null
+++ b/src/entry/retry.rs
@@ -0,0 +1,135 @@
+//! What happens after an attempt that did not bring the whole answer.
+
+use std::time::Duration;
+
+use super::{
+    problem::Problem,
+    relay::End, //
+};
+use crate::wire::Reason;
+
+/// Most continuations of a stream on another server.
+const MAX_RESUMES: u32 = 2;
+
+/// Most repetitions of an idempotent call of a service.
+const MAX_CALL_RETRIES: u32 = 1;
+
+/// Time after which to come back when the outcome of a request is not known.
+const UNKNOWN_PAUSE: Duration = Duration::from_secs(2);
+
+/// What an attempt that failed was part of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// A completion by a model.
+    Chat,
+    /// A call that may be repeated.
+    Repeatable,
+    /// A call that must not be repeated.
+    Once,
+}
+
+/// How far a request has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Progress {
+    /// What was asked for.
+    pub kind: Kind,
+    /// Whether the head of an answer reached the caller.
+    pub begun: bool,
+    /// Pieces that reached the caller.
+    pub pieces: u64,
+    /// Whole events that reached the caller, if the answer is an event stream.
+    pub events: Option<u64>,
+    /// Repetitions so far.
+    pub retries: u32,
+    /// Continuations so far.
+    pub resumes: u32,
+}
+
+/// What to do next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// Try another server; this one has not run the request.
+    Next,
+    /// Repeat the request on another server if the retry budget allows it.
+    Retry,
+    /// Continue the stream on another server after this many events.
+    Resume(u64),
+    /// Answer with the problem.
+    Stop,
+}
+
+/// Decides what to do after an attempt that ended with `end`.
+pub fn step(end: &End, progress: &Progress) -> Step {
+    match end {
+        End::NotSent(_) => Step::Next,
+        End::Refused(refusal) if refusal.not_run && may_differ(refusal.reason) => Step::Next,
+        End::Failed(failure) if !failure.started && !progress.begun => Step::Next,
+        End::Failed(_) | End::Lost(_) => after_start(progress),
+        End::Refused(_) | End::Wrong(_) | End::Deadline | End::Complete { .. } | End::Gone => {
+            Step::Stop
+        }
+    }
+}
+
+fn after_start(progress: &Progress) -> Step {
+    match progress.kind {
+        Kind::Chat if progress.pieces == 0 => Step::Retry,
+        Kind::Chat if progress.resumes < MAX_RESUMES => {
+            progress.events.map_or(Step::Stop, Step::Resume)
+        }
+        Kind::Repeatable if !progress.begun && progress.retries < MAX_CALL_RETRIES => Step::Retry,
+        Kind::Chat | Kind::Repeatable | Kind::Once => Step::Stop,
+    }
+}
+
+/// Returns whether another server may take what one refused for this reason.
+const fn may_differ(reason: Reason) -> bool {
+    match reason {
+        Reason::Leaving
+        | Reason::Busy
+        | Reason::QueueFull
+        | Reason::NoSlot
+        | Reason::NoEpoch
+        | Reason::Unknown
+        | Reason::Backend => true,
+        Reason::Deadline
+        | Reason::LogDown
+        | Reason::BadKey
+        | Reason::KeyExpired
+        | Reason::KeyReused
+        | Reason::OutcomeUnknown => false,
+    }
+}
+
+/// Returns whether the request may have been run in an attempt that ended so.
+pub fn may_have_run(end: &End) -> bool {
+    match end {
+        End::NotSent(_) => false,
+        End::Refused(refusal) => !refusal.not_run,
+        End::Failed(failure) => failure.started,
+        End::Lost(_) | End::Wrong(_) | End::Deadline | End::Complete { .. } | End::Gone => true,
+    }
+}
+
+/// Returns the problem that an attempt's end amounts to.
+pub fn problem(end: &End, kind: Kind) -> Problem {
+    let problem = match end {
+        End::Refused(refusal) => return Problem::refused(refusal),
+        End::NotSent(detail) => Problem::not_run(503, "unreachable", detail),
+        End::Failed(failure) if !failure.started => {
+            Problem::not_run(502, "agent_failed", &failure.detail)
+        }
+        // The outcome may be had later with the same key.
+        _ if kind == Kind::Once => {
+            let detail = "the call was sent and its outcome is not known";
+            Problem::unknown(409, "outcome_unknown", detail)
+        }
+        End::Failed(failure) => Problem::unknown(502, "agent_failed", &failure.detail),
+        End::Lost(detail) => Problem::unknown(502, "agent_lost", detail),
+        End::Wrong(detail) => Problem::unknown(502, "wrong_answer", detail),
+        End::Deadline | End::Complete { .. } | End::Gone => {
+            return Problem::unknown(504, "deadline", "the deadline passed");
+        }
+    };
+    problem.retry_after(UNKNOWN_PAUSE)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,9 +3,11 @@
 pub mod bench;
 pub mod catalogue;
 pub mod cli;
+pub mod context;
 pub mod daemon;
 pub mod decision;
 pub mod emulator;
+pub mod entry;
 pub mod id;
 pub mod metrics;
 pub mod peer;
@@ -18,6 +20,4 @@
 pub mod wire;
 
 pub(crate) mod agent;
-pub(crate) mod context;
-pub(crate) mod entry;
 pub(crate) mod follow;
--- a/src/peer/endpoint.rs
+++ b/src/peer/endpoint.rs
@@ -29,6 +29,10 @@
 /// Time after which a connection without traffic is closed.
 const IDLE_TIMEOUT_MS: u32 = 10_000;
 
+/// Period of packets on a connection without traffic, which keep an exchange that waits for a cold
+/// start from being taken for lost.
+const KEEP_ALIVE: Duration = Duration::from_secs(3);
+
 /// Longest wait for a connection; beyond it the next slot is tried.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -81,6 +85,15 @@
         self.quic.accept().await
     }
 
+    /// Returns the address of the peer port.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error.
+    pub fn local_addr(&self) -> std::io::Result<SocketAddr> {
+        self.quic.local_addr()
+    }
+
     /// Closes all connections.
     pub fn close(&self) {
         self.quic.close(VarInt::from_u32(0), b"closing");
@@ -120,6 +133,7 @@
 fn transport() -> Arc<TransportConfig> {
     let mut transport = TransportConfig::default();
     transport.max_idle_timeout(Some(VarInt::from_u32(IDLE_TIMEOUT_MS).into()));
+    transport.keep_alive_interval(Some(KEEP_ALIVE));
     transport.max_concurrent_bidi_streams(VarInt::from_u32(MAX_EXCHANGES));
     transport.max_concurrent_uni_streams(VarInt::from_u32(0));
     Arc::new(transport)
