--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -237,9 +237,9 @@
         context.view.clone(),
         streams.releases,
         streams.decisions,
-        Box::new(move |server| {
+        Box::new(move |notice| {
             if let Part::Entry(entry) = &listener {
-                entry.note_leaving(server);
+                entry.note_leaving(notice);
             }
         }),
     ));
--- a/src/gossip/node.rs
+++ b/src/gossip/node.rs
@@ -44,8 +44,8 @@
 /// Longest time for one exchange.
 const EXCHANGE_LIMIT: Duration = Duration::from_secs(2);
 
-/// Called with each backend server that is newly known to be leaving.
-type OnLeaving = Box<dyn Fn(&id::Instance) + Send + Sync>;
+/// Called with each new notice.
+type OnLeaving = Box<dyn Fn(&Leaving) + Send + Sync>;
 
 /// A daemon's side of the exchange with its neighbours.
 pub(crate) struct Node {
@@ -202,7 +202,7 @@
         for notice in &heads.leaving {
             if self.with_notices(|notices| notices.add(notice, now)) {
                 report::info("leaving_notice", &[("server", &notice.server)]);
-                (self.on_leaving)(&notice.server);
+                (self.on_leaving)(notice);
             }
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,9 +4,11 @@
 pub mod bench;
 pub mod catalogue;
 pub mod cli;
+pub mod context;
 pub mod daemon;
 pub mod decision;
 pub mod emulator;
+pub mod entry;
 pub mod follow;
 pub mod gossip;
 pub mod id;
@@ -20,6 +22,3 @@
 pub mod timer;
 pub mod view;
 pub mod wire;
-
-pub(crate) mod context;
-pub(crate) mod entry;
