view: let callers change the catalogue and the decisions in place

Cause: tests/caller_port.rs fills a view without a log and did not build. Change: update_catalogue and update_table next to the setters. Result: all targets build.

--- a/src/view.rs
+++ b/src/view.rs
@@ -64,6 +64,20 @@
         self.changed.subscribe()
     }
 
+    /// Changes the catalogue.
+    pub fn update_catalogue<T>(&self, change: impl FnOnce(&mut Catalogue) -> T) -> T {
+        let result = change(&mut write(&self.catalogue));
+        self.notify();
+        result
+    }
+
+    /// Changes the decisions.
+    pub fn update_table<T>(&self, change: impl FnOnce(&mut Table) -> T) -> T {
+        let result = change(&mut write(&self.table));
+        self.notify();
+        result
+    }
+
     /// Replaces the catalogue if it has changed.
     pub fn set_catalogue(&self, catalogue: &Catalogue) {
         if self.catalogue().applied() != catalogue.applied() {
