agent: separate the order permission and the event types, and log targets

Cause: the check before an order was tied to its I/O, so no test could reach it, and idle models were held by an optimistic load time once the observed rate was older than a minute. Change: `authority` decides purely from the table, the last read and an extra read; `event`, `replica` and `order` are split off; break-even uses the last known rate whatever its age; refusals name the target and the grant's offset; an inventory that something was freed during is asked for again.

--- a/src/agent/dispatch.rs
+++ b/src/agent/dispatch.rs
@@ -9,17 +9,17 @@
 };
 
 use super::{
+    event::{
+        Action,
+        Event, //
+    },
     ledger::Order,
     queue::{
         Key,
         Queue,
         Ticket, //
     },
-    residency::{
-        Action,
-        Event,
-        Policy, //
-    },
+    residency::Policy,
     saturation::Saturation,
     usage::Weights,
 };
--- a/src/agent/driver.rs
+++ b/src/agent/driver.rs
@@ -16,7 +16,6 @@
     oneshot,
     watch, //
 };
-use uuid::Uuid;
 
 use super::{
     coordination::Coordination,
@@ -25,36 +24,30 @@
         Dispatch,
         Effect, //
     },
+    event::{
+        Event,
+        Slot, //
+    },
     ledger::{
         Answer,
         Ledger,
         Order,
         Subject, //
     },
+    order,
     queue::{
         Key,
         Ticket, //
     },
     registration::Registration,
-    residency::{
-        Event,
-        Policy,
-        Slot, //
-    },
+    residency::Policy,
     usage::Weights,
 };
 use crate::{
     catalogue,
     context::Context,
     decision, id,
-    platform::{
-        Error,
-        engine::{
-            self,
-            Engine,
-            Kind, //
-        },
-    },
+    platform::{Error, engine::Engine},
     report,
     timer::{
         self,
@@ -72,14 +65,6 @@
 /// Period of inventories while nothing is suspected.
 const INVENTORY_PERIOD: Duration = Duration::from_secs(10);
 
-/// Longest waits for the answers to orders.
-const LOAD_TIMEOUT: Duration = Duration::from_secs(300);
-const UNLOAD_TIMEOUT: Duration = Duration::from_secs(30);
-const ADAPTER_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// Status by which an engine says that its memory does not suffice.
-const STATUS_NO_MEMORY: u16 = 507;
-
 /// What a request that waits is told.
 pub(super) type Verdict = Result<(), Denial>;
 
@@ -129,8 +114,12 @@
             }),
         };
         let ticking = driver.clone();
-        timer::subscribe("dispatch", TICK, move |now| {
-            ticking.tick(now);
+        let mut changes = driver.shared.context.view.changes();
+        changes.mark_changed();
+        timer::subscribe("dispatch", TICK, move |_| {
+            let changed = changes.has_changed().unwrap_or(true);
+            changes.mark_unchanged();
+            ticking.tick(changed);
             true
         })?;
         let comparing = driver.clone();
@@ -247,13 +236,15 @@
         let _ = self.shared.changed.send(());
     }
 
-    fn tick(&self, _: Time) {
+    fn tick(&self, changed: bool) {
         let held = self.shared.registration.epoch().is_some();
-        let slots = self.slots();
+        let slots = changed.then(|| self.slots());
         let mut state = self.lock();
         let now = Time::now();
         let mut effects = state.dispatch.step(Event::Authority(held), now);
-        effects.extend(state.dispatch.step(Event::Slots(slots), now));
+        if let Some(slots) = slots {
+            effects.extend(state.dispatch.step(Event::Slots(slots), now));
+        }
         self.carry_out(&mut state, effects);
     }
 
@@ -287,8 +278,15 @@
         };
         match self.shared.engine.inventory() {
             Ok(inventory) => {
-                self.lock().inventoried = Some(now);
-                self.step(Event::Inventory(mark, inventory));
+                let mut state = self.lock();
+                // Something was freed meanwhile, so the next inventory counts.
+                if state.dispatch.policy().ledger().is_stale(mark) {
+                    return;
+                }
+                state.inventoried = Some(now);
+                let event = Event::Inventory(mark, inventory);
+                let effects = state.dispatch.step(event, Time::now());
+                self.carry_out(&mut state, effects);
             }
             Err(error) => report::warn("inventory_failed", &[("error", &error)]),
         }
@@ -321,15 +319,15 @@
                 let result = self
                     .shared
                     .engine
-                    .order(&message(order, fence), limit(order.kind));
+                    .order(&order::message(order, fence), order::limit(order.kind));
                 let detail = result.as_ref().err().map(Error::to_string);
-                (answer(&result), fence, detail.unwrap_or_default())
+                (order::answer(&result), fence, detail.unwrap_or_default())
             }
             Err(reason) => (Answer::Rejected, 0, reason.to_owned()),
         };
         let adapter = order.subject.adapter.as_ref().map(id::Adapter::as_str);
         report::info(
-            name(order.kind),
+            order::name(order.kind),
             &[
                 ("model", &order.subject.model),
                 ("adapter", &adapter.unwrap_or_default()),
@@ -376,40 +374,3 @@
         _ => None,
     }
 }
-
-fn message(order: &Order, fence: u64) -> engine::Order {
-    engine::Order {
-        id: Uuid::new_v4(),
-        fence,
-        kind: order.kind,
-        model: order.subject.model.clone(),
-        adapter: order.subject.adapter.clone(),
-        memory_mb: order.memory_mb,
-    }
-}
-
-fn answer(result: &Result<(), Error>) -> Answer {
-    match result {
-        Ok(()) => Answer::Done,
-        Err(Error::Status { status, .. }) if *status == STATUS_NO_MEMORY => Answer::Rejected,
-        Err(error) if error.had_no_effect() => Answer::Rejected,
-        Err(_) => Answer::Lost,
-    }
-}
-
-fn limit(kind: Kind) -> Duration {
-    match kind {
-        Kind::Load => LOAD_TIMEOUT,
-        Kind::Unload => UNLOAD_TIMEOUT,
-        Kind::LoadAdapter | Kind::UnloadAdapter => ADAPTER_TIMEOUT,
-    }
-}
-
-fn name(kind: Kind) -> &'static str {
-    match kind {
-        Kind::Load => "load",
-        Kind::Unload => "unload",
-        Kind::LoadAdapter => "load_adapter",
-        Kind::UnloadAdapter => "unload_adapter",
-    }
-}
--- a/src/agent/ledger.rs
+++ b/src/agent/ledger.rs
@@ -227,12 +227,17 @@
         self.clock
     }
 
+    /// Returns whether an inventory that was asked for at `mark` is too old to be applied.
+    pub fn is_stale(&self, mark: u64) -> bool {
+        self.freed > mark
+    }
+
     /// Applies an inventory that was asked for at `mark`, and returns whether it could be used.
     ///
     /// It is not used if something was freed meanwhile, which it may still show. Subjects whose orders were given or answered after the mark, or are still unanswered, keep
     /// their state, since the inventory may be older.
     pub fn inventory(&mut self, mark: u64, inventory: &Inventory, now: Time) -> bool {
-        if self.freed > mark {
+        if self.is_stale(mark) {
             return false;
         }
         let mut present = BTreeMap::new();
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -1,17 +1,21 @@
 //! The agent: runs beside a backend server and gives it orders and work.
 
 pub mod adapters;
+pub mod authority;
 mod call;
 mod chat;
 mod coordination;
 pub mod dispatch;
 mod driver;
+pub mod event;
 mod flight;
 pub mod ledger;
+mod order;
 pub mod pace;
 pub mod queue;
 mod registration;
 mod relay;
+mod replica;
 pub mod residency;
 pub mod saturation;
 pub mod usage;
@@ -200,18 +204,36 @@
             End::Refused(_) => "refuse",
             _ => "request",
         };
+        let (target, offset) = self.target(&request.work);
         report::info(
             name,
             &[
                 ("request", &request.id),
                 ("institution", &request.institution),
                 ("kind", &kind),
+                ("target", &target),
+                ("offset", &offset),
                 ("reason", &end.as_str()),
                 ("took_ms", &took.as_millis()),
             ],
         );
     }
 
+    /// Returns what a request asks for and the offset of the grant that it is served under, 0
+    /// without one.
+    fn target<'a>(&self, work: &'a Work) -> (&'a str, u64) {
+        match work {
+            Work::Call(call) => (call.service.as_str(), 0),
+            Work::Chat(chat) => {
+                let table = self.inner.context.view.table();
+                let own = &self.inner.context.settings.instance;
+                let mut slots = table.slots(&chat.model).iter();
+                let slot = slots.find(|slot| slot.server == *own);
+                (chat.model.as_str(), slot.map_or(0, |slot| slot.grant))
+            }
+        }
+    }
+
     async fn call(
         &self,
         calls: &Calls,
--- a/src/agent/pace.rs
+++ b/src/agent/pace.rs
@@ -8,6 +8,9 @@
 /// is refused because of a load time that nobody has measured.
 const ASSUMED_RATE: f64 = 8_192.0;
 
+/// Load rate that break-even counts with before a load was observed, in MiB/s.
+const TYPICAL_RATE: f64 = 1_024.0;
+
 /// Time for which an observed rate is believed; a slow store recovers unnoticed otherwise.
 const RATE_FOR: Duration = Duration::from_secs(60);
 
@@ -42,6 +45,12 @@
         Duration::from_secs_f64(mib(checkpoint_mb) / rate)
     }
 
+    /// Returns the time of a load at the last known rate, however old it is.
+    pub fn estimate(&self, checkpoint_mb: u64) -> Duration {
+        let rate = self.rate.map_or(TYPICAL_RATE, |(rate, _)| rate);
+        Duration::from_secs_f64(mib(checkpoint_mb) / rate)
+    }
+
     /// Returns whether the next load may begin.
     pub fn may_load(&self, now: Time) -> bool {
         self.left(now).is_zero()
--- a/src/agent/registration.rs
+++ b/src/agent/registration.rs
@@ -12,13 +12,17 @@
 
 use uuid::Uuid;
 
+use super::authority::{
+    self,
+    Attempt,
+    Standing, //
+};
 use crate::{
     context::Context,
     decision::{
         self,
         Body,
-        Record,
-        Table, //
+        Record, //
     },
     report,
     settings::{
@@ -28,9 +32,6 @@
     timer::Time,
 };
 
-/// Age of the last read of the log beyond which an order needs a read of its own.
-const ORDER_FRESHNESS: Duration = Duration::from_secs(5);
-
 /// Time for which the stream is searched for the registration before it is appended again.
 const REAPPEND_AFTER: Duration = Duration::from_secs(3);
 
@@ -49,19 +50,6 @@
     epoch: Option<u64>,
 }
 
-/// What the table says about this process.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Standing {
-    /// The registration is not in the stream yet.
-    Unseen,
-    /// This process is the server's agent, with this epoch.
-    Held(u64),
-    /// A newer process is the server's agent, with this epoch.
-    Superseded(u64),
-    /// The server was declared gone.
-    Gone,
-}
-
 /// The agent's own registration.
 #[derive(Debug)]
 pub(crate) struct Registration {
@@ -90,7 +78,7 @@
     /// follows it.
     pub(crate) fn tick(&self, now: Time) {
         match self.standing() {
-            Standing::Held(epoch) => self.hold(epoch),
+            Standing::Held { epoch, .. } => self.hold(epoch),
             Standing::Superseded(epoch) => {
                 report::warn("superseded", &[("offset", &epoch)]);
                 std::process::exit(EXIT_SUPERSEDED);
@@ -106,7 +94,9 @@
     fn standing(&self) -> Standing {
         let current = self.lock();
         let table = self.context.view.table();
-        standing(&table, &self.context.settings.instance, &current)
+        let seen = current.epoch.is_some() || table.has_seen(current.record.id);
+        let server = &self.context.settings.instance;
+        Standing::new(&table, server, current.incarnation, seen)
     }
 
     fn hold(&self, epoch: u64) {
@@ -139,47 +129,40 @@
 
     /// Returns the fencing number for an order, or why no order may be given now.
     pub(crate) fn permit(&self) -> Result<u64, &'static str> {
-        let Standing::Held(_) = self.standing() else {
+        let news = self.context.view.news();
+        let stale = !authority::is_fresh(news, Time::now());
+        let attempt = stale.then(|| self.read_log());
+        let Standing::Held { fence, .. } = self.standing() else {
             return Err("this process is not the server's agent");
         };
-        let news = self.context.view.news();
-        if news.is_none_or(|at| Time::now() - at > ORDER_FRESHNESS) {
-            self.check_log()?;
-        }
-        let table = self.context.view.table();
-        let epoch = table.epoch(&self.context.settings.instance);
-        epoch
-            .map(|epoch| epoch.fence)
-            .ok_or("this process is not the server's agent")
+        authority::check(news, attempt, Time::now())?;
+        Ok(fence)
     }
 
-    /// Reads the log once. A failure within the time limit shows that this process was not paused.
-    fn check_log(&self) -> Result<(), &'static str> {
+    fn read_log(&self) -> Attempt {
         let began = Time::now();
         let from = self.context.view.table().applied() + 1;
-        let page = self
-            .context
-            .log
-            .read(decision::STREAM, from, CHECK_LIMIT, Duration::ZERO);
-        if Time::now() - began > ORDER_FRESHNESS {
-            return Err("the process was paused");
-        }
-        let Ok(page) = page else {
-            return Ok(());
-        };
+        let log = &self.context.log;
+        let page = log.read(decision::STREAM, from, CHECK_LIMIT, Duration::ZERO);
+        let newer = page.ok().map(|page| {
+            let mut records = page.records.iter();
+            records.any(|record| self.is_newer(&record.body))
+        });
+        Attempt { began, newer }
+    }
+
+    fn is_newer(&self, body: &str) -> bool {
         let server = &self.context.settings.instance;
         let own = self.lock().incarnation;
-        let newer = page.records.iter().any(|record| {
-            let parsed: Result<Record, _> = serde_json::from_str(&record.body);
-            parsed.is_ok_and(|record| {
-                matches!(record.body, Body::Register { server: ref other, incarnation, .. }
-                    if other == server && incarnation != own)
-            })
-        });
-        if newer {
-            return Err("a newer agent has registered");
-        }
-        Ok(())
+        let record: Result<Record, _> = serde_json::from_str(body);
+        record.is_ok_and(|record| match record.body {
+            Body::Register {
+                server: other,
+                incarnation,
+                ..
+            } => other == *server && incarnation != own,
+            _ => false,
+        })
     }
 
     fn lock(&self) -> MutexGuard<'_, Current> {
@@ -187,16 +170,6 @@
     }
 }
 
-fn standing(table: &Table, server: &crate::id::Instance, current: &Current) -> Standing {
-    let seen = current.epoch.is_some() || table.has_seen(current.record.id);
-    match table.epoch(server) {
-        Some(epoch) if epoch.incarnation == current.incarnation => Standing::Held(epoch.offset),
-        _ if !seen => Standing::Unseen,
-        Some(epoch) => Standing::Superseded(epoch.offset),
-        None => Standing::Gone,
-    }
-}
-
 fn new_current(context: &Context, backend: &settings::Agent) -> Current {
     let incarnation = Uuid::new_v4();
     let settings = &context.settings;
--- a/src/agent/residency.rs
+++ b/src/agent/residency.rs
@@ -7,6 +7,11 @@
 
 use super::{
     adapters::Adapters,
+    event::{
+        Action,
+        Event,
+        Slot, //
+    },
     ledger::{
         Answer,
         Ledger,
@@ -14,15 +19,12 @@
         Subject, //
     },
     pace::Pace,
-    usage::{
-        Usage,
-        Weights, //
-    },
+    replica::Replica,
+    usage::Weights,
 };
 use crate::{
     id,
     platform::engine::{
-        Inventory,
         Kind,
         State, //
     },
@@ -38,83 +40,6 @@
 /// Time after which an unload is not counted on to make room.
 const UNLOAD_PATIENCE: Duration = Duration::from_secs(10);
 
-/// The permission to load a model version here.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Slot {
-    /// Model version.
-    pub model: id::Model,
-    /// Offset of the grant.
-    pub grant: u64,
-    /// Whether the model must be unloaded.
-    pub retiring: bool,
-    /// Memory and checkpoint size in MiB, if the catalogue has the model version.
-    pub size: Option<(u64, u64)>,
-}
-
-/// What happened.
-#[derive(Debug, Clone)]
-pub enum Event {
-    /// Whether orders may be given has changed.
-    Authority(bool),
-    /// The slots of this server, all of them.
-    Slots(Vec<Slot>),
-    /// A request for a model version arrived and waits.
-    Arrived(id::Model, Weights),
-    /// A waiting request has begun.
-    Began(id::Model),
-    /// A waiting request was refused or cancelled.
-    Left(id::Model),
-    /// A request that had begun has ended.
-    Ended(id::Model),
-    /// A request that has begun needs an adapter of this size in MiB.
-    AdapterNeeded(Subject, u64),
-    /// A request does not need its adapter any more.
-    AdapterLeft(Subject),
-    /// An order was answered.
-    Answered(Order, Answer),
-    /// The inventory that was asked for at this mark.
-    Inventory(u64, Inventory),
-    /// Time has passed.
-    Tick,
-}
-
-/// What is to be done.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Action {
-    /// Give the engine this order.
-    Order(Order, &'static str),
-    /// Append `Released` for the grant at this offset.
-    Released(id::Model, u64),
-}
-
-#[derive(Debug, Clone, Default)]
-struct Replica {
-    slot: Option<Slot>,
-    grant: u64,
-    waiting: usize,
-    users: usize,
-    wanted_since: Option<Time>,
-    idle_since: Option<Time>,
-    retry_at: Option<Time>,
-    released_at: Option<Time>,
-    usage: Usage,
-}
-
-impl Replica {
-    fn is_idle(&self) -> bool {
-        self.users == 0 && self.waiting == 0
-    }
-
-    fn is_retired(&self) -> bool {
-        self.slot.as_ref().is_none_or(|slot| slot.retiring)
-    }
-
-    fn checkpoint_mb(&self) -> u64 {
-        let size = self.slot.as_ref().and_then(|slot| slot.size);
-        size.map_or(0, |(_, checkpoint)| checkpoint)
-    }
-}
-
 /// What one engine holds, may hold and should hold.
 #[derive(Debug)]
 pub struct Policy {
@@ -238,7 +163,7 @@
     }
 
     fn arrived(&mut self, model: &id::Model, weights: Weights, now: Time) {
-        let load = self.load_time(model, now);
+        let load = self.load_cost(model);
         let replica = self.replica(model);
         replica.waiting += 1;
         replica.wanted_since.get_or_insert(now);
@@ -282,6 +207,13 @@
         self.pace.predict(checkpoint, now)
     }
 
+    /// Returns the load time as break-even counts it.
+    fn load_cost(&self, model: &id::Model) -> Duration {
+        let replica = self.replicas.get(model);
+        self.pace
+            .estimate(replica.map_or(0, Replica::checkpoint_mb))
+    }
+
     /// Returns the predicted time until the model version is loaded, or nothing if there is no
     /// room for it in any case.
     pub fn wait(&self, model: &id::Model, now: Time) -> Option<Duration> {
@@ -321,7 +253,7 @@
         let mut actions = Vec::new();
         for model in self.loaded() {
             let replica = self.replicas.get(&model).cloned().unwrap_or_default();
-            let hold = replica.usage.hold(self.load_time(&model, now));
+            let hold = replica.usage.hold(self.load_cost(&model));
             let reason = if !replica.is_idle() || replica.retry_at.is_some_and(|at| now < at) {
                 continue;
             } else if replica.slot.is_none() {
@@ -419,8 +351,7 @@
             .filter_map(|model| {
                 let replica = self.replicas.get(&model)?;
                 let memory = self.ledger.get(&Subject::model(&model))?.memory_mb;
-                let load = self.load_time(&model, now);
-                let benefit = replica.usage.benefit(load, memory);
+                let benefit = replica.usage.benefit(self.load_cost(&model), memory);
                 replica.is_idle().then_some((benefit, memory, model))
             })
             .collect();
