claim, agent: run calls with a key at most once

Cause: calls of plain services that are not idempotent need a durable claim before they run, and a retry has to get the first call's result.

Change: add the claim records, keys, fold, attempt, group commit and the pure stream state machine, the executor around them, and the agent's `Calls`. Wire them into the agent for a plain service.

--- /dev/null
+++ b/src/agent/call.rs
@@ -0,0 +1,250 @@
+//! Calls of the plain service beside this agent.
+
+use std::time::{
+    Duration,
+    SystemTime,
+    UNIX_EPOCH, //
+};
+
+use bytes::Bytes;
+
+use super::Reply;
+use crate::{
+    catalogue,
+    claim::{
+        Answer, Ending, Key, Refusal, Response,
+        executor::{
+            self,
+            Executor, //
+        },
+        key::{
+            self,
+            MIN_RETENTION, //
+        },
+        scope,
+    },
+    context::Context,
+    id,
+    platform::service::Service,
+    report,
+    settings::Role,
+    timer::Time,
+    wire::{
+        self,
+        Reason, //
+    },
+};
+
+/// Longest deadline of a request; a longer one is cut to it.
+const MAX_TIMEOUT: Duration = Duration::from_secs(300);
+
+/// Time after which a refused caller may come back.
+const RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// Calls of the plain service beside this agent.
+#[derive(Debug, Clone)]
+pub(crate) struct Calls {
+    executor: Executor,
+    /// Whether the log keeps claims for as long as keys are accepted.
+    keeps_claims: bool,
+}
+
+impl Calls {
+    /// Makes the calls of the service at the base URL.
+    pub(crate) fn start(context: Context, url: &str) -> Self {
+        let retention_h = context.settings.platform.log_retention_h;
+        let keeps_claims = retention_h >= MIN_RETENTION.as_secs() / 3_600;
+        if !keeps_claims {
+            let needed = MIN_RETENTION.as_secs() / 3_600;
+            report::warn(
+                "claims_refused",
+                &[("retention_h", &retention_h), ("needed_h", &needed)],
+            );
+        }
+        Self {
+            executor: Executor::new(context, Service::new(url)),
+            keeps_claims,
+        }
+    }
+
+    /// Runs a call: one that has a key or that the catalogue lists as not idempotent at most
+    /// once, another by passing it through.
+    ///
+    /// # Errors
+    ///
+    /// A refusal whose `not_run` is true is final: nothing ran and nothing will run for it.
+    pub(crate) async fn run(
+        &self,
+        request: &wire::Request,
+        call: &wire::Call,
+        body: Bytes,
+    ) -> Result<Reply, wire::Refusal> {
+        let deadline = Time::now() + Duration::from_millis(request.timeout_ms).min(MAX_TIMEOUT);
+        let result = self.dispatch(request, call, body, deadline).await;
+        let outcome = match &result {
+            Ok(_) => "answered",
+            Err(refusal) => refusal.reason.as_str(),
+        };
+        self.context().metrics.count("call", outcome);
+        result.map_err(to_wire)
+    }
+
+    async fn dispatch(
+        &self,
+        request: &wire::Request,
+        call: &wire::Call,
+        body: Bytes,
+        deadline: Time,
+    ) -> Result<Reply, Refusal> {
+        match self.accept(request, call) {
+            Ok(Some(key)) => {
+                let call = executor::Call {
+                    request: request.id.clone(),
+                    call: call.clone(),
+                    body,
+                    deadline,
+                };
+                match self.executor.run(key, call).await {
+                    Answer::Response(response) => Ok(reply(&response)),
+                    Answer::Refused(refusal) => Err(refusal),
+                }
+            }
+            Ok(None) => self.pass(&request.id, call, body, deadline).await,
+            Err(reason) => {
+                report::info(
+                    "refused",
+                    &[
+                        ("request", &request.id),
+                        ("reason", &reason),
+                        ("not_run", &true),
+                    ],
+                );
+                Err(not_run(reason))
+            }
+        }
+    }
+
+    /// Returns the key under which the call is claimed, or nothing if it is passed through.
+    fn accept(&self, request: &wire::Request, call: &wire::Call) -> Result<Option<Key>, Reason> {
+        let listed = self.is_listed(call)?;
+        let Some(key) = call.key else {
+            return if listed {
+                Err(Reason::BadKey)
+            } else {
+                Ok(None)
+            };
+        };
+        let now = SystemTime::now().duration_since(UNIX_EPOCH);
+        let millis = u64::try_from(now.unwrap_or_default().as_millis()).unwrap_or(u64::MAX);
+        let key = Key::accept(key, &request.institution, millis).map_err(|error| match error {
+            key::Error::Malformed => Reason::BadKey,
+            key::Error::Expired => Reason::KeyExpired,
+        })?;
+        if self.keeps_claims {
+            Ok(Some(key))
+        } else {
+            Err(Reason::LogDown)
+        }
+    }
+
+    /// Returns whether the catalogue lists the call as not idempotent.
+    fn is_listed(&self, call: &wire::Call) -> Result<bool, Reason> {
+        let catalogue = self.context().view.catalogue();
+        let key = catalogue::Key::Service(call.service.clone());
+        let Some(catalogue::Item::Service(service)) = catalogue.get(&key) else {
+            return Err(Reason::Unknown);
+        };
+        let Role::Agent(agent) = &self.context().settings.role else {
+            return Err(Reason::Unknown);
+        };
+        if service.pool != agent.pool {
+            return Err(Reason::Unknown);
+        }
+        let limit = service.stale_limit_s.map(Duration::from_secs);
+        if limit.is_some_and(|limit| self.is_stale(limit)) {
+            return Err(Reason::LogDown);
+        }
+        let mut listed = service.non_idempotent.iter();
+        Ok(listed.any(|listed| scope::covers(listed, &call.method, &call.path)))
+    }
+
+    fn is_stale(&self, limit: Duration) -> bool {
+        let news = self.context().view.news();
+        news.is_none_or(|news| Time::now() - news > limit)
+    }
+
+    /// Sends a call that may be repeated.
+    async fn pass(
+        &self,
+        request: &id::Request,
+        call: &wire::Call,
+        body: Bytes,
+        deadline: Time,
+    ) -> Result<Reply, Refusal> {
+        let service = self.executor.service().clone();
+        let call = executor::Call {
+            request: request.clone(),
+            call: call.clone(),
+            body,
+            deadline,
+        };
+        let timeout = deadline.remaining(Time::now());
+        let send = move || executor::send(&service, &call, timeout);
+        let sent = self.context().runtime.spawn_blocking(send).await;
+        match sent.unwrap_or(Ending::Unknown) {
+            Ending::Response(response) if response.body.is_some() => Ok(reply(&response)),
+            Ending::NotSent => Err(not_run(Reason::Backend)),
+            Ending::Response(_) | Ending::Unknown => Err(unknown(Reason::Backend)),
+        }
+    }
+
+    fn context(&self) -> &Context {
+        self.executor.context()
+    }
+}
+
+fn reply(response: &Response) -> Reply {
+    let Response {
+        status,
+        content_type,
+        body,
+    } = response;
+    match body {
+        Some(body) => Reply {
+            status: *status,
+            content_type: content_type.clone(),
+            body: Bytes::copy_from_slice(&body.0),
+        },
+        // Too large to keep: the retry learns only that the call completed.
+        None => Reply {
+            status: *status,
+            content_type: "application/json".to_owned(),
+            body: Bytes::from_static(br#"{"completed":true,"body_kept":false}"#),
+        },
+    }
+}
+
+fn not_run(reason: Reason) -> Refusal {
+    let not_run = true;
+    Refusal { reason, not_run }
+}
+
+fn unknown(reason: Reason) -> Refusal {
+    let not_run = false;
+    Refusal { reason, not_run }
+}
+
+fn to_wire(refusal: Refusal) -> wire::Refusal {
+    let retry = match refusal.reason {
+        Reason::LogDown | Reason::Deadline | Reason::OutcomeUnknown | Reason::Backend => {
+            RETRY_AFTER
+        }
+        _ => Duration::ZERO,
+    };
+    wire::Refusal {
+        reason: refusal.reason,
+        not_run: refusal.not_run,
+        retry_after_ms: u64::try_from(retry.as_millis()).unwrap_or(u64::MAX),
+        load: wire::Load::default(),
+    }
+}
--- /dev/null
+++ b/src/claim/record.rs
@@ -0,0 +1,155 @@
+//! Records of the claim streams, JSON lines; several records may share one append.
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use uuid::Uuid;
+
+use super::{
+    Digest,
+    key::from_hex, //
+};
+
+/// Largest response body that is kept in the log, in bytes.
+pub const MAX_STORED_BODY_BYTES: usize = 16 << 10;
+
+/// Body of a response: text in the log where it is UTF-8, hexadecimal digits otherwise.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(try_from = "Encoded", into = "Encoded")]
+pub struct Body(pub Vec<u8>);
+
+#[derive(Serialize, Deserialize)]
+#[serde(untagged)]
+enum Encoded {
+    Text(String),
+    Hex { hex: String },
+}
+
+impl From<Body> for Encoded {
+    fn from(body: Body) -> Self {
+        match String::from_utf8(body.0) {
+            Ok(text) => Self::Text(text),
+            Err(error) => {
+                let bytes = error.as_bytes().iter();
+                let hex = bytes.map(|byte| format!("{byte:02x}")).collect();
+                Self::Hex { hex }
+            }
+        }
+    }
+}
+
+impl TryFrom<Encoded> for Body {
+    type Error = &'static str;
+
+    fn try_from(encoded: Encoded) -> Result<Self, Self::Error> {
+        match encoded {
+            Encoded::Text(text) => Ok(Self(text.into_bytes())),
+            Encoded::Hex { hex } => from_hex(&hex).map(Self).ok_or("body is not hexadecimal"),
+        }
+    }
+}
+
+/// Response of a plain service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Response {
+    /// HTTP status.
+    pub status: u16,
+    /// Content type of the body.
+    pub content_type: String,
+    /// Body; absent where it was too large to keep.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub body: Option<Body>,
+}
+
+impl Response {
+    /// Returns the response as the log keeps it, without a body that is too large.
+    pub fn stored(&self) -> Self {
+        let mut stored = self.clone();
+        stored
+            .body
+            .take_if(|body| body.0.len() > MAX_STORED_BODY_BYTES);
+        stored
+    }
+}
+
+/// A record of a claim stream.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum Record {
+    /// Asks for the right to run a call.
+    Claim {
+        /// Unique id of the attempt, UUID v4.
+        attempt: Uuid,
+        /// Digest of institution and key.
+        key: Digest,
+        /// Digest of method, path and body.
+        fingerprint: Digest,
+        /// Offset of the `Abandon` that freed the key, 0 if it has no valid record.
+        replaces: u64,
+    },
+    /// Frees the key; written by the attempt's owner, which never started the call.
+    Abandon {
+        /// The attempt.
+        attempt: Uuid,
+        /// Digest of institution and key.
+        key: Digest,
+    },
+    /// The call's response.
+    Result {
+        /// The attempt.
+        attempt: Uuid,
+        /// Digest of institution and key.
+        key: Digest,
+        /// The response.
+        #[serde(flatten)]
+        response: Response,
+    },
+}
+
+impl Record {
+    /// Returns the attempt that the record belongs to.
+    pub fn attempt(&self) -> Uuid {
+        match self {
+            Self::Claim { attempt, .. }
+            | Self::Abandon { attempt, .. }
+            | Self::Result { attempt, .. } => *attempt,
+        }
+    }
+
+    /// Returns the key that the record is about.
+    pub fn key(&self) -> Digest {
+        match self {
+            Self::Claim { key, .. } | Self::Abandon { key, .. } | Self::Result { key, .. } => *key,
+        }
+    }
+
+    /// Returns whether both records say the same of the same attempt.
+    pub fn repeats(&self, other: &Self) -> bool {
+        self.attempt() == other.attempt()
+            && std::mem::discriminant(self) == std::mem::discriminant(other)
+    }
+
+    /// Encodes the record as one line, the line break included.
+    pub fn encode(&self) -> String {
+        // The record's types have no value that JSON can't hold.
+        let mut line = serde_json::to_string(self).unwrap_or_default();
+        line.push('\n');
+        line
+    }
+}
+
+/// Decodes the records of one append, each with its line number from 0. A line that is no record
+/// is skipped, the same in every reader.
+///
+/// # Examples
+///
+/// ```
+/// use chestnuthub::claim::record;
+///
+/// assert_eq!(record::decode("{}\nno record\n").count(), 0);
+/// ```
+pub fn decode(body: &str) -> impl Iterator<Item = (u32, Record)> {
+    let lines = (0..).zip(body.lines());
+    lines.filter_map(|(index, line)| Some((index, serde_json::from_str(line).ok()?)))
+}
--- /dev/null
+++ b/src/claim/stream.rs
@@ -0,0 +1,414 @@
+//! All that an agent does with one claim stream.
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    time::Duration, //
+};
+
+use uuid::{
+    Builder,
+    Uuid, //
+};
+
+use super::{
+    Answer,
+    Attempt,
+    Bucket,
+    Digest,
+    Ending,
+    Now,
+    Phase,
+    Record,
+    State,
+    Waiter,
+    Writer,
+    attempt,
+    record, //
+};
+use crate::{
+    timer::Time,
+    wire::Reason, //
+};
+
+/// Time between reads while a request waits for a record.
+const POLL: Duration = Duration::from_millis(250);
+
+/// Time between reads while only records of this agent are expected.
+const IDLE_POLL: Duration = Duration::from_secs(2);
+
+/// What happens to a claim stream.
+#[derive(Debug, Clone)]
+pub enum Event<'a> {
+    /// A request with a key arrived.
+    Arrived {
+        /// Digest of institution and key.
+        key: Digest,
+        /// The request.
+        waiter: Waiter,
+    },
+    /// The read of the stream was answered.
+    Page {
+        /// Offset of the oldest record that the log still keeps.
+        first: u64,
+        /// Offset that the next appended record gets.
+        next: u64,
+        /// Offsets and bodies from the offset that was asked for.
+        records: &'a [(u64, String)],
+    },
+    /// The read of the stream failed.
+    ReadFailed,
+    /// The reserved turn to append has come.
+    Turn,
+    /// The append was answered, failed or took too long.
+    Appended,
+    /// A started call ended.
+    Ended {
+        /// Digest of institution and key.
+        key: Digest,
+        /// How it ended.
+        ending: Ending,
+    },
+    /// Time passed or the catalogue changed.
+    Tick,
+}
+
+/// What a claim stream asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Read the stream from this offset.
+    Read(u64),
+    /// Reserve a turn to append.
+    Reserve,
+    /// Append this body to the stream.
+    Append(String),
+    /// Run the call once, with the request of this ticket.
+    Start {
+        /// Digest of institution and key.
+        key: Digest,
+        /// The attempt.
+        attempt: Uuid,
+        /// The request to run.
+        ticket: u64,
+    },
+    /// Answer the request of this ticket.
+    Answer(u64, Answer),
+    /// An attempt began for the request of this ticket.
+    Claimed {
+        /// The attempt.
+        attempt: Uuid,
+        /// The request.
+        ticket: u64,
+    },
+    /// An attempt ended without a start.
+    Abandoned(Uuid),
+}
+
+/// A request whose key is looked up or whose call another agent claimed.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Lookup {
+    key: Digest,
+    waiter: Waiter,
+    /// Number of the first read that began after the request arrived.
+    read: u64,
+    /// Whether another agent holds the key.
+    foreign: bool,
+}
+
+impl Lookup {
+    fn refusal(&self, reason: Reason) -> Answer {
+        if self.foreign {
+            Answer::unknown(Reason::OutcomeUnknown)
+        } else {
+            Answer::not_run(reason)
+        }
+    }
+}
+
+/// One claim stream at one agent: its fold, this agent's attempts and its writer.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+pub struct Stream {
+    bucket: Bucket,
+    writer: Writer,
+    attempts: BTreeMap<Digest, Attempt>,
+    lookups: Vec<Lookup>,
+    /// Whether the log dropped records that were not read.
+    gap: bool,
+    /// When the read in progress began; it goes on to the end of the stream.
+    reading: Option<Time>,
+    /// Number of reads begun.
+    reads: u64,
+    /// When the next read is due.
+    read_at: Option<Time>,
+}
+
+impl Stream {
+    /// Takes an event and returns what to do.
+    pub fn step(&mut self, now: Now, event: Event<'_>) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.expire(now, &mut actions);
+        match event {
+            Event::Arrived { key, waiter } => self.arrive(now, key, waiter, &mut actions),
+            Event::Page {
+                first,
+                next,
+                records,
+            } => self.page(now, (first, next), records, &mut actions),
+            Event::ReadFailed => self.fail(now, &mut actions),
+            Event::Turn => actions.extend(self.writer.take(now.time).map(Action::Append)),
+            Event::Appended => {
+                self.writer.landed();
+                self.read_at = Some(now.time);
+            }
+            Event::Ended { key, ending } => {
+                self.feed(now, key, attempt::Event::Ended(ending), &mut actions);
+            }
+            Event::Tick => (),
+        }
+        self.schedule(now, &mut actions);
+        actions
+    }
+
+    /// Returns when the next `Tick` is needed.
+    pub fn wake(&self) -> Option<Time> {
+        let read_at = self.read_at.filter(|_| self.reading.is_none());
+        let lookups = self.lookups.iter().map(|lookup| lookup.waiter.deadline);
+        let attempts = self.attempts.values().filter_map(Attempt::deadline);
+        lookups.chain(attempts).chain(read_at).min()
+    }
+
+    /// Returns whether nothing is lost for requests if the stream's state is dropped.
+    pub fn idle(&self) -> bool {
+        let mut attempts = self.attempts.values();
+        let busy =
+            attempts.any(|attempt| matches!(attempt.phase(), Phase::Claiming | Phase::Running));
+        !busy && self.lookups.is_empty() && self.writer.idle() && self.reading.is_none()
+    }
+
+    fn expire(&mut self, now: Now, actions: &mut Vec<Action>) {
+        let late = |lookup: &mut Lookup| lookup.waiter.deadline <= now.time;
+        for lookup in self.lookups.extract_if(.., late) {
+            let answer = lookup.refusal(Reason::Deadline);
+            actions.push(Action::Answer(lookup.waiter.ticket, answer));
+        }
+        self.feed_all(now, &attempt::Event::Tick, actions);
+    }
+
+    fn arrive(&mut self, now: Now, key: Digest, waiter: Waiter, actions: &mut Vec<Action>) {
+        let lookup = Lookup {
+            key,
+            waiter,
+            read: self.reads + 1,
+            foreign: false,
+        };
+        let known = matches!(self.bucket.state(&key), State::Completed { .. });
+        if known || self.gap || self.attempts.contains_key(&key) {
+            self.resolve(now, lookup, actions);
+        } else {
+            self.lookups.push(lookup);
+        }
+        if self.poll(now) == Some(POLL) {
+            self.read_at = Some(now.time);
+        }
+    }
+
+    /// Answers a request from what is known of its key, joins it to this agent's attempt, or
+    /// begins one.
+    fn resolve(&mut self, now: Now, mut lookup: Lookup, actions: &mut Vec<Action>) {
+        let (key, waiter) = (lookup.key, lookup.waiter);
+        let answer = match self.bucket.state(&key) {
+            State::Claimed { fingerprint, .. } | State::Completed { fingerprint, .. }
+                if fingerprint != waiter.fingerprint =>
+            {
+                Answer::not_run(Reason::KeyReused)
+            }
+            State::Completed { response, .. } => Answer::Response(response),
+            _ if self.gap => Answer::not_run(Reason::KeyExpired),
+            _ if self.attempts.contains_key(&key) => {
+                return self.feed(now, key, attempt::Event::Joined(waiter), actions);
+            }
+            State::Claimed { .. } => {
+                lookup.foreign = true;
+                return self.lookups.push(lookup);
+            }
+            State::Free { .. } if !now.offered => Answer::not_run(Reason::Unknown),
+            State::Free { abandon } => return self.begin(lookup, abandon, actions),
+        };
+        actions.push(Action::Answer(waiter.ticket, answer));
+    }
+
+    fn begin(&mut self, lookup: Lookup, abandon: u64, actions: &mut Vec<Action>) {
+        let mut waiter = lookup.waiter;
+        let id = waiter.attempt;
+        waiter.attempt = successor(id);
+        let attempt = Attempt::new(id, lookup.key, abandon, waiter);
+        self.writer.submit(attempt.claim());
+        self.attempts.insert(lookup.key, attempt);
+        actions.push(Action::Claimed {
+            attempt: id,
+            ticket: waiter.ticket,
+        });
+    }
+
+    fn page(
+        &mut self,
+        now: Now,
+        (first, next): (u64, u64),
+        records: &[(u64, String)],
+        actions: &mut Vec<Action>,
+    ) {
+        let from = self.bucket.applied() + 1;
+        let Some(began) = self.reading else {
+            return;
+        };
+        // A log that has forgotten what it showed before can't be trusted to show every claim.
+        if next < from {
+            return self.fail(now, actions);
+        }
+        let offsets = (from..).zip(records);
+        let complete = first <= from
+            && offsets.clone().all(|(offset, record)| offset == record.0)
+            && (from == next || !records.is_empty());
+        if !complete {
+            self.gap = true;
+            self.feed_all(now, &attempt::Event::Failed(Reason::KeyExpired), actions);
+        }
+        let mut keys = BTreeSet::new();
+        for (offset, body) in records {
+            for (index, record) in record::decode(body) {
+                self.bucket.apply(*offset, index, &record);
+                self.writer.seen(&record);
+                keys.insert(record.key());
+            }
+            self.bucket.advance(*offset);
+        }
+        if records.is_empty() {
+            self.bucket.advance(next - 1);
+        }
+        for key in keys {
+            let state = self.bucket.state(&key);
+            self.feed(now, key, attempt::Event::Read(state), actions);
+        }
+        if self.bucket.applied() + 1 < next {
+            actions.push(Action::Read(self.bucket.applied() + 1));
+        } else {
+            self.reading = None;
+            self.complete(now, began, actions);
+        }
+    }
+
+    /// Ends a read that reached the end of the stream and had begun at `began`.
+    fn complete(&mut self, now: Now, began: Time, actions: &mut Vec<Action>) {
+        let attempts = &self.attempts;
+        self.writer.requeue(began, |record| match record {
+            Record::Claim { attempt, key, .. } => attempts
+                .get(key)
+                .is_some_and(|own| own.id() == *attempt && *own.phase() == Phase::Claiming),
+            Record::Abandon { .. } | Record::Result { .. } => true,
+        });
+        let reads = self.reads;
+        let due: Vec<_> = self
+            .lookups
+            .extract_if(.., |lookup| lookup.read <= reads)
+            .collect();
+        for lookup in due {
+            self.resolve(now, lookup, actions);
+        }
+        let unread = self.lookups.iter().any(|lookup| lookup.read > reads);
+        if unread {
+            self.read_at = Some(now.time);
+        }
+    }
+
+    fn fail(&mut self, now: Now, actions: &mut Vec<Action>) {
+        self.reading = None;
+        for lookup in std::mem::take(&mut self.lookups) {
+            let answer = lookup.refusal(Reason::LogDown);
+            actions.push(Action::Answer(lookup.waiter.ticket, answer));
+        }
+        self.feed_all(now, &attempt::Event::Failed(Reason::LogDown), actions);
+    }
+
+    fn feed_all(&mut self, now: Now, event: &attempt::Event, actions: &mut Vec<Action>) {
+        let keys: Vec<_> = self.attempts.keys().copied().collect();
+        for key in keys {
+            self.feed(now, key, event.clone(), actions);
+        }
+    }
+
+    /// Gives an event to this agent's attempt for the key, if there is one.
+    fn feed(&mut self, now: Now, key: Digest, event: attempt::Event, actions: &mut Vec<Action>) {
+        let Some(attempt) = self.attempts.get_mut(&key) else {
+            return;
+        };
+        let id = attempt.id();
+        let steps = attempt.step(now, event);
+        // A claim that was never sent can't land.
+        let mut over = *attempt.phase() == Phase::GivenUp && !self.writer.sent(id);
+        for step in steps {
+            match step {
+                attempt::Action::Submit(record) => {
+                    if matches!(record, Record::Abandon { .. }) {
+                        actions.push(Action::Abandoned(id));
+                    }
+                    self.writer.submit(record);
+                }
+                attempt::Action::Start(ticket) => actions.push(Action::Start {
+                    key,
+                    attempt: id,
+                    ticket,
+                }),
+                attempt::Action::Answer(ticket, answer) => {
+                    actions.push(Action::Answer(ticket, answer));
+                }
+                attempt::Action::Defer(waiter) => self.lookups.push(Lookup {
+                    key,
+                    waiter,
+                    read: self.reads,
+                    foreign: false,
+                }),
+                attempt::Action::Retire => over = true,
+            }
+        }
+        if over {
+            self.writer.forget(id);
+            self.attempts.remove(&key);
+        }
+    }
+
+    fn schedule(&mut self, now: Now, actions: &mut Vec<Action>) {
+        if self.reading.is_none() {
+            if self.read_at.is_none() {
+                self.read_at = self.poll(now).map(|period| now.time + period);
+            }
+            if self.read_at.is_some_and(|at| at <= now.time) {
+                self.read_at = None;
+                self.reading = Some(now.time);
+                self.reads += 1;
+                actions.push(Action::Read(self.bucket.applied() + 1));
+            }
+        }
+        if self.writer.reserve() {
+            actions.push(Action::Reserve);
+        }
+    }
+
+    /// Returns the time between reads, or nothing if no record is expected.
+    fn poll(&self, now: Now) -> Option<Duration> {
+        let mut attempts = self.attempts.values();
+        let waiting = attempts.any(|attempt| *attempt.phase() == Phase::Claiming);
+        if waiting || !self.lookups.is_empty() {
+            Some(POLL)
+        } else {
+            self.writer.expects(now.time).then_some(IDLE_POLL)
+        }
+    }
+}
+
+/// Returns the id for a further attempt of a request whose attempt `id` is over.
+fn successor(id: Uuid) -> Uuid {
+    let digest = Digest::of(&[b"successor", id.as_bytes()]);
+    Builder::from_random_bytes(digest.prefix()).into_uuid()
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod bench;
 pub mod catalogue;
+pub mod claim;
 pub mod cli;
 pub mod daemon;
 pub mod decision;
--- /dev/null
+++ b/tests/claim_world/mod.rs
@@ -0,0 +1,511 @@
+//! A simulated log, service and set of executors around the pure claim code.
+//!
+//! Nothing happens by itself: each message on its way is a `Pending`, and a `Choice` says which
+//! one is delivered, lost, delayed or duplicated next.
+
+mod check;
+
+use std::sync::Arc;
+
+use chestnuthub::{
+    claim::{
+        Action,
+        Answer,
+        Body,
+        Digest,
+        Ending,
+        Event,
+        Now,
+        Response,
+        Stream,
+        Waiter, //
+    },
+    timer::Time,
+};
+use uuid::Builder;
+
+/// A message on its way. `run` is the number of the process that it belongs to.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) enum Pending {
+    Read {
+        run: u32,
+        from: u64,
+    },
+    Page {
+        run: u32,
+        next: u64,
+        first: u64,
+        records: Vec<(u64, String)>,
+    },
+    ReadFailed {
+        run: u32,
+    },
+    Turn {
+        run: u32,
+    },
+    Append {
+        run: u32,
+        body: String,
+    },
+    Appended {
+        run: u32,
+    },
+    Landing {
+        body: String,
+    },
+    Call {
+        run: u32,
+        key: u8,
+        print: u8,
+        ticket: u64,
+    },
+    Ended {
+        run: u32,
+        key: u8,
+        status: Option<u16>,
+    },
+    NotSent {
+        run: u32,
+        key: u8,
+    },
+}
+
+/// What may happen next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Choice {
+    /// The message arrives.
+    Deliver(usize),
+    /// The message takes no effect and its sender sees a failure.
+    Fail(usize),
+    /// The message takes effect and its sender sees a failure.
+    LoseAnswer(usize),
+    /// The sender sees a failure now, and the message takes effect at any later time.
+    Delay(usize),
+    /// The message takes effect now and once more at any later time.
+    Duplicate(usize),
+    Crash(usize),
+    Restart(usize),
+    Pause(usize),
+    Resume(usize),
+    LogDown,
+    LogUp,
+    Withdraw,
+    Offer,
+    /// Time passes to the next moment at which an executor wants to act.
+    Wake,
+    /// Time passes by milliseconds.
+    Wait(u64),
+    /// A request arrives at an executor.
+    Arrive {
+        agent: usize,
+        key: u8,
+        print: u8,
+    },
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(crate) struct Agent {
+    pub(crate) stream: Stream,
+    /// Number of the running process, or nothing after a crash.
+    pub(crate) run: Option<u32>,
+    pub(crate) paused: bool,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(crate) struct Request {
+    pub(crate) key: u8,
+    pub(crate) print: u8,
+    pub(crate) deadline: Time,
+    pub(crate) run: u32,
+    pub(crate) answer: Option<Answer>,
+    /// The executor crashed, so the caller knows nothing.
+    pub(crate) lost: bool,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(crate) struct World {
+    pub(crate) time: Time,
+    pub(crate) log: Vec<String>,
+    pub(crate) first: u64,
+    pub(crate) log_up: bool,
+    pub(crate) offered: bool,
+    pub(crate) agents: Vec<Agent>,
+    pub(crate) pending: Vec<Pending>,
+    pub(crate) requests: Vec<Request>,
+    /// What the service ran: key, request body and ticket.
+    pub(crate) ran: Vec<(u8, u8, u64)>,
+    pub(crate) patience: u64,
+    runs: u32,
+}
+
+pub(crate) fn key(index: u8) -> Digest {
+    Digest::of(&[b"key", &[index]])
+}
+
+pub(crate) fn print(index: u8) -> Digest {
+    Digest::of(&[b"print", &[index]])
+}
+
+fn at(ticket: u64) -> usize {
+    usize::try_from(ticket).expect("tickets are small")
+}
+
+impl World {
+    pub(crate) fn new(agents: u32, patience: u64) -> Self {
+        Self {
+            time: Time::from_millis(1_000_000),
+            log: Vec::new(),
+            first: 1,
+            log_up: true,
+            offered: true,
+            agents: (0..agents)
+                .map(|run| Agent {
+                    stream: Stream::default(),
+                    run: Some(run),
+                    paused: false,
+                })
+                .collect(),
+            pending: Vec::new(),
+            requests: Vec::new(),
+            ran: Vec::new(),
+            patience,
+            runs: agents,
+        }
+    }
+
+    /// Returns everything that may happen next, without new requests.
+    pub(crate) fn choices(&self) -> Vec<Choice> {
+        let mut choices = Vec::new();
+        for (index, pending) in self.pending.iter().enumerate() {
+            use Choice::{Delay, Deliver, Duplicate, Fail, LoseAnswer};
+            let faults: &[fn(usize) -> Choice] = match pending {
+                Pending::Read { .. } => &[Deliver, Fail],
+                Pending::Append { .. } => &[Deliver, Fail, LoseAnswer, Delay, Duplicate],
+                Pending::Call { .. } => &[Deliver, Fail, LoseAnswer, Delay],
+                _ => &[Deliver],
+            };
+            if self.is_deliverable(pending) {
+                choices.extend(faults.iter().map(|fault| fault(index)));
+            }
+        }
+        for (index, agent) in self.agents.iter().enumerate() {
+            choices.push(match (agent.run, agent.paused) {
+                (None, _) => Choice::Restart(index),
+                (Some(_), true) => Choice::Resume(index),
+                (Some(_), false) => Choice::Pause(index),
+            });
+            if agent.run.is_some() {
+                choices.push(Choice::Crash(index));
+            }
+        }
+        choices.push(if self.log_up {
+            Choice::LogDown
+        } else {
+            Choice::LogUp
+        });
+        choices.push(if self.offered {
+            Choice::Withdraw
+        } else {
+            Choice::Offer
+        });
+        if self.next_wake().is_some() {
+            choices.push(Choice::Wake);
+        }
+        choices
+    }
+
+    fn is_deliverable(&self, pending: &Pending) -> bool {
+        let (Pending::Page { run, .. }
+        | Pending::ReadFailed { run }
+        | Pending::Turn { run }
+        | Pending::Appended { run }
+        | Pending::Ended { run, .. }
+        | Pending::NotSent { run, .. }) = pending
+        else {
+            return true;
+        };
+        self.agents
+            .iter()
+            .all(|agent| agent.run != Some(*run) || !agent.paused)
+    }
+
+    fn next_wake(&self) -> Option<Time> {
+        let running = self.agents.iter().filter(|a| a.run.is_some() && !a.paused);
+        running.filter_map(|agent| agent.stream.wake()).min()
+    }
+
+    pub(crate) fn apply(&mut self, choice: Choice) {
+        match choice {
+            Choice::Deliver(index) => self.deliver(index),
+            Choice::Fail(index) => self.fail(index),
+            Choice::LoseAnswer(index) => self.lose_answer(index),
+            Choice::Delay(index) => self.delay(index),
+            Choice::Duplicate(index) => {
+                if let Pending::Append { body, .. } = self.pending[index].clone() {
+                    self.pending.push(Pending::Landing { body });
+                }
+                self.deliver(index);
+            }
+            Choice::Crash(agent) => self.crash(agent),
+            Choice::Restart(agent) => {
+                self.agents[agent].run = Some(self.runs);
+                self.runs += 1;
+            }
+            Choice::Pause(agent) => self.agents[agent].paused = true,
+            Choice::Resume(agent) => {
+                self.agents[agent].paused = false;
+                self.tick();
+            }
+            Choice::LogDown => self.log_up = false,
+            Choice::LogUp => self.log_up = true,
+            Choice::Withdraw => self.offered = false,
+            Choice::Offer => self.offered = true,
+            Choice::Wake => {
+                self.time = self
+                    .next_wake()
+                    .map_or(self.time, |wake| wake.max(self.time));
+                self.tick();
+            }
+            Choice::Wait(millis) => {
+                self.time = self.time + std::time::Duration::from_millis(millis);
+                self.tick();
+            }
+            Choice::Arrive { agent, key, print } => self.arrive(agent, key, print),
+        }
+        self.pending.sort();
+    }
+
+    fn tick(&mut self) {
+        for agent in 0..self.agents.len() {
+            if !self.agents[agent].paused {
+                self.step(agent, Event::Tick);
+            }
+        }
+    }
+
+    fn arrive(&mut self, agent: usize, index: u8, body: u8) {
+        let Some(run) = self.agents[agent].run else {
+            return;
+        };
+        let ticket = self.requests.len() as u64;
+        let deadline = self.time + std::time::Duration::from_millis(self.patience);
+        self.requests.push(Request {
+            key: index,
+            print: body,
+            deadline,
+            run,
+            answer: None,
+            lost: false,
+        });
+        let waiter = Waiter {
+            ticket,
+            attempt: Builder::from_random_bytes(u128::from(ticket).to_be_bytes()).into_uuid(),
+            fingerprint: print(body),
+            deadline,
+        };
+        let key = key(index);
+        self.step(agent, Event::Arrived { key, waiter });
+    }
+
+    fn step(&mut self, agent: usize, event: Event<'_>) {
+        let Some(run) = self.agents[agent].run else {
+            return;
+        };
+        let now = Now {
+            time: self.time,
+            offered: self.offered,
+        };
+        for action in self.agents[agent].stream.step(now, event) {
+            match action {
+                Action::Read(from) => self.pending.push(Pending::Read { run, from }),
+                Action::Reserve => self.pending.push(Pending::Turn { run }),
+                Action::Append(body) => self.pending.push(Pending::Append { run, body }),
+                Action::Start { ticket, .. } => self.start(run, ticket),
+                Action::Answer(ticket, answer) => self.answer(ticket, answer),
+                Action::Claimed { .. } | Action::Abandoned(_) => (),
+            }
+        }
+    }
+
+    fn start(&mut self, run: u32, ticket: u64) {
+        let request = &self.requests[at(ticket)];
+        assert!(request.answer.is_none(), "started for an answered request");
+        let (key, print) = (request.key, request.print);
+        self.pending.push(Pending::Call {
+            run,
+            key,
+            print,
+            ticket,
+        });
+    }
+
+    fn answer(&mut self, ticket: u64, answer: Answer) {
+        let request = &mut self.requests[at(ticket)];
+        assert!(request.answer.is_none(), "answered twice");
+        request.answer = Some(answer);
+    }
+
+    /// Gives an event to a process if it still runs.
+    fn signal(&mut self, run: u32, event: Event<'_>) {
+        if let Some(agent) = self.agents.iter().position(|a| a.run == Some(run)) {
+            self.step(agent, event);
+        }
+    }
+
+    fn deliver(&mut self, index: usize) {
+        match self.pending.remove(index) {
+            Pending::Read { run, .. } if !self.log_up => {
+                self.pending.push(Pending::ReadFailed { run });
+            }
+            Pending::Read { run, from } => {
+                let records = (1..).zip(self.log.iter().cloned());
+                let from = from.max(self.first);
+                // Two records a page, so that a read of several pages is common.
+                let records = records.filter(|(offset, _)| *offset >= from).take(2);
+                self.pending.push(Pending::Page {
+                    run,
+                    first: self.first,
+                    next: self.log.len() as u64 + 1,
+                    records: records.collect(),
+                });
+            }
+            Pending::Page {
+                run,
+                next,
+                first,
+                records,
+            } => {
+                let records = &records;
+                self.signal(
+                    run,
+                    Event::Page {
+                        first,
+                        next,
+                        records,
+                    },
+                );
+            }
+            Pending::ReadFailed { run } => self.signal(run, Event::ReadFailed),
+            Pending::Turn { run } => self.signal(run, Event::Turn),
+            Pending::Append { run, body } => {
+                if self.log_up {
+                    self.log.push(body);
+                }
+                self.pending.push(Pending::Appended { run });
+            }
+            Pending::Appended { run } => self.signal(run, Event::Appended),
+            Pending::Landing { body } => self.log.push(body),
+            Pending::Call {
+                run,
+                key,
+                print,
+                ticket,
+            } => {
+                self.ran.push((key, print, ticket));
+                let status = Some(201);
+                self.pending.push(Pending::Ended { run, key, status });
+            }
+            Pending::Ended {
+                run,
+                key: of,
+                status,
+            } => {
+                let ending = status.map_or(Ending::Unknown, |status| {
+                    Ending::Response(Arc::new(self.response(of, status)))
+                });
+                let key = key(of);
+                self.signal(run, Event::Ended { key, ending });
+            }
+            Pending::NotSent { run, key: of } => {
+                let (key, ending) = (key(of), Ending::NotSent);
+                self.signal(run, Event::Ended { key, ending });
+            }
+        }
+    }
+
+    fn response(&self, key: u8, status: u16) -> Response {
+        let ran = self.ran.iter().find(|ran| ran.0 == key);
+        let print = ran.map_or(u8::MAX, |ran| ran.1);
+        Response {
+            status,
+            content_type: "text/plain".to_owned(),
+            body: Some(Body(vec![b'0' + key, b'0' + print])),
+        }
+    }
+
+    fn fail(&mut self, index: usize) {
+        let failure = match self.pending.remove(index) {
+            Pending::Read { run, .. } => Pending::ReadFailed { run },
+            Pending::Append { run, .. } => Pending::Appended { run },
+            Pending::Call { run, key, .. } => Pending::NotSent { run, key },
+            other => other,
+        };
+        self.pending.push(failure);
+    }
+
+    fn lose_answer(&mut self, index: usize) {
+        match self.pending.remove(index) {
+            Pending::Append { run, body } => {
+                self.log.push(body);
+                self.pending.push(Pending::Appended { run });
+            }
+            Pending::Call {
+                run,
+                key,
+                print,
+                ticket,
+            } => {
+                self.ran.push((key, print, ticket));
+                let status = None;
+                self.pending.push(Pending::Ended { run, key, status });
+            }
+            other => self.pending.push(other),
+        }
+    }
+
+    fn delay(&mut self, index: usize) {
+        match self.pending.remove(index) {
+            Pending::Append { run, body } => {
+                self.pending.push(Pending::Landing { body });
+                self.pending.push(Pending::Appended { run });
+            }
+            Pending::Call {
+                run,
+                key,
+                print,
+                ticket,
+            } => {
+                // The call goes on at the service after its connection is gone.
+                self.pending.push(Pending::Call {
+                    run: u32::MAX,
+                    key,
+                    print,
+                    ticket,
+                });
+                let status = None;
+                self.pending.push(Pending::Ended { run, key, status });
+            }
+            other => self.pending.push(other),
+        }
+    }
+
+    fn crash(&mut self, agent: usize) {
+        let Some(run) = self.agents[agent].run.take() else {
+            return;
+        };
+        self.agents[agent].stream = Stream::default();
+        self.agents[agent].paused = false;
+        for request in &mut self.requests {
+            request.lost |= request.run == run && request.answer.is_none();
+        }
+        // What the process had sent may still take effect.
+        for pending in &mut self.pending {
+            if let Pending::Append { run: of, body } = pending
+                && *of == run
+            {
+                let body = std::mem::take(body);
+                *pending = Pending::Landing { body };
+            }
+        }
+    }
+}
