--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -38,10 +38,7 @@
 };
 
 use self::{
-    call::{
-        Calls,
-        Reply, //
-    },
+    call::Calls,
     chat::{
         End,
         Session, //
@@ -92,6 +89,17 @@
 /// Milliseconds after which a caller refused by a leaving server may come back.
 const LEAVING_RETRY_MS: u64 = 500;
 
+/// The whole answer of a plain service.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    /// HTTP status.
+    pub(crate) status: u16,
+    /// Content type of the body.
+    pub(crate) content_type: String,
+    /// Body.
+    pub(crate) body: Bytes,
+}
+
 enum Part {
     Engine(Driver),
     Service(Calls),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod agent;
 pub mod bench;
 pub mod catalogue;
+pub mod claim;
 pub mod cli;
 pub mod context;
 pub mod daemon;
