settings, catalogue: collect all findings with their places

Cause: settings and release notes stopped at the first error and did not say where it was; notes were checked for presence only. Change: files are held against a schema on the parser's syntax tree, so that all findings are reported together with file, line, column and path; notes are also checked for ranges, repeated items and references; settings check, release check and release diff.

--- a/src/catalogue/item.rs
+++ b/src/catalogue/item.rs
@@ -139,6 +139,17 @@
 }
 
 impl Item {
+    /// Returns the kind of item, as it is named in a release note.
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Model(_) => "model",
+            Self::Adapter(_) => "adapter",
+            Self::Service(_) => "service",
+            Self::Institution(_) => "institution",
+            Self::Access(_) => "access",
+        }
+    }
+
     /// Returns the key that names this item.
     pub fn key(&self) -> Key {
         match self {
--- a/src/catalogue/mod.rs
+++ b/src/catalogue/mod.rs
@@ -1,11 +1,15 @@
 //! What the institutions may call: release notes and the state that they add up to.
 
+mod draft;
 mod item;
 mod note;
 mod publication;
+mod range;
+mod reference;
 
 use std::collections::BTreeMap;
 
+pub use draft::Draft;
 pub use item::{
     Access,
     Adapter,
--- a/src/catalogue/note.rs
+++ b/src/catalogue/note.rs
@@ -13,7 +13,9 @@
 
 use super::{
     Item,
-    Key, //
+    Key,
+    range,
+    reference, //
 };
 
 /// A release note: a record of the stream `releases`.
@@ -43,12 +45,21 @@
 /// Something wrong with a release note, with its place.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Finding {
-    /// Path to the item in the note, such as `added[3]`.
+    /// Path to the field in the note, such as `added[3].model.memory_mb`.
     pub path: String,
     /// What is wrong.
     pub message: String,
 }
 
+impl Finding {
+    pub(super) fn new(path: impl Into<String>, message: impl Into<String>) -> Self {
+        Self {
+            path: path.into(),
+            message: message.into(),
+        }
+    }
+}
+
 impl fmt::Display for Finding {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}: {}", self.path, self.message)
@@ -68,30 +79,89 @@
         }
     }
 
-    /// Collects everything wrong with this note against `items`.
-    pub(super) fn check(&self, items: &BTreeMap<String, Item>) -> Vec<Finding> {
+    /// Returns whether this note and another make the same changes.
+    pub fn says(&self, other: &Self) -> bool {
+        self.added == other.added
+            && self.changed == other.changed
+            && self.withdrawn == other.withdrawn
+    }
+
+    /// Collects what is wrong with this note whatever the catalogue holds: values out of range,
+    /// and items that are named twice.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::catalogue::{Key, Note};
+    ///
+    /// let mut note = Note::new("operator", 0);
+    /// note.withdrawn = vec![Key::Model("gear-check@1".into()); 2];
+    /// let findings = note.check_alone();
+    /// assert_eq!(
+    ///     findings[0].to_string(),
+    ///     "withdrawn[1]: model/gear-check@1 is already named at withdrawn[0]"
+    /// );
+    /// ```
+    pub fn check_alone(&self) -> Vec<Finding> {
         let mut findings = Vec::new();
-        let mut report = |path: String, message: String| findings.push(Finding { path, message });
-        for (index, item) in self.added.iter().enumerate() {
-            let key = item.key().to_string();
-            if items.contains_key(&key) {
-                report(format!("added[{index}]"), format!("{key} already exists"));
+        for (path, item) in self.items() {
+            range::check(item, &path, &mut findings);
+        }
+        let mut places: BTreeMap<String, String> = BTreeMap::new();
+        let items = self.items().map(|(path, item)| (path, item.key()));
+        let keys = self.withdrawn.iter().enumerate();
+        let keys = keys.map(|(index, key)| (format!("withdrawn[{index}]"), key.clone()));
+        for (path, key) in items.chain(keys) {
+            if let Some(first) = places.get(&key.to_string()) {
+                findings.push(Finding::new(
+                    path,
+                    format!("{key} is already named at {first}"),
+                ));
+            } else {
+                places.insert(key.to_string(), path);
             }
         }
-        for (index, item) in self.changed.iter().enumerate() {
-            let key = item.key().to_string();
-            if !items.contains_key(&key) {
-                report(format!("changed[{index}]"), format!("{key} does not exist"));
+        findings
+    }
+
+    /// Collects everything wrong with this note against `items`. All daemons must come to the
+    /// same result, so a change to these checks is a change to the meaning of the stream.
+    pub(super) fn check(&self, items: &BTreeMap<String, Item>) -> Vec<Finding> {
+        let mut findings = self.check_alone();
+        self.check_presence(items, &mut findings);
+        reference::check(self, items, &mut findings);
+        findings
+    }
+
+    /// Returns the added and changed items with their paths.
+    pub(super) fn items(&self) -> impl Iterator<Item = (String, &Item)> {
+        let added = self.added.iter().enumerate();
+        let changed = self.changed.iter().enumerate();
+        added
+            .map(|(index, item)| (format!("added[{index}].{}", item.kind()), item))
+            .chain(changed.map(|(index, item)| (format!("changed[{index}].{}", item.kind()), item)))
+    }
+
+    fn check_presence(&self, items: &BTreeMap<String, Item>, findings: &mut Vec<Finding>) {
+        let mut require = |list: &str, index: usize, key: &Key, present: bool| {
+            if items.contains_key(&key.to_string()) != present {
+                let state = if present {
+                    "does not exist"
+                } else {
+                    "already exists"
+                };
+                let path = format!("{list}[{index}]");
+                findings.push(Finding::new(path, format!("{key} {state}")));
             }
+        };
+        for (index, item) in self.added.iter().enumerate() {
+            require("added", index, &item.key(), false);
+        }
+        for (index, item) in self.changed.iter().enumerate() {
+            require("changed", index, &item.key(), true);
         }
         for (index, key) in self.withdrawn.iter().enumerate() {
-            if !items.contains_key(&key.to_string()) {
-                report(
-                    format!("withdrawn[{index}]"),
-                    format!("{key} does not exist"),
-                );
-            }
+            require("withdrawn", index, key, true);
         }
-        findings
     }
 }
--- a/src/cli/exit.rs
+++ b/src/cli/exit.rs
@@ -10,6 +10,8 @@
     json, //
 };
 
+use crate::jsonc::Findings;
+
 /// Exit code of a command.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Exit {
@@ -66,25 +68,63 @@
 
 /// Why a command could not do its work.
 #[derive(Debug, Clone)]
-pub(super) struct Error {
-    pub(super) exit: Exit,
-    pub(super) detail: String,
+pub(super) enum Error {
+    /// Something is wrong with files.
+    Findings(Findings),
+    /// Anything else.
+    Other {
+        /// Exit code.
+        exit: Exit,
+        /// What went wrong.
+        detail: String,
+    },
 }
 
 impl Error {
-    pub(super) fn failed(detail: impl fmt::Display) -> Self {
-        Self {
-            exit: Exit::Failed,
+    pub(super) fn new(exit: Exit, detail: impl fmt::Display) -> Self {
+        Self::Other {
+            exit,
             detail: detail.to_string(),
         }
     }
 
+    pub(super) fn failed(detail: impl fmt::Display) -> Self {
+        Self::new(Exit::Failed, detail)
+    }
+
     pub(super) fn unknown(detail: impl fmt::Display) -> Self {
-        Self {
-            exit: Exit::Unknown,
-            detail: detail.to_string(),
+        Self::new(Exit::Unknown, detail)
+    }
+
+    const fn exit(&self) -> Exit {
+        match self {
+            Self::Findings(_) => Exit::Failed,
+            Self::Other { exit, .. } => *exit,
         }
     }
+
+    fn json(&self) -> Value {
+        let outcome = self.exit().as_str();
+        match self {
+            Self::Findings(findings) => json!({ "outcome": "findings", "findings": findings }),
+            Self::Other { detail, .. } => json!({ "outcome": outcome, "detail": detail }),
+        }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Findings(findings) => write!(f, "{findings}"),
+            Self::Other { detail, .. } => write!(f, "chestnuthub: {detail}"),
+        }
+    }
+}
+
+impl From<Findings> for Error {
+    fn from(findings: Findings) -> Self {
+        Self::Findings(findings)
+    }
 }
 
 /// Prints a command's result: reports go to standard output, errors to standard error. With
@@ -101,11 +141,10 @@
         }
         Err(error) => {
             if json {
-                let (outcome, detail) = (error.exit.as_str(), &error.detail);
-                println!("{:#}", json!({ "outcome": outcome, "detail": detail }));
+                println!("{:#}", error.json());
             }
-            eprintln!("chestnuthub: {}", error.detail);
-            error.exit
+            eprintln!("{error}");
+            error.exit()
         }
     }
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod keys;
 mod release;
+mod settings;
 mod stream;
 mod token;
 
@@ -31,6 +32,7 @@
 enum Command {
     Keys(keys::Command),
     Release(release::Command),
+    Settings(settings::Command),
     Token(token::Command),
 }
 
@@ -39,6 +41,7 @@
         match self {
             Self::Keys(command) => command.json(),
             Self::Release(command) => command.json(),
+            Self::Settings(command) => command.json(),
             Self::Token(command) => command.json,
         }
     }
@@ -47,6 +50,7 @@
         match self {
             Self::Keys(command) => command.run(),
             Self::Release(command) => command.run(),
+            Self::Settings(command) => command.run(),
             Self::Token(command) => command.run(),
         }
     }
@@ -74,12 +78,17 @@
         .to_options()
         .descr("Checks and publishes release notes")
         .command("release");
+    let settings = settings::options().map(Command::Settings);
+    let settings = settings
+        .to_options()
+        .descr("Checks settings of daemons")
+        .command("settings");
     let token = token::options().map(Command::Token);
     let token = token
         .to_options()
         .descr("Makes a random bearer token and shows the digest that settings hold")
         .command("token");
-    construct!([keys, release, token])
+    construct!([keys, release, settings, token])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Operates a chestnuthub fleet")
--- a/src/cli/release/publish.rs
+++ b/src/cli/release/publish.rs
@@ -1,7 +1,6 @@
 //! `chestnuthub release publish`.
 
 use std::{
-    fs,
     path::PathBuf,
     thread,
     time::{
@@ -14,18 +13,14 @@
     Parser,
     construct, //
 };
-use jsonc_parser::ParseOptions;
-use serde_json::{
-    Value,
-    json, //
-};
+use serde_json::json;
 
 use crate::{
     catalogue::{
         Action,
+        Draft,
         End,
         Event,
-        Note,
         Publication, //
     },
     cli::{
@@ -93,7 +88,7 @@
         .argument::<u64>("SECONDS")
         .fallback(DEFAULT_WAIT_S)
         .display_fallback();
-    let file = bpaf::positional::<PathBuf>("FILE").help("Release note, JSON with comments");
+    let file = super::file();
     construct!(Command {
         json,
         log,
@@ -107,15 +102,15 @@
 
 impl Command {
     pub(super) fn run(&self) -> Result<Report, Error> {
-        let fleet = self
-            .token_file
-            .as_ref()
-            .map(|file| Fleet::new(&self.list, file))
-            .transpose()?;
-        let (note, pinned) = self.note()?;
-        let offset = self.publish(note, pinned)?;
+        let file = self.token_file.as_ref();
+        let fleet = file.map(|file| Fleet::new(&self.list, file)).transpose()?;
+        let mut draft = Draft::load(&self.file)?;
+        if let (true, Some(operator)) = (draft.note.author.is_empty(), &self.operator) {
+            draft.note.author.clone_from(operator);
+        }
+        let offset = self.publish(&draft)?;
         match fleet {
-            Some(fleet) => self.follow(&fleet, offset),
+            Some(fleet) => Ok(self.follow(&fleet, offset)),
             None => Ok(Report::done(
                 format!("accepted at offset {offset}; the daemons were not asked\n"),
                 json!({ "outcome": "accepted", "offset": offset }),
@@ -123,58 +118,51 @@
         }
     }
 
-    /// Reads the note and whether it names the note that it replaces.
-    fn note(&self) -> Result<(Note, bool), Error> {
-        let place = |error: &dyn std::fmt::Display| {
-            Error::failed(format!("{}: {error}", self.file.display()))
-        };
-        let text = fs::read_to_string(&self.file).map_err(|error| place(&error))?;
-        let value: Value = jsonc_parser::parse_to_serde_value(&text, &ParseOptions::default())
-            .map_err(|error| place(&error))?;
-        let pinned = value.get("replaces").is_some();
-        let mut note: Note = serde_json::from_value(value).map_err(|error| place(&error))?;
-        if let (true, Some(operator)) = (note.author.is_empty(), &self.operator) {
-            note.author.clone_from(operator);
-        }
-        Ok((note, pinned))
-    }
-
     /// Brings the note into the stream and returns its offset.
-    fn publish(&self, note: Note, pinned: bool) -> Result<u64, Error> {
+    fn publish(&self, draft: &Draft) -> Result<u64, Error> {
         let began = Instant::now();
         let mut releases = Releases::new(&self.log);
-        releases.watch(note.id);
-        let mut publication = Publication::new(note, pinned, PUBLISH_LIMIT);
+        releases.watch(draft.note.id);
+        let mut publication = Publication::new(draft.note.clone(), draft.pinned, PUBLISH_LIMIT);
         let mut action = Action::Read;
         loop {
             action = match action {
                 Action::Read => read(&mut releases, &mut publication, began),
                 Action::Append => append(&releases, &mut publication, began)?,
-                Action::Finish(end) => return conclude(end, publication.note()),
+                Action::Finish(end) => break conclude(end, &publication, &releases, draft),
             };
         }
     }
 
-    /// Asks all live daemons until each has applied the note.
-    fn follow(&self, fleet: &Fleet, offset: u64) -> Result<Report, Error> {
+    /// Asks all live daemons until each has applied the note, or the time is up.
+    fn follow(&self, fleet: &Fleet, offset: u64) -> Report {
         let began = Instant::now();
+        let limit = Duration::from_secs(self.wait);
         let mut shown = None;
         loop {
-            let answers = fleet.ask(&fleet.live()?);
-            let missing: Vec<_> = answers
-                .iter()
-                .filter(|answer| answer.releases() < Some(offset))
-                .collect();
-            let progress = (answers.len() - missing.len(), answers.len());
-            if shown != Some(progress) {
-                eprintln!("in force on {} of {} daemons", progress.0, progress.1);
-                shown = Some(progress);
-            }
-            if missing.is_empty() {
-                return Ok(in_force(offset, answers.len(), began.elapsed()));
-            }
-            if began.elapsed() >= Duration::from_secs(self.wait) {
-                return Ok(late(offset, answers.len(), &missing));
+            let answers = fleet.live().map(|instances| fleet.ask(&instances));
+            let late: Option<Report> = match answers {
+                Ok(answers) => {
+                    let missing: Vec<_> = answers
+                        .iter()
+                        .filter(|answer| answer.releases() < Some(offset))
+                        .collect();
+                    let progress = (answers.len() - missing.len(), answers.len());
+                    if shown.replace(progress) != Some(progress) {
+                        eprintln!("in force on {} of {} daemons", progress.0, progress.1);
+                    }
+                    if missing.is_empty() {
+                        return in_force(offset, answers.len(), began.elapsed());
+                    }
+                    Some(late(offset, answers.len(), &missing))
+                }
+                Err(error) => {
+                    eprintln!("{error}");
+                    None
+                }
+            };
+            if began.elapsed() >= limit {
+                return late.unwrap_or_else(|| unlisted(offset));
             }
             thread::sleep(POLL_PAUSE);
         }
@@ -185,10 +173,10 @@
     let event = match releases.read(READ_WAIT) {
         Ok(()) => Event::Read {
             catalogue: releases.catalogue(),
-            seen: releases.seen().map(|(offset, outcome)| (*offset, outcome)),
+            seen: releases.seen().map(|seen| (seen.offset, &seen.outcome)),
         },
         Err(error) => {
-            eprintln!("chestnuthub: {}", error.detail);
+            eprintln!("{error}");
             thread::sleep(RETRY_PAUSE);
             Event::ReadFailed
         }
@@ -217,21 +205,30 @@
     Ok(publication.step(&event, began.elapsed()))
 }
 
-fn conclude(end: End, note: &Note) -> Result<u64, Error> {
+fn conclude(
+    end: End,
+    publication: &Publication,
+    releases: &Releases,
+    draft: &Draft,
+) -> Result<u64, Error> {
+    let note = publication.note();
+    if let Some(seen) = releases.seen().filter(|seen| !seen.note.says(note)) {
+        return Err(Error::failed(format!(
+            "the id {} is that of another note, at offset {}; remove it from the file",
+            note.id, seen.offset
+        )));
+    }
     match end {
         End::Accepted { offset } => Ok(offset),
-        End::Conflict { head } => Err(Error {
-            exit: Exit::Conflict,
-            detail: format!(
-                "conflict: the note replaces offset {}, but the note at offset {head} was accepted \
-                 since; compare with `chestnuthub release diff` and publish again",
+        End::Conflict { head } => Err(Error::new(
+            Exit::Conflict,
+            format!(
+                "conflict: the note replaces offset {}, but the newest accepted note is at offset \
+                 {head}; compare with `chestnuthub release diff` and publish again",
                 note.replaces
             ),
-        }),
-        End::Invalid(findings) => {
-            let lines: Vec<_> = findings.iter().map(ToString::to_string).collect();
-            Err(Error::failed(format!("invalid: {}", lines.join("; "))))
-        }
+        )),
+        End::Invalid(findings) => Err(draft.locate(&findings).into()),
         End::NotSent => Err(Error::unknown("the note was not published")),
         End::Unknown => Err(Error::unknown(format!(
             "outcome unknown: the note may still appear in the log; put \"id\": \"{}\" into the \
@@ -263,9 +260,10 @@
     );
     let mut names = Vec::new();
     for answer in missing {
-        let state = match &answer.status {
-            Ok(_) => format!("at offset {}", answer.releases().unwrap_or_default()),
-            Err(error) => error.clone(),
+        let state = match (&answer.status, answer.releases()) {
+            (Ok(_), Some(applied)) => format!("at offset {applied}"),
+            (Ok(_), None) => "its status shows no offset".to_owned(),
+            (Err(error), _) => error.clone(),
         };
         text.push_str(&format!("  {}: {state}\n", answer.instance.name));
         names.push(json!({ "instance": answer.instance.name, "state": state }));
@@ -273,6 +271,14 @@
     Report {
         exit: Exit::NotInForce,
         text,
-        json: json!({ "outcome": "accepted", "offset": offset, "not_in_force": names }),
+        json: json!({ "outcome": "not_in_force", "offset": offset, "missing": names }),
+    }
+}
+
+fn unlisted(offset: u64) -> Report {
+    Report {
+        exit: Exit::NotInForce,
+        text: format!("accepted at offset {offset}; the instance list could not be read\n"),
+        json: json!({ "outcome": "not_in_force", "offset": offset, "missing": null }),
     }
 }
--- a/src/cli/stream.rs
+++ b/src/cli/stream.rs
@@ -33,7 +33,15 @@
     catalogue: Catalogue,
     next: u64,
     wanted: Option<Uuid>,
-    seen: Option<(u64, Outcome)>,
+    seen: Option<Seen>,
+}
+
+/// What became of the watched note.
+#[derive(Debug, Clone)]
+pub(super) struct Seen {
+    pub(super) offset: u64,
+    pub(super) outcome: Outcome,
+    pub(super) note: Note,
 }
 
 impl Releases {
@@ -61,8 +69,8 @@
         &self.log
     }
 
-    /// Returns offset and outcome of the watched note's first copy in the stream.
-    pub(super) fn seen(&self) -> Option<&(u64, Outcome)> {
+    /// Returns the watched note's first copy in the stream.
+    pub(super) fn seen(&self) -> Option<&Seen> {
         self.seen.as_ref()
     }
 
@@ -98,7 +106,11 @@
             };
             let outcome = self.catalogue.apply(record.offset, &note);
             if self.wanted == Some(note.id) && self.seen.is_none() {
-                self.seen = Some((record.offset, outcome));
+                self.seen = Some(Seen {
+                    offset: record.offset,
+                    outcome,
+                    note,
+                });
             }
         }
         if page.records.is_empty() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod decision;
 pub mod emulator;
 pub mod id;
+pub mod jsonc;
 pub mod metrics;
 pub mod peer;
 pub mod platform;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,8 +1,10 @@
 //! Settings of a daemon, JSON with comments.
 
+mod rules;
+mod schema;
+
 use std::{
     collections::BTreeMap,
-    fs,
     net::SocketAddr,
     path::{
         Path,
@@ -10,10 +12,16 @@
     },
 };
 
-use jsonc_parser::ParseOptions;
 use serde::Deserialize;
 
-use crate::id;
+pub use crate::jsonc::{
+    Finding,
+    Findings, //
+};
+use crate::{
+    id,
+    jsonc::Document, //
+};
 
 /// Settings of a daemon.
 #[derive(Debug, Clone, Deserialize)]
@@ -130,14 +138,46 @@
     ///
     /// # Errors
     ///
-    /// Says what is wrong with the file.
-    pub fn load(path: &Path) -> Result<Self, String> {
-        let text = fs::read_to_string(path).map_err(|error| error.to_string())?;
-        let value = jsonc_parser::parse_to_serde_value::<serde_json::Value>(
-            &text,
-            &ParseOptions::default(),
-        )
-        .map_err(|error| error.to_string())?;
-        serde_json::from_value(value).map_err(|error| error.to_string())
+    /// All that is wrong with the file, with its places.
+    pub fn load(path: &Path) -> Result<Self, Findings> {
+        Self::decode(&Document::read(path)?)
+    }
+
+    /// Decodes settings from the text of a file.
+    ///
+    /// # Errors
+    ///
+    /// All that is wrong with the text, with its places in `file`.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Findings> {
+        Self::decode(&Document::new(file, text))
+    }
+
+    /// Checks that the files that these settings name can be read; `path` is the settings' file.
+    ///
+    /// # Errors
+    ///
+    /// All files that can't be read or do not hold what they should.
+    pub fn check_files(&self, path: &Path) -> Result<(), Findings> {
+        let document = Document::read(path)?;
+        rules::outcome(rules::files(self, &document))
+    }
+
+    fn decode(document: &Document) -> Result<Self, Findings> {
+        let mut settings: Self = document.decode(&schema::SETTINGS)?;
+        rules::outcome(rules::check(&settings, document))?;
+        settings.normalise();
+        Ok(settings)
+    }
+
+    /// Writes digests in lower case, as daemons compare them.
+    fn normalise(&mut self) {
+        for digest in self.operators.values_mut() {
+            digest.make_ascii_lowercase();
+        }
+        if let Role::Entry(entry) = &mut self.role {
+            for digest in entry.institutions.values_mut().flatten() {
+                digest.make_ascii_lowercase();
+            }
+        }
     }
 }
