--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,97 @@
+//! Settings files and release notes: the examples, and tables of broken files with the findings
+//! that each must give.
+
+use std::{
+    fs,
+    path::Path, //
+};
+
+use chestnuthub::{
+    catalogue::{
+        Catalogue,
+        Draft,
+        Item,
+        Outcome, //
+    },
+    jsonc::Findings,
+    settings::{
+        Role,
+        Settings, //
+    },
+};
+
+type Verdict = datatest_stable::Result<()>;
+
+/// Guards against examples that the daemon would refuse.
+fn example_settings(path: &Path) -> Verdict {
+    let settings = Settings::load(path).map_err(|findings| findings.to_string())?;
+    let is_entry = matches!(settings.role, Role::Entry(_));
+    assert_eq!(is_entry, path.ends_with("entry.jsonc"));
+    Ok(())
+}
+
+/// Guards against example notes that are refused or don't have the deployments' numbers.
+fn example_release(path: &Path) -> Verdict {
+    let draft = Draft::load(path).map_err(|findings| findings.to_string())?;
+    let mut catalogue = Catalogue::default();
+    assert_eq!(catalogue.apply(1, &draft.note), Outcome::Accepted);
+    let count = |wanted: &str| {
+        let items = catalogue.items();
+        items.filter(|item| item.kind() == wanted).count()
+    };
+    let (models, call) = match path.starts_with("examples/tengis") {
+        true => (30, "/bookings"),
+        false => (19, "/orders"),
+    };
+    assert_eq!((count("model"), count("adapter")), (models, 60));
+    assert_eq!(count("access"), models + 1);
+    let calls: Vec<_> = catalogue
+        .items()
+        .filter_map(|item| match item {
+            Item::Service(service) => Some(&service.non_idempotent),
+            _ => None,
+        })
+        .flatten()
+        .map(|call| (call.method.as_str(), call.path.as_str()))
+        .collect();
+    assert_eq!(calls, [("POST", call)]);
+    Ok(())
+}
+
+/// Guards against findings that are missed, doubled or shown at another place.
+fn broken_settings(path: &Path) -> Verdict {
+    let text = fs::read_to_string(path)?;
+    let findings = Settings::parse("FILE", &text).err();
+    compare(path, &findings.unwrap_or_default())
+}
+
+/// The same for release notes, checked alone and then against the catalogue of `base.jsonc`.
+fn broken_note(path: &Path) -> Verdict {
+    let base = Draft::load(Path::new("tests/data/notes/base.jsonc"));
+    let base = base.map_err(|findings| findings.to_string())?;
+    let mut catalogue = Catalogue::default();
+    assert_eq!(catalogue.apply(1, &base.note), Outcome::Accepted);
+    let text = fs::read_to_string(path)?;
+    let findings = match Draft::parse("FILE", &text) {
+        Ok(draft) => draft.locate(&catalogue.check(&draft.note)),
+        Err(findings) => findings,
+    };
+    compare(path, &findings)
+}
+
+fn compare(path: &Path, findings: &Findings) -> Verdict {
+    let expected = fs::read_to_string(path.with_extension("findings"))?;
+    assert_eq!(findings.to_string().trim(), expected.trim());
+    Ok(())
+}
+
+datatest_stable::harness! {
+    {
+        test = example_settings,
+        root = "examples",
+        pattern = r"/(entry|engine-agent|service-agent)\.jsonc$",
+    },
+    { test = example_release, root = "examples", pattern = r"/release\.jsonc$" },
+    { test = broken_settings, root = "tests/data/settings", pattern = r"\.jsonc$" },
+    { test = broken_note, root = "tests/data/notes", pattern = r"\.jsonc$" },
+}
