--- a/src/cli/release/publish.rs
+++ b/src/cli/release/publish.rs
@@ -1,7 +1,6 @@
 //! `chestnuthub release publish`.
 
 use std::{
-    fs,
     path::PathBuf,
     thread,
     time::{
@@ -14,18 +13,14 @@
     Parser,
     construct, //
 };
-use jsonc_parser::ParseOptions;
-use serde_json::{
-    Value,
-    json, //
-};
+use serde_json::json;
 
 use crate::{
     catalogue::{
         Action,
+        Draft,
         End,
         Event,
-        Note,
         Publication, //
     },
     cli::{
@@ -45,9 +40,6 @@
     },
 };
 
-/// Time after which a note that is not seen in the stream is given up.
-const PUBLISH_LIMIT: Duration = Duration::from_secs(20);
-
 /// Wait of a read for the note to appear.
 const READ_WAIT: Duration = Duration::from_millis(500);
 
@@ -89,11 +81,11 @@
         .argument::<PathBuf>("FILE")
         .optional();
     let wait = bpaf::long("wait")
-        .help("Time in which every live daemon must have applied the note")
+        .help("Time for the note to appear in the log, and then on every live daemon")
         .argument::<u64>("SECONDS")
         .fallback(DEFAULT_WAIT_S)
         .display_fallback();
-    let file = bpaf::positional::<PathBuf>("FILE").help("Release note, JSON with comments");
+    let file = super::file();
     construct!(Command {
         json,
         log,
@@ -107,15 +99,15 @@
 
 impl Command {
     pub(super) fn run(&self) -> Result<Report, Error> {
-        let fleet = self
-            .token_file
-            .as_ref()
-            .map(|file| Fleet::new(&self.list, file))
-            .transpose()?;
-        let (note, pinned) = self.note()?;
-        let offset = self.publish(note, pinned)?;
+        let file = self.token_file.as_ref();
+        let fleet = file.map(|file| Fleet::new(&self.list, file)).transpose()?;
+        let mut draft = Draft::load(&self.file)?;
+        if let (true, Some(operator)) = (draft.note.author.is_empty(), &self.operator) {
+            draft.note.author.clone_from(operator);
+        }
+        let offset = self.publish(&draft)?;
         match fleet {
-            Some(fleet) => self.follow(&fleet, offset),
+            Some(fleet) => Ok(self.follow(&fleet, offset)),
             None => Ok(Report::done(
                 format!("accepted at offset {offset}; the daemons were not asked\n"),
                 json!({ "outcome": "accepted", "offset": offset }),
@@ -123,121 +115,140 @@
         }
     }
 
-    /// Reads the note and whether it names the note that it replaces.
-    fn note(&self) -> Result<(Note, bool), Error> {
-        let place = |error: &dyn std::fmt::Display| {
-            Error::failed(format!("{}: {error}", self.file.display()))
-        };
-        let text = fs::read_to_string(&self.file).map_err(|error| place(&error))?;
-        let value: Value = jsonc_parser::parse_to_serde_value(&text, &ParseOptions::default())
-            .map_err(|error| place(&error))?;
-        let pinned = value.get("replaces").is_some();
-        let mut note: Note = serde_json::from_value(value).map_err(|error| place(&error))?;
-        if let (true, Some(operator)) = (note.author.is_empty(), &self.operator) {
-            note.author.clone_from(operator);
-        }
-        Ok((note, pinned))
-    }
-
     /// Brings the note into the stream and returns its offset.
-    fn publish(&self, note: Note, pinned: bool) -> Result<u64, Error> {
-        let began = Instant::now();
+    fn publish(&self, draft: &Draft) -> Result<u64, Error> {
         let mut releases = Releases::new(&self.log);
-        releases.watch(note.id);
-        let mut publication = Publication::new(note, pinned, PUBLISH_LIMIT);
+        releases.watch(draft.note.id);
+        let limit = Duration::from_secs(self.wait);
+        let mut publisher = Publisher {
+            releases,
+            publication: Publication::new(draft.note.clone(), draft.pinned, limit),
+            began: Instant::now(),
+            trouble: String::new(),
+        };
         let mut action = Action::Read;
         loop {
             action = match action {
-                Action::Read => read(&mut releases, &mut publication, began),
-                Action::Append => append(&releases, &mut publication, began)?,
-                Action::Finish(end) => return conclude(end, publication.note()),
+                Action::Read => publisher.read(),
+                Action::Append => publisher.append()?,
+                Action::Finish(end) => break publisher.conclude(end, draft),
             };
         }
     }
 
-    /// Asks all live daemons until each has applied the note.
-    fn follow(&self, fleet: &Fleet, offset: u64) -> Result<Report, Error> {
+    /// Asks all live daemons until each has applied the note, or the time is up.
+    fn follow(&self, fleet: &Fleet, offset: u64) -> Report {
         let began = Instant::now();
+        let limit = Duration::from_secs(self.wait);
         let mut shown = None;
         loop {
-            let answers = fleet.ask(&fleet.live()?);
-            let missing: Vec<_> = answers
-                .iter()
-                .filter(|answer| answer.releases() < Some(offset))
-                .collect();
-            let progress = (answers.len() - missing.len(), answers.len());
-            if shown != Some(progress) {
-                eprintln!("in force on {} of {} daemons", progress.0, progress.1);
-                shown = Some(progress);
-            }
-            if missing.is_empty() {
-                return Ok(in_force(offset, answers.len(), began.elapsed()));
-            }
-            if began.elapsed() >= Duration::from_secs(self.wait) {
-                return Ok(late(offset, answers.len(), &missing));
+            let answers = fleet.live().map(|instances| fleet.ask(&instances));
+            let late: Option<Report> = match answers {
+                Ok(answers) => {
+                    let missing: Vec<_> = answers
+                        .iter()
+                        .filter(|answer| answer.releases() < Some(offset))
+                        .collect();
+                    let progress = (answers.len() - missing.len(), answers.len());
+                    if shown.replace(progress) != Some(progress) {
+                        eprintln!("in force on {} of {} daemons", progress.0, progress.1);
+                    }
+                    if missing.is_empty() {
+                        return in_force(offset, answers.len(), began.elapsed());
+                    }
+                    Some(late(offset, answers.len(), &missing))
+                }
+                Err(error) => {
+                    eprintln!("{error}");
+                    None
+                }
+            };
+            if began.elapsed() >= limit {
+                return late.unwrap_or_else(|| unlisted(offset));
             }
             thread::sleep(POLL_PAUSE);
         }
     }
 }
 
-fn read(releases: &mut Releases, publication: &mut Publication, began: Instant) -> Action {
-    let event = match releases.read(READ_WAIT) {
-        Ok(()) => Event::Read {
-            catalogue: releases.catalogue(),
-            seen: releases.seen().map(|(offset, outcome)| (*offset, outcome)),
-        },
-        Err(error) => {
-            eprintln!("chestnuthub: {}", error.detail);
+/// Carries out what a publication asks for.
+#[derive(Debug)]
+struct Publisher {
+    releases: Releases,
+    publication: Publication,
+    began: Instant,
+    /// The last trouble that was shown, so that it is shown once.
+    trouble: String,
+}
+
+impl Publisher {
+    fn read(&mut self) -> Action {
+        let result = self.releases.read(READ_WAIT);
+        if let Err(error) = &result {
+            self.show(error.to_string());
             thread::sleep(RETRY_PAUSE);
-            Event::ReadFailed
         }
-    };
-    publication.step(&event, began.elapsed())
-}
+        let seen = self.releases.seen();
+        let event = match result {
+            Ok(()) => Event::Read {
+                catalogue: self.releases.catalogue(),
+                seen: seen.map(|seen| (seen.offset, &seen.outcome)),
+            },
+            Err(_) => Event::ReadFailed,
+        };
+        self.publication.step(&event, self.began.elapsed())
+    }
 
-fn append(
-    releases: &Releases,
-    publication: &mut Publication,
-    began: Instant,
-) -> Result<Action, Error> {
-    let body = serde_json::to_string(publication.note()).map_err(Error::failed)?;
-    let event = match releases.log().append(STREAM, &body) {
-        Ok(_) => Event::Sent,
-        Err(error) => {
-            eprintln!("chestnuthub: can't append the note: {error}");
-            if error.had_no_effect() {
+    fn append(&mut self) -> Result<Action, Error> {
+        let body = serde_json::to_string(self.publication.note()).map_err(Error::failed)?;
+        let event = match self.releases.log().append(STREAM, &body) {
+            Ok(_) => Event::Sent,
+            Err(error) => {
+                self.show(format!("chestnuthub: can't append the note: {error}"));
                 thread::sleep(RETRY_PAUSE);
-                Event::NotSent
-            } else {
-                Event::Sent
+                if error.had_no_effect() {
+                    Event::NotSent
+                } else {
+                    Event::Sent
+                }
             }
+        };
+        Ok(self.publication.step(&event, self.began.elapsed()))
+    }
+
+    fn show(&mut self, trouble: String) {
+        if self.trouble != trouble {
+            eprintln!("{trouble}");
+            self.trouble = trouble;
         }
-    };
-    Ok(publication.step(&event, began.elapsed()))
-}
+    }
 
-fn conclude(end: End, note: &Note) -> Result<u64, Error> {
-    match end {
-        End::Accepted { offset } => Ok(offset),
-        End::Conflict { head } => Err(Error {
-            exit: Exit::Conflict,
-            detail: format!(
-                "conflict: the note replaces offset {}, but the note at offset {head} was accepted \
-                 since; compare with `chestnuthub release diff` and publish again",
-                note.replaces
-            ),
-        }),
-        End::Invalid(findings) => {
-            let lines: Vec<_> = findings.iter().map(ToString::to_string).collect();
-            Err(Error::failed(format!("invalid: {}", lines.join("; "))))
+    fn conclude(&self, end: End, draft: &Draft) -> Result<u64, Error> {
+        let note = self.publication.note();
+        if let Some(seen) = self.releases.seen().filter(|seen| !seen.note.says(note)) {
+            return Err(Error::failed(format!(
+                "the id {} is that of another note, at offset {}; remove it from the file",
+                note.id, seen.offset
+            )));
+        }
+        match end {
+            End::Accepted { offset } => Ok(offset),
+            End::Conflict { head } => Err(Error::new(
+                Exit::Conflict,
+                format!(
+                    "conflict: the note replaces offset {}, but the newest accepted note is at \
+                     offset {head}; compare with `chestnuthub release diff` and publish again",
+                    note.replaces
+                ),
+            )),
+            End::Invalid(findings) => Err(draft.locate(&findings).into()),
+            End::NotSent => Err(Error::unknown("the note was not published")),
+            End::Unknown => Err(Error::unknown(format!(
+                "outcome unknown: the note may still appear in the log; put \"id\": \"{}\" into \
+                 the file to publish it again safely",
+                note.id
+            ))),
         }
-        End::NotSent => Err(Error::unknown("the note was not published")),
-        End::Unknown => Err(Error::unknown(format!(
-            "outcome unknown: the note may still appear in the log; put \"id\": \"{}\" into the \
-             file to publish it again safely",
-            note.id
-        ))),
     }
 }
 
@@ -263,9 +274,10 @@
     );
     let mut names = Vec::new();
     for answer in missing {
-        let state = match &answer.status {
-            Ok(_) => format!("at offset {}", answer.releases().unwrap_or_default()),
-            Err(error) => error.clone(),
+        let state = match (&answer.status, answer.releases()) {
+            (Ok(_), Some(applied)) => format!("at offset {applied}"),
+            (Ok(_), None) => "its status shows no offset".to_owned(),
+            (Err(error), _) => error.clone(),
         };
         text.push_str(&format!("  {}: {state}\n", answer.instance.name));
         names.push(json!({ "instance": answer.instance.name, "state": state }));
@@ -273,6 +285,14 @@
     Report {
         exit: Exit::NotInForce,
         text,
-        json: json!({ "outcome": "accepted", "offset": offset, "not_in_force": names }),
+        json: json!({ "outcome": "not_in_force", "offset": offset, "missing": names }),
+    }
+}
+
+fn unlisted(offset: u64) -> Report {
+    Report {
+        exit: Exit::NotInForce,
+        text: format!("accepted at offset {offset}; the instance list could not be read\n"),
+        json: json!({ "outcome": "not_in_force", "offset": offset, "missing": null }),
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod follow;
 pub mod gossip;
 pub mod id;
+pub mod jsonc;
 pub mod metrics;
 pub mod peer;
 pub mod platform;
