--- a/src/catalogue/publication.rs
+++ b/src/catalogue/publication.rs
@@ -128,18 +128,17 @@
                 return Action::Finish(End::Invalid(findings));
             }
         }
-        match self.go_on(now) {
-            Action::Read if self.due(now) => {
-                self.appended = Some(now);
-                Action::Append
-            }
-            action => action,
+        match (self.appended, self.go_on(now)) {
+            // A slow read must not keep the note from being appended at all.
+            (None, _) => self.append(now),
+            (Some(appended), Action::Read) if now >= appended + REAPPEND_AFTER => self.append(now),
+            (Some(_), action) => action,
         }
     }
 
-    fn due(&self, now: Duration) -> bool {
-        self.appended
-            .is_none_or(|appended| now >= appended + REAPPEND_AFTER)
+    fn append(&mut self, now: Duration) -> Action {
+        self.appended = Some(now);
+        Action::Append
     }
 
     fn go_on(&self, now: Duration) -> Action {
--- /dev/null
+++ b/src/cli/decisions.rs
@@ -0,0 +1,137 @@
+//! Who may load which model, as the stream `decisions` or a daemon's status shows it.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde_json::Value;
+
+use super::{
+    exit::Error,
+    fleet::Answer, //
+};
+use crate::{
+    decision::{
+        self,
+        Record,
+        Table, //
+    },
+    platform::log::Log,
+};
+
+/// Most records in one read.
+const READ_LIMIT: u32 = 500;
+
+/// A replica's slot.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub(super) struct Slot {
+    pub(super) model: String,
+    pub(super) server: String,
+    pub(super) state: String,
+    /// Offset of the record that granted it.
+    pub(super) grant: u64,
+}
+
+/// A backend server's agent.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub(super) struct Server {
+    pub(super) server: String,
+    /// Offset of the record that registered it.
+    pub(super) epoch: u64,
+}
+
+/// Slots and servers after the record at an offset.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(super) struct Decisions {
+    pub(super) at: u64,
+    pub(super) slots: Vec<Slot>,
+    pub(super) servers: Vec<Server>,
+}
+
+impl Decisions {
+    /// Takes them from the daemon that has applied the most records.
+    pub(super) fn from_answers(answers: &[Answer]) -> Self {
+        let statuses = answers
+            .iter()
+            .filter_map(|answer| answer.status.as_ref().ok());
+        let newest = statuses
+            .filter(|status| status.get("slots").is_some())
+            .max_by_key(|status| offset(status));
+        newest.map_or_else(Self::default, |status| Self {
+            at: offset(status),
+            slots: list(status, "slots"),
+            servers: list(status, "servers"),
+        })
+    }
+
+    /// Folds the stream.
+    ///
+    /// # Errors
+    ///
+    /// Says that the log can't be read, or has dropped the oldest records.
+    pub(super) fn from_log(log: &str) -> Result<Self, Error> {
+        let log = Log::new(log);
+        let mut table = Table::default();
+        let mut next = 1;
+        loop {
+            let page = log
+                .read(decision::STREAM, next, READ_LIMIT, Duration::ZERO)
+                .map_err(|error| Error::unknown(format!("can't read decisions: {error}")))?;
+            if page.first > next {
+                return Err(dropped(page.first));
+            }
+            for record in &page.records {
+                next = record.offset + 1;
+                if let Ok(decision) = serde_json::from_str::<Record>(&record.body) {
+                    table.apply(record.offset, &decision);
+                }
+            }
+            if page.records.is_empty() || next >= page.next {
+                return Ok(Self::from_table(&table));
+            }
+        }
+    }
+
+    fn from_table(table: &Table) -> Self {
+        let slots = table.models().flat_map(|model| {
+            table.slots(model).iter().map(|slot| Slot {
+                model: model.to_string(),
+                server: slot.server.to_string(),
+                state: match slot.state {
+                    decision::State::Granted => "granted".to_owned(),
+                    decision::State::Retiring => "retiring".to_owned(),
+                },
+                grant: slot.grant,
+            })
+        });
+        let servers = table.servers().map(|(server, epoch)| Server {
+            server: server.to_string(),
+            epoch: epoch.offset,
+        });
+        Self {
+            at: table.applied(),
+            slots: slots.collect(),
+            servers: servers.collect(),
+        }
+    }
+}
+
+/// Returns the offset of the last decision that a daemon has applied.
+pub(super) fn offset(status: &Value) -> u64 {
+    status
+        .get("decisions")
+        .and_then(Value::as_u64)
+        .unwrap_or_default()
+}
+
+fn list<T: for<'de> Deserialize<'de>>(status: &Value, field: &str) -> Vec<T> {
+    let list = status.get(field).and_then(Value::as_array);
+    let items = list.into_iter().flatten();
+    items.filter_map(|item| T::deserialize(item).ok()).collect()
+}
+
+fn dropped(first: u64) -> Error {
+    Error::unknown(format!(
+        "the log has dropped the decisions before offset {first}; leave --log out to take them from \
+         the daemons"
+    ))
+}
--- a/src/cli/fleet.rs
+++ b/src/cli/fleet.rs
@@ -61,13 +61,18 @@
         })
     }
 
-    /// Returns the daemons that the list shows as live.
-    pub(super) fn live(&self) -> Result<Vec<Instance>, Error> {
+    /// Returns all daemons in the list.
+    pub(super) fn instances(&self) -> Result<Vec<Instance>, Error> {
         let listing = self
             .list
             .poll(None)
             .map_err(|error| Error::unknown(format!("can't read the instance list: {error}")))?;
-        let mut instances = listing.map_or_else(Vec::new, |listing| listing.instances);
+        Ok(listing.map_or_else(Vec::new, |listing| listing.instances))
+    }
+
+    /// Returns the daemons that the list shows as live.
+    pub(super) fn live(&self) -> Result<Vec<Instance>, Error> {
+        let mut instances = self.instances()?;
         instances.retain(|instance| instance.state == State::Live);
         Ok(instances)
     }
--- a/src/cli/release/publish.rs
+++ b/src/cli/release/publish.rs
@@ -40,9 +40,6 @@
     },
 };
 
-/// Time after which a note that is not seen in the stream is given up.
-const PUBLISH_LIMIT: Duration = Duration::from_secs(20);
-
 /// Wait of a read for the note to appear.
 const READ_WAIT: Duration = Duration::from_millis(500);
 
@@ -84,7 +81,7 @@
         .argument::<PathBuf>("FILE")
         .optional();
     let wait = bpaf::long("wait")
-        .help("Time in which every live daemon must have applied the note")
+        .help("Time for the note to appear in the log, and then on every live daemon")
         .argument::<u64>("SECONDS")
         .fallback(DEFAULT_WAIT_S)
         .display_fallback();
@@ -120,16 +117,21 @@
 
     /// Brings the note into the stream and returns its offset.
     fn publish(&self, draft: &Draft) -> Result<u64, Error> {
-        let began = Instant::now();
         let mut releases = Releases::new(&self.log);
         releases.watch(draft.note.id);
-        let mut publication = Publication::new(draft.note.clone(), draft.pinned, PUBLISH_LIMIT);
+        let limit = Duration::from_secs(self.wait);
+        let mut publisher = Publisher {
+            releases,
+            publication: Publication::new(draft.note.clone(), draft.pinned, limit),
+            began: Instant::now(),
+            trouble: String::new(),
+        };
         let mut action = Action::Read;
         loop {
             action = match action {
-                Action::Read => read(&mut releases, &mut publication, began),
-                Action::Append => append(&releases, &mut publication, began)?,
-                Action::Finish(end) => break conclude(end, &publication, &releases, draft),
+                Action::Read => publisher.read(),
+                Action::Append => publisher.append()?,
+                Action::Finish(end) => break publisher.conclude(end, draft),
             };
         }
     }
@@ -169,72 +171,84 @@
     }
 }
 
-fn read(releases: &mut Releases, publication: &mut Publication, began: Instant) -> Action {
-    let event = match releases.read(READ_WAIT) {
-        Ok(()) => Event::Read {
-            catalogue: releases.catalogue(),
-            seen: releases.seen().map(|seen| (seen.offset, &seen.outcome)),
-        },
-        Err(error) => {
-            eprintln!("{error}");
+/// Carries out what a publication asks for.
+#[derive(Debug)]
+struct Publisher {
+    releases: Releases,
+    publication: Publication,
+    began: Instant,
+    /// The last trouble that was shown, so that it is shown once.
+    trouble: String,
+}
+
+impl Publisher {
+    fn read(&mut self) -> Action {
+        let result = self.releases.read(READ_WAIT);
+        if let Err(error) = &result {
+            self.show(error.to_string());
             thread::sleep(RETRY_PAUSE);
-            Event::ReadFailed
         }
-    };
-    publication.step(&event, began.elapsed())
-}
+        let seen = self.releases.seen();
+        let event = match result {
+            Ok(()) => Event::Read {
+                catalogue: self.releases.catalogue(),
+                seen: seen.map(|seen| (seen.offset, &seen.outcome)),
+            },
+            Err(_) => Event::ReadFailed,
+        };
+        self.publication.step(&event, self.began.elapsed())
+    }
 
-fn append(
-    releases: &Releases,
-    publication: &mut Publication,
-    began: Instant,
-) -> Result<Action, Error> {
-    let body = serde_json::to_string(publication.note()).map_err(Error::failed)?;
-    let event = match releases.log().append(STREAM, &body) {
-        Ok(_) => Event::Sent,
-        Err(error) => {
-            eprintln!("chestnuthub: can't append the note: {error}");
-            if error.had_no_effect() {
+    fn append(&mut self) -> Result<Action, Error> {
+        let body = serde_json::to_string(self.publication.note()).map_err(Error::failed)?;
+        let event = match self.releases.log().append(STREAM, &body) {
+            Ok(_) => Event::Sent,
+            Err(error) => {
+                self.show(format!("chestnuthub: can't append the note: {error}"));
                 thread::sleep(RETRY_PAUSE);
-                Event::NotSent
-            } else {
-                Event::Sent
+                if error.had_no_effect() {
+                    Event::NotSent
+                } else {
+                    Event::Sent
+                }
             }
-        }
-    };
-    Ok(publication.step(&event, began.elapsed()))
-}
+        };
+        Ok(self.publication.step(&event, self.began.elapsed()))
+    }
 
-fn conclude(
-    end: End,
-    publication: &Publication,
-    releases: &Releases,
-    draft: &Draft,
-) -> Result<u64, Error> {
-    let note = publication.note();
-    if let Some(seen) = releases.seen().filter(|seen| !seen.note.says(note)) {
-        return Err(Error::failed(format!(
-            "the id {} is that of another note, at offset {}; remove it from the file",
-            note.id, seen.offset
-        )));
+    fn show(&mut self, trouble: String) {
+        if self.trouble != trouble {
+            eprintln!("{trouble}");
+            self.trouble = trouble;
+        }
     }
-    match end {
-        End::Accepted { offset } => Ok(offset),
-        End::Conflict { head } => Err(Error::new(
-            Exit::Conflict,
-            format!(
-                "conflict: the note replaces offset {}, but the newest accepted note is at offset \
-                 {head}; compare with `chestnuthub release diff` and publish again",
-                note.replaces
-            ),
-        )),
-        End::Invalid(findings) => Err(draft.locate(&findings).into()),
-        End::NotSent => Err(Error::unknown("the note was not published")),
-        End::Unknown => Err(Error::unknown(format!(
-            "outcome unknown: the note may still appear in the log; put \"id\": \"{}\" into the \
-             file to publish it again safely",
-            note.id
-        ))),
+
+    fn conclude(&self, end: End, draft: &Draft) -> Result<u64, Error> {
+        let note = self.publication.note();
+        if let Some(seen) = self.releases.seen().filter(|seen| !seen.note.says(note)) {
+            return Err(Error::failed(format!(
+                "the id {} is that of another note, at offset {}; remove it from the file",
+                note.id, seen.offset
+            )));
+        }
+        match end {
+            End::Accepted { offset } => Ok(offset),
+            End::Conflict { head } => Err(Error::new(
+                Exit::Conflict,
+                format!(
+                    "conflict: the note replaces offset {}, but the newest accepted note is at \
+                     offset {head}; compare with `chestnuthub release diff` and publish again",
+                    note.replaces
+                ),
+            )),
+            End::Invalid(findings) => Err(draft.locate(&findings).into()),
+            End::NotSent => Err(Error::unknown("the note was not published")),
+            End::Unknown => Err(Error::unknown(format!(
+                "outcome unknown: the note may still appear in the log; put \"id\": \"{}\" into \
+                 the file to publish it again safely",
+                note.id
+            ))),
+        }
     }
 }
 
