--- a/tests/cli/platform.rs
+++ b/tests/cli/platform.rs
@@ -49,7 +49,7 @@
         let state = Arc::new(Mutex::new(State {
             records: Vec::new(),
             dropped: 0,
-            pub(crate) faults: VecDeque::new(),
+            faults: VecDeque::new(),
             daemons_follow: true,
             instances: Vec::new(),
         }));
