entry, operator: serve the operator port and bound slow callers

Cause: Operators could read neither health, metrics nor status.

Observe the time to the first piece and between pieces. Wait for a slot only while one can be granted. Keep the head of an answer that is no stream until its body begins, so that a failure before can still be answered with a problem. Forget servers and institutions that are gone.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -35,6 +35,7 @@
     entry::Entry,
     follow,
     metrics::Metrics,
+    operator,
     peer::{
         self,
         Endpoint,
@@ -125,6 +126,7 @@
     let (stop, stopping) = watch::channel(false);
     let context = context(settings, &runtime, stopping)?;
     follow_platform(&context)?;
+    operator::start(&context)?;
     let part = start(&context)?;
     runtime.spawn(accept(context.clone(), part.clone()));
     report::info("started", &[("peer_addr", &context.settings.peer_addr)]);
--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -16,6 +16,8 @@
 };
 use tokio::sync::mpsc;
 
+use super::guard::Answering;
+
 /// Part of a body that is sent as it arrives.
 #[derive(Debug)]
 pub(super) enum Part {
@@ -24,13 +26,45 @@
     End,
 }
 
-/// Body of an answer to a caller.
 #[derive(Debug)]
-pub(super) enum Body {
+enum Content {
     Whole(Option<Bytes>),
     Stream(mpsc::Receiver<Part>),
 }
 
+/// Body of an answer to a caller.
+#[derive(Debug)]
+pub(super) struct Body {
+    content: Content,
+    _answering: Option<Answering>,
+}
+
+impl Body {
+    /// Makes a body of bytes that are all there.
+    pub(super) fn whole(bytes: impl Into<Bytes>) -> Self {
+        Self {
+            content: Content::Whole(Some(bytes.into())),
+            _answering: None,
+        }
+    }
+
+    /// Makes a body that is sent as its parts arrive.
+    pub(super) fn stream(parts: mpsc::Receiver<Part>) -> Self {
+        Self {
+            content: Content::Stream(parts),
+            _answering: None,
+        }
+    }
+
+    /// Keeps `answering` until the body was sent or given up.
+    pub(super) fn hold(self, answering: Answering) -> Self {
+        Self {
+            _answering: Some(answering),
+            ..self
+        }
+    }
+}
+
 /// The body ended before it was complete.
 #[derive(Debug)]
 pub(super) struct Cut;
@@ -51,9 +85,9 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
-        match self.get_mut() {
-            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Stream(parts) => parts.poll_recv(cx).map(|part| match part {
+        match &mut self.get_mut().content {
+            Content::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Content::Stream(parts) => parts.poll_recv(cx).map(|part| match part {
                 Some(Part::Piece(bytes)) => Some(Ok(Frame::data(bytes))),
                 Some(Part::End) => None,
                 None => Some(Err(Cut)),
@@ -62,16 +96,16 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Whole(None))
+        matches!(self.content, Content::Whole(None))
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self {
-            Self::Whole(bytes) => {
+        match &self.content {
+            Content::Whole(bytes) => {
                 let length = bytes.as_ref().map_or(0, Bytes::len);
                 SizeHint::with_exact(u64::try_from(length).unwrap_or(u64::MAX))
             }
-            Self::Stream(_) => SizeHint::default(),
+            Content::Stream(_) => SizeHint::default(),
         }
     }
 }
--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -12,14 +12,14 @@
 
 use super::{
     body::Body,
-    job::Job,
-    problem::Problem,
-    retry::Kind,
-    server::{
+    handler::{
         Call,
         not_found,
         whole, //
     },
+    job::Job,
+    problem::Problem,
+    retry::Kind,
     shared::{
         Shared,
         Ticket, //
@@ -55,11 +55,12 @@
 /// Takes a completion request in.
 pub(super) fn take(
     shared: &Arc<Shared>,
-    call: &Call,
+    call: &mut Call,
     body: Bytes,
 ) -> Result<(Job, Ticket), Problem> {
     let ask: Ask = serde_json::from_slice(&body)
         .map_err(|error| Problem::not_run(400, "bad_request", error.to_string()))?;
+    call.set_target(&ask.model);
     let catalogue = shared.context.view.catalogue();
     let target = catalogue
         .resolve(&call.institution, &ask.model)
@@ -83,7 +84,7 @@
             }),
         },
         body,
-        started: call.started,
+        started_at: call.started_at,
         deadline: call.deadline,
         pool: target.model.pool.clone(),
         kind: Kind::Chat,
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -2,7 +2,10 @@
 
 use std::{
     sync::Arc,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use tokio::{
@@ -65,6 +68,7 @@
     last: Option<Problem>,
     retries: u32,
     resumes: u32,
+    pace: Pace,
 }
 
 /// Answers the request; the ticket is held until then.
@@ -79,6 +83,7 @@
         last: None,
         retries: 0,
         resumes: 0,
+        pace: Pace::default(),
     };
     let outcome = match dispatch.attempts(&mut reply).await {
         Ok(End::Complete { status }) => {
@@ -162,6 +167,7 @@
         let opening = endpoint.open(&pick.server, pick.addr);
         let exchange = tokio::select! {
             () = reply.gone() => return End::Gone,
+            () = relay::sleep_until(self.job.deadline) => return End::Expired,
             opened = opening => match opened {
                 Ok(exchange) => exchange,
                 Err(error) => return End::NotSent(error.to_string()),
@@ -169,12 +175,12 @@
         };
         let left = self.job.deadline.remaining(Time::now());
         if left.is_zero() {
-            return End::NotSent("the deadline passed".to_owned());
+            return End::Expired;
         }
         let margin = Duration::min(ANSWER_MARGIN, left / 10);
         let timeout_ms = (left - margin).as_millis();
         self.job.request.timeout_ms = u64::try_from(timeout_ms).unwrap_or(u64::MAX);
-        let mut watcher = Watcher::new(&self.shared, &self.job, pick);
+        let mut watcher = Watcher::new(&self.shared, &self.job, &mut self.pace, pick);
         let (request, body) = (&self.job.request, &self.job.body);
         let deadline = self.job.deadline;
         relay::run(exchange, request, body, deadline, reply, &mut watcher).await
@@ -246,7 +252,7 @@
     }
 
     fn answered(&self, status: u16) {
-        let took = Time::now() - self.job.started;
+        let took = self.job.started_at.elapsed();
         self.log(
             "answered",
             &[("status", &status), ("took_ms", &took.as_millis())],
@@ -278,13 +284,19 @@
 struct Watcher<'a> {
     shared: &'a Shared,
     job: &'a Job,
+    pace: &'a mut Pace,
     pick: &'a Pick,
 }
 
 impl<'a> Watcher<'a> {
-    fn new(shared: &'a Shared, job: &'a Job, pick: &'a Pick) -> Self {
+    fn new(shared: &'a Shared, job: &'a Job, pace: &'a mut Pace, pick: &'a Pick) -> Self {
         shared.routes().begin(&pick.server);
-        Self { shared, job, pick }
+        Self {
+            shared,
+            job,
+            pace,
+            pick,
+        }
     }
 }
 
@@ -301,5 +313,21 @@
         routes.report(server, epoch, self.job.target(), load, Time::now());
     }
 
-    fn piece(&mut self) {}
+    fn piece(&mut self) {
+        let metrics = &self.shared.context.metrics;
+        let now = Instant::now();
+        match self.pace.last.replace(now) {
+            None => metrics.observe_first_piece(self.job.label(), now - self.job.started_at),
+            Some(last) if self.job.is_stream() => {
+                metrics.between_pieces.observe((now - last).as_secs_f64());
+            }
+            Some(_) => (),
+        }
+    }
+}
+
+/// When the last piece of the answer arrived, over all attempts.
+#[derive(Debug, Default)]
+struct Pace {
+    last: Option<Instant>,
 }
--- a/src/entry/job.rs
+++ b/src/entry/job.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use bytes::Bytes;
@@ -19,6 +22,10 @@
     shared::Shared, //
 };
 use crate::{
+    catalogue::{
+        Item,
+        Key, //
+    },
     decision, id,
     platform::list,
     rank,
@@ -29,12 +36,16 @@
     },
 };
 
+/// Age of the last news of the log from which on no decision is expected; reads of an idle log
+/// return within a few seconds.
+const LOG_DOWN: Duration = Duration::from_secs(10);
+
 /// A request that was taken in.
 #[derive(Debug)]
 pub(super) struct Job {
     pub(super) request: Request,
     pub(super) body: Bytes,
-    pub(super) started: Time,
+    pub(super) started_at: Instant,
     pub(super) deadline: Time,
     pub(super) pool: id::Pool,
     /// Adapter and start of the prompt, by which replicas are preferred.
@@ -74,6 +85,11 @@
         }
     }
 
+    /// Returns whether the caller asked for an event stream of a model.
+    pub(super) fn is_stream(&self) -> bool {
+        matches!(&self.request.work, Work::Chat(chat) if chat.stream)
+    }
+
     /// Returns the kind in metrics.
     pub(super) fn label(&self) -> &'static str {
         match &self.request.work {
@@ -143,9 +159,21 @@
 
     /// Returns whether a slot may yet be granted, so that waiting for one makes sense.
     pub(super) fn may_get_slot(&self, shared: &Shared) -> bool {
-        let Work::Chat(_) = self.request.work else {
+        let Work::Chat(chat) = &self.request.work else {
             return false;
         };
+        let view = &shared.context.view;
+        let key = Key::Model(chat.model.clone());
+        let catalogued = match view.catalogue().get(&key) {
+            Some(Item::Model(model)) => model.max_replicas > 0,
+            _ => false,
+        };
+        let news = view.news();
+        let log_is_up = news.is_some_and(|news| Time::now() - news < LOG_DOWN);
+        catalogued && log_is_up && self.has_agents(shared)
+    }
+
+    fn has_agents(&self, shared: &Shared) -> bool {
         let instances = shared.context.view.instances();
         instances.iter().any(|instance| {
             instance.role == list::Role::Agent
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -14,6 +14,8 @@
 mod body;
 mod chat;
 mod dispatch;
+mod guard;
+mod handler;
 mod job;
 mod reply;
 mod server;
@@ -23,19 +25,25 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::Arc, //
+    sync::Arc,
+    time::Duration, //
 };
 
 use tokio::{
-    net::TcpSocket,
+    net::{
+        TcpListener,
+        TcpSocket, //
+    },
     sync::{
         Semaphore,
         watch, //
     },
+    time,
 };
 
 use crate::{
     context::Context,
+    id,
     settings, //
 };
 use credential::Credentials;
@@ -44,12 +52,16 @@
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
 
+/// Period of forgetting servers and institutions that are gone.
+const FORGET_PERIOD: Duration = Duration::from_secs(60);
+
 /// The caller port of an entry and the requests in its hands.
 #[derive(Debug, Clone)]
 pub struct Entry {
     caller_addr: SocketAddr,
     connections: Arc<Semaphore>,
     closing: watch::Sender<bool>,
+    shared: Arc<Shared>,
 }
 
 impl Entry {
@@ -59,38 +71,26 @@
     ///
     /// `InvalidInput` if a token's digest is malformed, otherwise why the port can't be bound.
     pub fn start(context: Context, settings: &settings::Entry) -> io::Result<Self> {
-        let institutions = settings.institutions.iter();
-        let digests = institutions.flat_map(|(institution, digests)| {
-            let owner = move |digest: &String| (digest.clone(), institution.clone());
-            digests.iter().map(owner)
-        });
-        let digests: Vec<_> = digests.collect();
-        let pairs = digests
-            .iter()
-            .map(|(hex, owner)| (hex.as_str(), owner.clone()));
-        let credentials = Credentials::new(pairs).map_err(|index| {
-            let owner = &digests[index].1;
-            let message = format!("a token digest of institution {owner} is not 64 hex digits");
-            io::Error::new(io::ErrorKind::InvalidInput, message)
-        })?;
+        let credentials = credentials(settings)?;
         let runtime = context.runtime.clone();
         let _guard = runtime.enter();
-        let socket = match settings.caller_addr {
-            SocketAddr::V4(_) => TcpSocket::new_v4()?,
-            SocketAddr::V6(_) => TcpSocket::new_v6()?,
-        };
-        socket.set_reuseaddr(true)?;
-        socket.bind(settings.caller_addr)?;
-        let listener = socket.listen(BACKLOG)?;
+        let listener = listen(settings.caller_addr)?;
         let caller_addr = listener.local_addr()?;
         let connections = Arc::new(Semaphore::new(server::MAX_CONNECTIONS as usize));
         let (closing, closes) = watch::channel(false);
         let shared = Arc::new(Shared::new(context, credentials));
-        runtime.spawn(server::run(shared, listener, connections.clone(), closes));
+        runtime.spawn(forget(shared.clone(), closes.clone()));
+        runtime.spawn(server::run(
+            shared.clone(),
+            listener,
+            connections.clone(),
+            closes,
+        ));
         Ok(Self {
             caller_addr,
             connections,
             closing,
+            shared,
         })
     }
 
@@ -99,6 +99,11 @@
         self.caller_addr
     }
 
+    /// Notes that the agent of this epoch said that its server takes no new work.
+    pub fn note_leaving(&self, server: &id::Instance, epoch: u64) {
+        self.shared.routes().leaving(server, epoch);
+    }
+
     /// Refuses new connections and waits until no request is in flight.
     pub async fn drained(&self) {
         self.closing.send_replace(true);
@@ -106,3 +111,37 @@
         let _ = self.connections.acquire_many(server::MAX_CONNECTIONS).await;
     }
 }
+
+fn credentials(settings: &settings::Entry) -> io::Result<Credentials<id::Institution>> {
+    let mut digests = Vec::new();
+    for (institution, tokens) in &settings.institutions {
+        let owned = tokens.iter().map(|hex| (hex.as_str(), institution.clone()));
+        digests.extend(owned);
+    }
+    Credentials::new(digests.iter().cloned()).map_err(|index| {
+        let owner = &digests[index].1;
+        let message = format!("a token digest of institution {owner} is not 64 hex digits");
+        io::Error::new(io::ErrorKind::InvalidInput, message)
+    })
+}
+
+/// Binds the caller port. Must be called within a tokio runtime.
+fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match addr {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    socket.listen(BACKLOG)
+}
+
+/// Forgets what is no longer needed, until the entry closes.
+async fn forget(shared: Arc<Shared>, mut closes: watch::Receiver<bool>) {
+    loop {
+        tokio::select! {
+            () = time::sleep(FORGET_PERIOD) => shared.forget(),
+            _ = closes.wait_for(|closing| *closing) => return,
+        }
+    }
+}
--- a/src/entry/problem.rs
+++ b/src/entry/problem.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use hyper::{
     Response, StatusCode,
     header::{
@@ -112,8 +111,7 @@
 
     /// Returns the answer to the caller.
     pub(super) fn response(&self, request: &str) -> Response<Body> {
-        let bytes = Bytes::from(self.json(request).to_string());
-        let mut response = Response::new(Body::Whole(Some(bytes)));
+        let mut response = Response::new(Body::whole(self.json(request).to_string()));
         let status = StatusCode::from_u16(self.status);
         *response.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
         let headers = response.headers_mut();
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -6,6 +6,7 @@
 use tokio::time;
 
 use super::reply::{
+    EVENT_STREAM,
     Gone,
     Reply, //
 };
@@ -45,6 +46,8 @@
     Gone,
     /// Nothing was sent.
     NotSent(String),
+    /// The deadline passed before anything was sent.
+    Expired,
     /// The agent refused the request.
     Refused(Refusal),
     /// The agent can't complete the answer.
@@ -80,6 +83,7 @@
         deadline,
         reply,
         observer,
+        held: None,
     };
     let end = attempt.run(body).await;
     match end {
@@ -97,6 +101,9 @@
     deadline: Time,
     reply: &'a mut Reply,
     observer: &'a mut O,
+    /// Head of an answer that is no stream, kept until it has a body: until then a failure can
+    /// still be answered with a problem.
+    held: Option<Head>,
 }
 
 impl<O: Observer> Attempt<'_, O> {
@@ -111,8 +118,9 @@
             Some(_) => return Ok(End::Wrong("the answer has no head".to_owned())),
             None => return Ok(End::Lost("the agent sent no answer".to_owned())),
         };
-        self.begin(&head)?;
-        self.pass_on(head.status).await
+        let status = head.status;
+        self.begin(head)?;
+        self.pass_on(status).await
     }
 
     /// Sends the request; the inner error says why the agent takes no more of it.
@@ -152,7 +160,7 @@
         End::Refused(refusal)
     }
 
-    fn begin(&mut self, head: &Head) -> Result<(), End> {
+    fn begin(&mut self, head: Head) -> Result<(), End> {
         if head.request != self.request.id {
             return Err(End::Wrong("the answer is for another request".to_owned()));
         }
@@ -160,6 +168,18 @@
         if self.reply.has_begun() && head.status != 200 {
             return Err(End::Wrong(format!("resumed with status {}", head.status)));
         }
+        let is_stream = head.content_type.starts_with(EVENT_STREAM);
+        self.held = Some(head);
+        if is_stream {
+            self.send_head()?;
+        }
+        Ok(())
+    }
+
+    fn send_head(&mut self) -> Result<(), End> {
+        let Some(head) = self.held.take() else {
+            return Ok(());
+        };
         self.reply
             .begin(head.status, &head.content_type)
             .map_err(|Gone| End::Gone)
@@ -170,7 +190,10 @@
         loop {
             match self.next(limit).await {
                 Ok(Some(Frame::Piece(Piece(bytes)))) => self.piece(bytes).await?,
-                Ok(Some(Frame::End)) => return Ok(End::Complete { status }),
+                Ok(Some(Frame::End)) => {
+                    self.send_head()?;
+                    return Ok(End::Complete { status });
+                }
                 // The answer was complete; only the end of the exchange is missing.
                 Ok(_) | Err(End::Lost(_)) if self.reply.is_done() => {
                     return Ok(End::Complete { status });
@@ -185,6 +208,7 @@
     }
 
     async fn piece(&mut self, bytes: Bytes) -> Result<(), End> {
+        self.send_head()?;
         self.observer.piece();
         tokio::select! {
             biased;
--- a/src/entry/reply.rs
+++ b/src/entry/reply.rs
@@ -27,7 +27,7 @@
 const WAITING_PARTS: usize = 16;
 
 /// Content type of server-sent events.
-const EVENT_STREAM: &str = "text/event-stream";
+pub(super) const EVENT_STREAM: &str = "text/event-stream";
 
 /// The caller is gone.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -95,7 +95,7 @@
             return Ok(());
         };
         let (sender, receiver) = mpsc::channel(WAITING_PARTS);
-        let mut response = Response::new(Body::Stream(receiver));
+        let mut response = Response::new(Body::stream(receiver));
         *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
         let headers = response.headers_mut();
         if let Ok(value) = HeaderValue::from_str(content_type) {
--- a/src/entry/retry.rs
+++ b/src/entry/retry.rs
@@ -65,9 +65,12 @@
         End::Refused(refusal) if refusal.not_run && may_differ(refusal.reason) => Step::Next,
         End::Failed(failure) if !failure.started && !progress.begun => Step::Next,
         End::Failed(_) | End::Lost(_) => after_start(progress),
-        End::Refused(_) | End::Wrong(_) | End::Deadline | End::Complete { .. } | End::Gone => {
-            Step::Stop
-        }
+        End::Refused(_)
+        | End::Expired
+        | End::Wrong(_)
+        | End::Deadline
+        | End::Complete { .. }
+        | End::Gone => Step::Stop,
     }
 }
 
@@ -104,7 +107,7 @@
 /// Returns whether the request may have been run in an attempt that ended so.
 pub fn may_have_run(end: &End) -> bool {
     match end {
-        End::NotSent(_) => false,
+        End::NotSent(_) | End::Expired => false,
         End::Refused(refusal) => !refusal.not_run,
         End::Failed(failure) => failure.started,
         End::Lost(_) | End::Wrong(_) | End::Deadline | End::Complete { .. } | End::Gone => true,
@@ -116,6 +119,7 @@
     let problem = match end {
         End::Refused(refusal) => return Problem::refused(refusal),
         End::NotSent(detail) => Problem::not_run(503, "unreachable", detail),
+        End::Expired => Problem::not_run(504, "deadline", "the deadline passed"),
         End::Failed(failure) if !failure.started => {
             Problem::not_run(502, "agent_failed", &failure.detail)
         }
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -9,15 +9,15 @@
 };
 
 use super::{
+    handler::{
+        Call,
+        not_found, //
+    },
     header,
     job::Job,
     path,
     problem::Problem,
     retry::Kind,
-    server::{
-        Call,
-        not_found, //
-    },
     shared::{
         Shared,
         Ticket, //
@@ -32,12 +32,13 @@
 /// Takes a call of a plain service in.
 pub(super) fn take(
     shared: &Arc<Shared>,
-    call: &Call,
+    call: &mut Call,
     parts: &Parts,
     body: Bytes,
 ) -> Result<(Job, Ticket), Problem> {
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let (name, below) = path::split_service(path)?;
+    call.set_target(name);
     let catalogue = shared.context.view.catalogue();
     let (service, access) = catalogue
         .resolve_service(&call.institution, name)
@@ -66,7 +67,7 @@
             }),
         },
         body,
-        started: call.started,
+        started_at: call.started_at,
         deadline: call.deadline,
         pool: service.pool.clone(),
         kind: if once { Kind::Once } else { Kind::Repeatable },
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -23,7 +23,10 @@
     route, //
 };
 use crate::{
-    catalogue::Access,
+    catalogue::{
+        self,
+        Access, //
+    },
     context::Context,
     id,
     platform::list,
@@ -91,6 +94,22 @@
         Err(Problem::not_run(503, "stale", detail).retry_after(STALE_PAUSE))
     }
 
+    /// Forgets servers that are not listed and accounts whose access was withdrawn.
+    pub(super) fn forget(&self) {
+        let instances = self.context.view.instances();
+        self.routes()
+            .retain(|server| instances.iter().any(|known| known.name == *server));
+        drop(instances);
+        let catalogue = self.context.view.catalogue();
+        lock(&self.admission).retain(|(institution, target)| {
+            let key = catalogue::Key::Access {
+                institution: institution.clone(),
+                target: target.clone(),
+            };
+            catalogue.get(&key).is_some()
+        });
+    }
+
     fn live_entries(&self) -> usize {
         let instances = self.context.view.instances();
         let entries = instances.iter().filter(|instance| {
--- a/src/entry/sse.rs
+++ b/src/entry/sse.rs
@@ -8,6 +8,12 @@
 /// Data of the event that ends a complete stream.
 const DONE: &[u8] = b"data: [DONE]";
 
+/// Most bytes of the end of an event.
+const END_BYTES: usize = 3;
+
+/// Bytes of an event that is not complete, beyond which it is passed on in parts.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// Cuts a byte stream at the ends of events, so that a stream can be resumed after whole events.
 #[derive(Debug, Default)]
 pub struct Splitter {
@@ -40,12 +46,18 @@
     /// assert_eq!(splitter.events(), 2);
     /// ```
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
+        // An event that ended earlier would have been passed on.
+        let mut scanned = self.pending.len().saturating_sub(END_BYTES);
         self.pending.extend_from_slice(bytes);
         let mut whole = 0;
-        while let Some(length) = event_length(&self.pending[whole..]) {
-            self.done |= self.pending[whole..whole + length].starts_with(DONE);
+        while let Some(end) = event_end(&self.pending, scanned) {
+            self.done |= self.pending[whole..end].starts_with(DONE);
             self.events += 1;
-            whole += length;
+            whole = end;
+            scanned = end;
+        }
+        if self.pending.len() - whole > MAX_EVENT_BYTES {
+            whole = self.pending.len();
         }
         self.pending.split_to(whole).freeze()
     }
@@ -61,10 +73,10 @@
     }
 }
 
-/// Returns the length of the first event with the empty line that ends it.
-fn event_length(bytes: &[u8]) -> Option<usize> {
-    let newlines = bytes.iter().enumerate().filter(|(_, byte)| **byte == b'\n');
-    for (index, _) in newlines {
+/// Returns where the first empty line after `from` ends.
+fn event_end(bytes: &[u8], from: usize) -> Option<usize> {
+    let places = bytes.iter().enumerate().skip(from);
+    for (index, _) in places.filter(|(_, byte)| **byte == b'\n') {
         match bytes[index + 1..] {
             [b'\n', ..] => return Some(index + 2),
             [b'\r', b'\n', ..] => return Some(index + 3),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod entry;
 pub mod id;
 pub mod metrics;
+pub mod operator;
 pub mod peer;
 pub mod platform;
 pub mod rank;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,8 +1,11 @@
 //! Metrics of a daemon in OpenMetrics text.
 
-use std::sync::{
-    Mutex,
-    PoisonError, //
+use std::{
+    sync::{
+        Mutex,
+        PoisonError, //
+    },
+    time::Duration,
 };
 
 use prometheus_client::{
@@ -13,9 +16,13 @@
     metrics::{
         counter::Counter,
         family::Family,
-        gauge::Gauge, //
+        gauge::Gauge,
+        histogram::Histogram, //
+    },
+    registry::{
+        Registry,
+        Unit, //
     },
-    registry::Registry,
 };
 
 /// Labels of counted outcomes.
@@ -27,6 +34,21 @@
     pub outcome: String,
 }
 
+/// Label of what was asked for.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Kind {
+    /// What was asked for: `chat` or `call`.
+    pub kind: String,
+}
+
+/// Upper bounds of times to the first piece in seconds, with the required 0.42 s among them.
+const FIRST_PIECE_S: [f64; 14] = [
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.42, 1.0, 2.0, 5.0, 10.0, 20.0, 40.0, 100.0, 300.0,
+];
+
+/// Upper bounds of times between pieces in seconds, with the required 0.051 s among them.
+const BETWEEN_PIECES_S: [f64; 10] = [0.005, 0.01, 0.02, 0.035, 0.051, 0.1, 0.25, 1.0, 4.0, 10.0];
+
 /// Metrics of a daemon.
 #[derive(Debug)]
 pub struct Metrics {
@@ -35,6 +57,10 @@
     pub requests: Family<Outcome, Counter>,
     /// Requests in flight.
     pub in_flight: Gauge,
+    /// Seconds from a request to the first piece of its answer, by kind.
+    pub first_piece: Family<Kind, Histogram, fn() -> Histogram>,
+    /// Seconds between the pieces of an event stream.
+    pub between_pieces: Histogram,
 }
 
 impl Default for Metrics {
@@ -42,16 +68,36 @@
         let mut registry = Registry::with_prefix("chestnuthub");
         let requests = Family::default();
         let in_flight = Gauge::default();
+        let first_piece = Family::new_with_constructor(new_first_piece as fn() -> Histogram);
+        let between_pieces = Histogram::new(BETWEEN_PIECES_S);
         registry.register("requests", "Requests by kind and outcome", requests.clone());
         registry.register("in_flight", "Requests in flight", in_flight.clone());
+        registry.register_with_unit(
+            "first_piece",
+            "Time from a request to the first piece of its answer",
+            Unit::Seconds,
+            first_piece.clone(),
+        );
+        registry.register_with_unit(
+            "between_pieces",
+            "Time between the pieces of an event stream",
+            Unit::Seconds,
+            between_pieces.clone(),
+        );
         Self {
             registry: Mutex::new(registry),
             requests,
             in_flight,
+            first_piece,
+            between_pieces,
         }
     }
 }
 
+fn new_first_piece() -> Histogram {
+    Histogram::new(FIRST_PIECE_S)
+}
+
 impl Metrics {
     /// Lets a part of the daemon register metrics of its own.
     pub fn register<T>(&self, register: impl FnOnce(&mut Registry) -> T) -> T {
@@ -68,6 +114,13 @@
         self.requests.get_or_create(&labels).inc();
     }
 
+    /// Observes the time to the first piece of an answer.
+    pub fn observe_first_piece(&self, kind: &str, time: Duration) {
+        let kind = kind.to_owned();
+        let histogram = self.first_piece.get_or_create(&Kind { kind });
+        histogram.observe(time.as_secs_f64());
+    }
+
     /// Returns all metrics as OpenMetrics text.
     pub fn text(&self) -> String {
         let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
