--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -42,6 +42,7 @@
     gossip,
     id,
     metrics::Metrics,
+    operator,
     peer::{
         self,
         Endpoint,
@@ -148,6 +149,7 @@
     let (stop, stopping) = watch::channel(false);
     let context = context(settings, &runtime, stopping)?;
     let streams = follow_platform(&context)?;
+    operator::start(&context)?;
     let part = start(&context)?;
     if let Part::Agent(_) = part {
         write_snapshots(&context, &streams)?;
@@ -239,7 +241,7 @@
         streams.decisions,
         Box::new(move |notice| {
             if let Part::Entry(entry) = &listener {
-                entry.note_leaving(notice);
+                entry.note_leaving(&notice.server, notice.epoch);
             }
         }),
     ));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod id;
 pub mod jsonc;
 pub mod metrics;
+pub mod operator;
 pub mod peer;
 pub mod platform;
 pub mod rank;
