--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,7 +13,6 @@
 pub mod follow;
 pub mod gossip;
 pub mod id;
-pub mod jsonc;
 pub mod metrics;
 pub mod operator;
 pub mod peer;
@@ -25,3 +24,5 @@
 pub mod timer;
 pub mod view;
 pub mod wire;
+
+pub(crate) mod jsonc;
