--- a/src/operator/status.rs
+++ b/src/operator/status.rs
@@ -19,6 +19,7 @@
     failure_domain: String,
     ready: bool,
     stopping: bool,
+    #[serde(flatten)]
     applied: Applied,
     /// Offset of the release note in effect.
     release: u64,
