cli: read long streams page by page, keep the file reader private

Change: reads go on until a page brings nothing new, and a record is never applied out of order; jsonc is private to the crate; examples for the public functions of settings, drafts and publications.

--- a/src/catalogue/draft.rs
+++ b/src/catalogue/draft.rs
@@ -42,6 +42,22 @@
     /// # Errors
     ///
     /// All that is wrong with the note whatever the catalogue holds, with its places in `file`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::catalogue::{Catalogue, Draft};
+    ///
+    /// let text = r#"{
+    ///   // The adapter is no longer used.
+    ///   "withdrawn": [{ "adapter": "check-north" }]
+    /// }"#;
+    /// let draft = Draft::parse("note.jsonc", text).unwrap();
+    /// assert!(!draft.pinned);
+    /// let findings = Catalogue::default().check(&draft.note);
+    /// let expected = "note.jsonc:3:17: withdrawn[0]: adapter/check-north does not exist";
+    /// assert_eq!(draft.locate(&findings).to_string(), expected);
+    /// ```
     pub fn parse(file: &str, text: &str) -> Result<Self, Findings> {
         Self::decode(Document::new(file, text))
     }
--- a/src/catalogue/publication.rs
+++ b/src/catalogue/publication.rs
@@ -93,6 +93,25 @@
 
     /// Takes an event, `now` after the publication began, and returns what to do next. The first
     /// thing to do is to read the stream.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use chestnuthub::catalogue::{Action, Catalogue, End, Event, Note, Outcome, Publication};
+    ///
+    /// let (now, limit) = (Duration::ZERO, Duration::from_secs(16));
+    /// let mut publication = Publication::new(Note::new("me", 0), false, limit);
+    /// let catalogue = Catalogue::default();
+    /// let empty = Event::Read { catalogue: &catalogue, seen: None };
+    /// assert_eq!(publication.step(&empty, now), Action::Append);
+    /// assert_eq!(publication.step(&Event::Sent, now), Action::Read);
+    /// let outcome = Outcome::Accepted;
+    /// let seen = Event::Read { catalogue: &catalogue, seen: Some((1, &outcome)) };
+    /// let end = End::Accepted { offset: 1 };
+    /// assert_eq!(publication.step(&seen, now), Action::Finish(end));
+    /// ```
     pub fn step(&mut self, event: &Event<'_>, now: Duration) -> Action {
         match event {
             Event::Read { catalogue, seen } => match seen {
--- a/src/cli/decisions.rs
+++ b/src/cli/decisions.rs
@@ -79,13 +79,14 @@
             if page.first > next {
                 return Err(dropped(page.first));
             }
-            for record in &page.records {
+            let from = next;
+            for record in page.records.iter().filter(|record| record.offset >= from) {
                 next = record.offset + 1;
                 if let Ok(decision) = serde_json::from_str::<Record>(&record.body) {
                     table.apply(record.offset, &decision);
                 }
             }
-            if page.records.is_empty() || next >= page.next {
+            if next == from {
                 return Ok(Self::from_table(&table));
             }
         }
--- a/src/cli/stream.rs
+++ b/src/cli/stream.rs
@@ -86,20 +86,22 @@
                 .log
                 .read(STREAM, self.next, READ_LIMIT, wait)
                 .map_err(unreadable)?;
-            self.fold(&page)?;
-            if self.next >= page.next {
+            if !self.fold(&page)? {
                 return Ok(());
             }
             wait = Duration::ZERO;
         }
     }
 
-    fn fold(&mut self, page: &Page) -> Result<(), Error> {
+    /// Applies a page and returns whether it brought anything new.
+    fn fold(&mut self, page: &Page) -> Result<bool, Error> {
         if page.first > self.next {
             self.begin(page)?;
         }
-        for record in &page.records {
-            self.next = self.next.max(record.offset + 1);
+        let before = self.next;
+        let records = page.records.iter();
+        for record in records.filter(|record| record.offset >= before) {
+            self.next = record.offset + 1;
             // Daemons skip a record that is no release note, too.
             let Ok(note) = serde_json::from_str::<Note>(&record.body) else {
                 continue;
@@ -113,10 +115,7 @@
                 });
             }
         }
-        if page.records.is_empty() {
-            self.next = self.next.max(page.next);
-        }
-        Ok(())
+        Ok(self.next > before)
     }
 
     /// Begins at the oldest retained record after the log has dropped older ones. Without a
--- a/src/jsonc/document.rs
+++ b/src/jsonc/document.rs
@@ -39,14 +39,14 @@
 
 /// The text of a file.
 #[derive(Debug, Clone)]
-pub struct Document {
+pub(crate) struct Document {
     file: String,
     text: String,
 }
 
 impl Document {
     /// Takes a text that was read from elsewhere.
-    pub fn new(file: &str, text: &str) -> Self {
+    pub(crate) fn new(file: &str, text: &str) -> Self {
         Self {
             file: file.to_owned(),
             text: text.to_owned(),
@@ -58,7 +58,7 @@
     /// # Errors
     ///
     /// One finding that says why the file can't be read.
-    pub fn read(path: &Path) -> Result<Self, Findings> {
+    pub(crate) fn read(path: &Path) -> Result<Self, Findings> {
         let file = path.display().to_string();
         match fs::read_to_string(path) {
             Ok(text) => Ok(Self { file, text }),
@@ -77,7 +77,7 @@
     /// # Errors
     ///
     /// The syntax error, or all that does not fit the schema.
-    pub fn decode<T: DeserializeOwned>(&self, schema: &Kind) -> Result<T, Findings> {
+    pub(crate) fn decode<T: DeserializeOwned>(&self, schema: &Kind) -> Result<T, Findings> {
         let value = self.parse()?;
         let faults = walk::check(&value, schema);
         if !faults.is_empty() {
@@ -93,7 +93,7 @@
 
     /// Makes a finding about the field at a path such as `added[3].model.name`. If the path does
     /// not exist in the text, the place is that of its longest part that does.
-    pub fn finding(&self, path: &str, message: impl Into<String>) -> Finding {
+    pub(crate) fn finding(&self, path: &str, message: impl Into<String>) -> Finding {
         let range = self.parse().map_or(Range::new(0, 0), |value| {
             let mut place = &value;
             for step in steps(path) {
--- a/src/jsonc/mod.rs
+++ b/src/jsonc/mod.rs
@@ -3,15 +3,15 @@
 mod document;
 mod finding;
 mod schema;
-pub mod text;
+pub(crate) mod text;
 mod walk;
 
-pub use document::Document;
+pub(crate) use document::Document;
 pub use finding::{
     Finding,
     Findings, //
 };
-pub use schema::{
+pub(crate) use schema::{
     Field,
     Kind, //
 };
--- a/src/jsonc/schema.rs
+++ b/src/jsonc/schema.rs
@@ -2,7 +2,7 @@
 
 /// What a value must be.
 #[derive(Debug, Clone, Copy)]
-pub enum Kind {
+pub(crate) enum Kind {
     /// Text that passes a check; the check says what the text must be.
     Text(fn(&str) -> Result<(), String>),
     /// A whole number within bounds.
@@ -33,7 +33,7 @@
 
 /// A field of an object.
 #[derive(Debug, Clone, Copy)]
-pub struct Field {
+pub(crate) struct Field {
     pub(super) name: &'static str,
     pub(super) kind: Kind,
     pub(super) required: bool,
@@ -41,7 +41,7 @@
 
 impl Field {
     /// Makes a field that must be given.
-    pub const fn required(name: &'static str, kind: Kind) -> Self {
+    pub(crate) const fn required(name: &'static str, kind: Kind) -> Self {
         Self {
             name,
             kind,
@@ -50,7 +50,7 @@
     }
 
     /// Makes a field that may be left out.
-    pub const fn optional(name: &'static str, kind: Kind) -> Self {
+    pub(crate) const fn optional(name: &'static str, kind: Kind) -> Self {
         Self {
             name,
             kind,
--- a/src/jsonc/text.rs
+++ b/src/jsonc/text.rs
@@ -13,30 +13,18 @@
 const DIGEST_DIGITS: usize = 64;
 
 /// Accepts any text.
-///
-/// # Errors
-///
-/// None.
-pub fn any(_: &str) -> Result<(), String> {
+pub(crate) fn any(_: &str) -> Result<(), String> {
     Ok(())
 }
 
 /// Accepts text that is not empty.
-///
-/// # Errors
-///
-/// Says that the text must not be empty.
-pub fn filled(text: &str) -> Result<(), String> {
+pub(crate) fn filled(text: &str) -> Result<(), String> {
     require(!text.is_empty(), "must not be empty")
 }
 
 /// Accepts names: letters, digits, `-`, `.` and `_`, so that a name fits into a URL, a model's
 /// `name@version+adapter` and a file name.
-///
-/// # Errors
-///
-/// Says what a name must be.
-pub fn name(text: &str) -> Result<(), String> {
+pub(crate) fn name(text: &str) -> Result<(), String> {
     let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '.' | '_');
     let usable = !text.is_empty() && text.len() <= MAX_NAME_BYTES && text.chars().all(plain);
     require(
@@ -46,11 +34,7 @@
 }
 
 /// Accepts names of instances, which their certificates hold as DNS names.
-///
-/// # Errors
-///
-/// Says that the name must be usable as a DNS name.
-pub fn instance(text: &str) -> Result<(), String> {
+pub(crate) fn instance(text: &str) -> Result<(), String> {
     require(
         DnsName::try_from(text).is_ok(),
         "must be usable as a DNS name",
@@ -58,11 +42,7 @@
 }
 
 /// Accepts an IP address with a port.
-///
-/// # Errors
-///
-/// Says what an address must be.
-pub fn address(text: &str) -> Result<(), String> {
+pub(crate) fn address(text: &str) -> Result<(), String> {
     let port = text.parse::<SocketAddr>().map(|address| address.port());
     require(
         port.is_ok_and(|port| port > 0),
@@ -71,11 +51,7 @@
 }
 
 /// Accepts URLs of the scheme http.
-///
-/// # Errors
-///
-/// Says what a URL must be.
-pub fn url(text: &str) -> Result<(), String> {
+pub(crate) fn url(text: &str) -> Result<(), String> {
     let usable = text.parse::<Uri>().is_ok_and(|uri| {
         uri.scheme_str() == Some("http")
             && uri.host().is_some_and(|host| !host.is_empty())
@@ -85,11 +61,7 @@
 }
 
 /// Accepts SHA-256 digests in hex.
-///
-/// # Errors
-///
-/// Says what a digest must be.
-pub fn digest(text: &str) -> Result<(), String> {
+pub(crate) fn digest(text: &str) -> Result<(), String> {
     let usable = text.len() == DIGEST_DIGITS && text.chars().all(|c| c.is_ascii_hexdigit());
     require(
         usable,
@@ -98,20 +70,12 @@
 }
 
 /// Accepts UUIDs.
-///
-/// # Errors
-///
-/// Says that the text must be a UUID.
-pub fn uuid(text: &str) -> Result<(), String> {
+pub(crate) fn uuid(text: &str) -> Result<(), String> {
     require(Uuid::parse_str(text).is_ok(), "must be a UUID")
 }
 
 /// Accepts levels of the log.
-///
-/// # Errors
-///
-/// Lists the levels.
-pub fn log_level(text: &str) -> Result<(), String> {
+pub(crate) fn log_level(text: &str) -> Result<(), String> {
     require(
         matches!(text, "error" | "warn" | "info" | "debug"),
         "must be error, warn, info or debug",
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -139,6 +139,17 @@
     /// # Errors
     ///
     /// All that is wrong with the file, with its places.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::path::Path;
+    ///
+    /// use chestnuthub::settings::Settings;
+    ///
+    /// let settings = Settings::load(Path::new("examples/tengis/entry.jsonc")).unwrap();
+    /// assert_eq!(settings.failure_domain, "ub-east");
+    /// ```
     pub fn load(path: &Path) -> Result<Self, Findings> {
         Self::decode(&Document::read(path)?)
     }
@@ -148,6 +159,16 @@
     /// # Errors
     ///
     /// All that is wrong with the text, with its places in `file`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::settings::Settings;
+    ///
+    /// let findings = Settings::parse("entry.jsonc", "[]").unwrap_err();
+    /// let expected = "entry.jsonc:1:1: must be an object, not a list";
+    /// assert_eq!(findings.to_string(), expected);
+    /// ```
     pub fn parse(file: &str, text: &str) -> Result<Self, Findings> {
         Self::decode(&Document::new(file, text))
     }
@@ -157,6 +178,20 @@
     /// # Errors
     ///
     /// All files that can't be read or do not hold what they should.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::path::Path;
+    ///
+    /// use chestnuthub::settings::Settings;
+    ///
+    /// let path = Path::new("examples/tengis/entry.jsonc");
+    /// let settings = Settings::load(path).unwrap();
+    /// // The examples come without keys.
+    /// let findings = settings.check_files(path).unwrap_err();
+    /// assert_eq!(findings.iter().count(), 3);
+    /// ```
     pub fn check_files(&self, path: &Path) -> Result<(), Findings> {
         let document = Document::read(path)?;
         rules::outcome(rules::files(self, &document))
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -245,6 +245,27 @@
     assert_eq!(code(&output), 5);
 }
 
+/// Guards against a catalogue that is folded from the first page of a long stream only.
+#[test]
+fn publish_after_a_long_stream() {
+    let platform = Platform::start();
+    let mut second = note("south");
+    second["replaces"] = json!(1);
+    platform.with(|state| {
+        state.records = vec![note("north").to_string(); 1_200];
+        state.records.push(second.to_string());
+    });
+    let directory = directory("publish-long");
+    let output = publish(&platform, &directory, &note("east"), &["--wait", "120"]);
+    assert_eq!(
+        (code(&output), &document(&output)["offset"]),
+        (0, &json!(1_202))
+    );
+    let record = platform.with(|state| state.records[1_201].clone());
+    let record: Value = serde_json::from_str(&record).expect("JSON");
+    assert_eq!(record["replaces"], json!(1_201));
+}
+
 /// Guards against a diff that misses or invents changes.
 #[test]
 fn diff_shows_fields() {
--- a/tests/cli/platform.rs
+++ b/tests/cli/platform.rs
@@ -120,16 +120,16 @@
 }
 
 fn page(state: &State, request: &Request) -> Response {
-    let from: usize = request
-        .get_param("from")
-        .expect("from")
-        .parse()
-        .expect("a number");
+    let number = |name| -> usize {
+        let text = request.get_param(name).expect("a parameter");
+        text.parse().expect("a number")
+    };
     let first = state.dropped + 1;
     let records = state.records.iter().enumerate();
     let records: Vec<_> = records
         .map(|(index, body)| json!({ "offset": index + 1, "body": body }))
-        .skip(from.max(first) - 1)
+        .skip(number("from").max(first) - 1)
+        .take(number("limit"))
         .collect();
     let next = state.records.len() + 1;
     Response::json(&json!({ "first": first, "next": next, "records": records }))
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -13,8 +13,8 @@
         Item,
         Outcome, //
     },
-    jsonc::Findings,
     settings::{
+        Findings,
         Role,
         Settings, //
     },
