agent: test residency against a model of the engine under fault schedules

Cause: nothing showed that the ledger and the policy hold their bounds while answers are lost, unloads hang and the agent restarts. Change: tests/residency.rs drives the policy through 200 seeded schedules; the engine in the test accepts every order and judges memory, adapter space, double loads, loads without a slot, unloads in use and early releases. After the faults every retiring slot must be released and every model loaded.

--- /dev/null
+++ b/tests/residency.rs
@@ -0,0 +1,430 @@
+//! Seeded fault schedules over the residency policy. A model of the engine judges that memory is
+//! never exceeded and that nothing is loaded twice, without a slot, or unloaded while in use.
+
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+use chestnuthub::{
+    agent::{
+        event::{
+            Action,
+            Event,
+            Slot, //
+        },
+        ledger::{
+            Answer,
+            Ledger,
+            Order,
+            Subject, //
+        },
+        residency::Policy,
+        usage::Weights,
+    },
+    id,
+    platform::engine::{
+        Inventory,
+        Kind,
+        Resident,
+        State, //
+    },
+    timer::Time,
+};
+use fastrand::Rng;
+
+const CAPACITY_MB: u64 = 1_000;
+const ADAPTER_SPACE_MB: u64 = 100;
+const SIZES_MB: [u64; 6] = [300, 250, 400, 500, 200, 350];
+const STEP: Duration = Duration::from_millis(50);
+const CHAOS_STEPS: u32 = 1_600;
+const CALM_STEPS: u32 = 2_400;
+const SEEDS: u64 = 200;
+
+fn model(index: usize) -> id::Model {
+    format!("m{index}@1").as_str().into()
+}
+
+fn adapter(index: usize) -> id::Adapter {
+    format!("a{index}").as_str().into()
+}
+
+/// The engine: accepts every order, so only the agent's ledger keeps its memory in bounds.
+#[derive(Default)]
+struct Engine {
+    held: BTreeMap<Subject, (State, u64)>,
+    /// Orders that are being carried out, with the time at which they are.
+    running: Vec<(Time, Order)>,
+}
+
+impl Engine {
+    /// Refuses an order about an adapter whose base is not loaded, or that is still loading or
+    /// unloading, which an inventory does not show.
+    fn refuses(&self, order: &Order) -> bool {
+        let state = |subject: &Subject| self.held.get(subject).map(|(state, _)| *state);
+        let base = state(&Subject::model(&order.subject.model));
+        match order.kind {
+            Kind::Load | Kind::Unload => false,
+            Kind::LoadAdapter => base != Some(State::Loaded),
+            Kind::UnloadAdapter => state(&order.subject) != Some(State::Loaded),
+        }
+    }
+
+    fn begin(&mut self, order: &Order, done: Time) {
+        let subject = order.subject.clone();
+        let known = self.held.get(&subject);
+        match order.kind {
+            Kind::Load | Kind::LoadAdapter => {
+                assert!(known.is_none(), "{subject:?} is loaded twice");
+                self.held.insert(subject, (State::Loading, order.memory_mb));
+            }
+            Kind::Unload | Kind::UnloadAdapter => {
+                let (state, _) = known.expect("an unload of what is not held");
+                assert_eq!(*state, State::Loaded, "{subject:?} is unloaded too early");
+                self.held
+                    .insert(subject, (State::Unloading, order.memory_mb));
+            }
+        }
+        self.running.push((done, order.clone()));
+        self.judge();
+    }
+
+    fn advance(&mut self, now: Time) {
+        let (done, rest) = self.running.drain(..).partition(|(at, _)| *at <= now);
+        self.running = rest;
+        let mut done: Vec<(Time, Order)> = done;
+        done.sort_by_key(|(at, _)| *at);
+        for (_, order) in done {
+            match order.kind {
+                Kind::Load | Kind::LoadAdapter => {
+                    // Unloading the base has ended the loads of its adapters.
+                    if !self.held.contains_key(&order.subject) {
+                        continue;
+                    }
+                    self.held
+                        .insert(order.subject, (State::Loaded, order.memory_mb));
+                }
+                Kind::Unload => self.held.retain(|s, _| s.model != order.subject.model),
+                Kind::UnloadAdapter => drop(self.held.remove(&order.subject)),
+            }
+        }
+    }
+
+    fn judge(&self) {
+        let sum = |adapters: bool| -> u64 {
+            let held = self.held.iter();
+            held.filter(|(s, _)| s.adapter.is_some() == adapters)
+                .map(|(_, (_, memory))| memory)
+                .sum()
+        };
+        let (models, adapters) = (sum(false), sum(true));
+        assert!(
+            models + adapters <= CAPACITY_MB,
+            "memory is exceeded: {:?}",
+            self.held
+        );
+        assert!(adapters <= ADAPTER_SPACE_MB, "adapter space is exceeded");
+    }
+
+    fn inventory(&self) -> Inventory {
+        let models = self.held.iter().filter(|(s, _)| s.adapter.is_none());
+        let adapters = |model: &id::Model| {
+            let held = self.held.iter().filter(|(s, _)| s.model == *model);
+            held.filter_map(|(s, (_, memory))| Some((s.adapter.clone()?, *memory)))
+                .collect()
+        };
+        Inventory {
+            fence: 0,
+            memory_mb: CAPACITY_MB,
+            models: models
+                .map(|(subject, (state, memory_mb))| Resident {
+                    model: subject.model.clone(),
+                    state: *state,
+                    memory_mb: *memory_mb,
+                    adapters: adapters(&subject.model),
+                })
+                .collect(),
+        }
+    }
+}
+
+struct World {
+    rng: Rng,
+    now: Time,
+    faults: bool,
+    engine: Engine,
+    policy: Policy,
+    /// Slots by model: offset of the grant and whether it is retiring.
+    slots: BTreeMap<usize, (u64, bool)>,
+    offset: u64,
+    waiting: BTreeMap<usize, u32>,
+    users: Vec<(Time, usize, Option<Subject>)>,
+    answers: Vec<(Time, Order, Answer)>,
+    inventory: Option<(Time, u64, Option<Inventory>)>,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let mut world = Self {
+            rng: Rng::with_seed(seed),
+            now: Time::from_millis(1_000),
+            faults: true,
+            engine: Engine::default(),
+            policy: Policy::new(Ledger::new(CAPACITY_MB, ADAPTER_SPACE_MB)),
+            slots: (0..SIZES_MB.len())
+                .map(|i| (i, (i as u64 + 1, false)))
+                .collect(),
+            offset: 100,
+            waiting: BTreeMap::new(),
+            users: Vec::new(),
+            answers: Vec::new(),
+            inventory: None,
+        };
+        world.restart();
+        world
+    }
+
+    /// Starts a new agent process: it remembers nothing, and answers to the old one are lost.
+    fn restart(&mut self) {
+        self.policy = Policy::new(Ledger::new(CAPACITY_MB, ADAPTER_SPACE_MB));
+        self.answers.clear();
+        self.users.clear();
+        self.waiting.clear();
+        self.inventory = None;
+        self.step(Event::Authority(true));
+        self.publish();
+    }
+
+    fn publish(&mut self) {
+        let slots = self.slots.iter();
+        let slots = slots.map(|(index, (grant, retiring))| Slot {
+            model: model(*index),
+            grant: *grant,
+            retiring: *retiring,
+            size: Some((SIZES_MB[*index], 1_000)),
+        });
+        let slots = slots.collect();
+        self.step(Event::Slots(slots));
+    }
+
+    fn step(&mut self, event: Event) {
+        for action in self.policy.step(event, self.now) {
+            match action {
+                Action::Order(order, _) => self.order(order),
+                Action::Released(released, grant) => self.release(&released, grant),
+            }
+        }
+    }
+
+    fn after(&mut self, least_ms: u64, most_ms: u64) -> Time {
+        self.now + Duration::from_millis(self.rng.u64(least_ms..most_ms))
+    }
+
+    fn order(&mut self, order: Order) {
+        let subject = &order.subject;
+        let in_use = |(_, index, adapter): &(Time, usize, Option<Subject>)| match subject.adapter {
+            Some(_) => adapter.as_ref() == Some(subject),
+            None => model(*index) == subject.model,
+        };
+        match order.kind {
+            Kind::Load => {
+                let mut slots = self.slots.iter();
+                let granted =
+                    slots.any(|(i, (_, retiring))| model(*i) == subject.model && !retiring);
+                assert!(granted, "{subject:?} is loaded without a slot");
+            }
+            Kind::Unload | Kind::UnloadAdapter => {
+                assert!(
+                    !self.users.iter().any(in_use),
+                    "{subject:?} is unloaded in use"
+                );
+            }
+            Kind::LoadAdapter => (),
+        }
+        let done = self.after(20, 2_000);
+        if self.engine.refuses(&order) {
+            return self.answers.push((done, order, Answer::Rejected));
+        }
+        let fault = if self.faults { self.rng.u32(0..10) } else { 9 };
+        let (effect, at, answer) = match fault {
+            // The order never reaches the engine, and the agent can't know.
+            0 => (None, self.after(50, 3_000), Answer::Lost),
+            // The engine refuses the order.
+            1 => (None, self.after(10, 500), Answer::Rejected),
+            // The answer is lost, before or after the order took effect.
+            2 => (Some(done), self.after(20, 4_000), Answer::Lost),
+            // The engine hangs, long beyond the agent's patience.
+            3 => (
+                Some(self.after(15_000, 30_000)),
+                self.after(2_000, 5_000),
+                Answer::Lost,
+            ),
+            _ => (Some(done), done, Answer::Done),
+        };
+        if let Some(effect) = effect {
+            self.engine.begin(&order, effect);
+        }
+        self.answers.push((at, order, answer));
+    }
+
+    fn release(&mut self, released: &id::Model, grant: u64) {
+        let held = self.engine.held.contains_key(&Subject::model(released));
+        assert!(!held, "{released} is released while the engine holds it");
+        self.slots
+            .retain(|index, (offset, _)| model(*index) != *released || *offset != grant);
+    }
+
+    fn advance(&mut self) {
+        self.now = self.now + STEP;
+        self.engine.advance(self.now);
+        self.deliver_answers();
+        self.take_inventory();
+        self.run_requests();
+        self.step(Event::Tick);
+        self.publish();
+    }
+
+    fn deliver_answers(&mut self) {
+        let now = self.now;
+        let (due, rest) = self.answers.drain(..).partition(|(at, ..)| *at <= now);
+        self.answers = rest;
+        let due: Vec<(Time, Order, Answer)> = due;
+        for (_, order, answer) in due {
+            self.step(Event::Answered(order, answer));
+        }
+    }
+
+    /// Asks for an inventory, takes it at a later time and delivers it later still.
+    fn take_inventory(&mut self) {
+        match self.inventory.take() {
+            None => {
+                let at = self.after(0, 1_000);
+                self.inventory = Some((at, self.policy.ledger().mark(), None));
+            }
+            Some((at, mark, None)) if at <= self.now => {
+                let at = self.after(0, 1_000);
+                self.inventory = Some((at, mark, Some(self.engine.inventory())));
+            }
+            Some((at, mark, Some(taken))) if at <= self.now => {
+                self.step(Event::Inventory(mark, taken));
+            }
+            waiting => self.inventory = waiting,
+        }
+    }
+
+    fn arrive(&mut self, index: usize) {
+        if self
+            .slots
+            .get(&index)
+            .is_some_and(|(_, retiring)| !retiring)
+        {
+            *self.waiting.entry(index).or_default() += 1;
+            self.step(Event::Arrived(model(index), Weights::default()));
+        }
+    }
+
+    /// Begins what can begin, as the dispatcher does, and ends what has run.
+    fn run_requests(&mut self) {
+        let now = self.now;
+        let (ended, rest) = self.users.drain(..).partition(|(at, ..)| *at <= now);
+        self.users = rest;
+        let ended: Vec<(Time, usize, Option<Subject>)> = ended;
+        for (_, index, adapter) in ended {
+            if let Some(subject) = adapter {
+                self.step(Event::AdapterLeft(subject));
+            }
+            self.step(Event::Ended(model(index)));
+        }
+        for index in 0..SIZES_MB.len() {
+            let granted = self
+                .slots
+                .get(&index)
+                .is_some_and(|(_, retiring)| !retiring);
+            while self.waiting.get(&index).is_some_and(|n| *n > 0) {
+                if !granted || self.faults && self.rng.u32(0..200) == 0 {
+                    self.step(Event::Left(model(index)));
+                } else if self.policy.is_loaded(&model(index)) {
+                    self.begin(index);
+                } else {
+                    break;
+                }
+                *self.waiting.entry(index).or_default() -= 1;
+            }
+        }
+    }
+
+    fn begin(&mut self, index: usize) {
+        let needs = self.rng.bool().then(|| self.rng.usize(0..5));
+        let subject = needs.map(|a| Subject::adapter(&model(index), &adapter(a)));
+        let at = self.after(50, 3_000);
+        self.step(Event::Began(model(index)));
+        if let Some(subject) = subject.clone() {
+            self.step(Event::AdapterNeeded(subject, 40));
+        }
+        self.users.push((at, index, subject));
+    }
+
+    fn chaos(&mut self) {
+        for _ in 0..CHAOS_STEPS {
+            self.advance();
+            let index = self.rng.usize(0..SIZES_MB.len());
+            match self.rng.u32(0..400) {
+                0..60 => self.arrive(index),
+                60..63 => self.restart(),
+                63..70 => {
+                    if let Some((_, retiring)) = self.slots.get_mut(&index) {
+                        *retiring = true;
+                        self.publish();
+                    }
+                }
+                70..90 => {
+                    self.offset += 1;
+                    let offset = self.offset;
+                    self.slots.entry(index).or_insert((offset, false));
+                    self.publish();
+                }
+                _ => (),
+            }
+        }
+    }
+
+    /// Without faults every retiring slot is released and every model gets loaded on request.
+    fn calm(&mut self) {
+        self.faults = false;
+        for _ in 0..CALM_STEPS {
+            self.advance();
+        }
+        let retiring = self
+            .slots
+            .values()
+            .filter(|(_, retiring)| *retiring)
+            .count();
+        assert_eq!(retiring, 0, "a retiring slot is never released");
+        for index in self.slots.keys().copied().collect::<Vec<_>>() {
+            self.arrive(index);
+            let mut steps = 0;
+            while self.waiting.get(&index).is_some_and(|n| *n > 0) {
+                assert!(steps < CALM_STEPS, "{} is never loaded", model(index));
+                self.advance();
+                steps += 1;
+            }
+        }
+    }
+}
+
+/// Guards against overcommitted memory, double loads and loads without a slot while answers are
+/// lost, unloads hang, the agent restarts in the middle of loads and slots come and go.
+#[test]
+fn engine_stays_within_memory_and_slots() {
+    for seed in 0..SEEDS {
+        let mut world = World::new(seed);
+        let outcome = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
+            world.chaos();
+            world.calm();
+        }));
+        if let Err(cause) = outcome {
+            eprintln!("seed {seed}");
+            std::panic::resume_unwind(cause);
+        }
+    }
+}
