entry: test the caller and operator ports against fake agents

Cause: Only four tests covered the caller port. A server's leaving mark was taken back by a report under way, a lost request left the replica counted as resident, and an agent that had not read a grant yet made the entry refuse a model that was just released.

Change: Add tests of streams, failures, service calls, limits and the operator port with fake agents on peer endpoints, and property tests of everything callers write. Keep the leaving mark until the next epoch, forget reports of a server at which a request was lost, and ask agents that are behind again while a slot may be granted.

--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -49,6 +49,9 @@
 /// Longest wait for a slot; coordinators decide within a few of their ticks.
 const SLOT_WAIT: Duration = Duration::from_secs(10);
 
+/// Pause before servers are asked again whose agents have not read the grant yet.
+const BEHIND_PAUSE: Duration = Duration::from_millis(250);
+
 /// Time after which to come back when no server takes the request.
 const UNAVAILABLE_PAUSE: Duration = Duration::from_secs(5);
 
@@ -65,6 +68,9 @@
     tried: Vec<id::Instance>,
     /// An attempt may have run the request, so that "not run" can't be said any more.
     may_have_run: bool,
+    /// Every attempt so far met an agent that has not read what the entry has.
+    behind: bool,
+    wait_end: Time,
     last: Option<Problem>,
     retries: u32,
     resumes: u32,
@@ -74,12 +80,15 @@
 /// Answers the request; the ticket is held until then.
 pub(super) async fn run(shared: Arc<Shared>, mut job: Job, mut reply: Reply, ticket: Ticket) {
     job.request.timeout_ms = 0;
+    let wait_end = Time::min(job.deadline, Time::now() + SLOT_WAIT);
     let mut dispatch = Dispatch {
         changes: shared.context.view.changes(),
         shared,
         job,
         tried: Vec::new(),
         may_have_run: false,
+        behind: true,
+        wait_end,
         last: None,
         retries: 0,
         resumes: 0,
@@ -125,24 +134,30 @@
     /// Picks the next server, waiting for a slot if there is none yet; nothing if the caller is
     /// gone.
     async fn pick(&mut self, reply: &mut Reply) -> Result<Option<Pick>, Problem> {
-        let wait_end = Time::min(self.job.deadline, Time::now() + SLOT_WAIT);
         loop {
             self.changes.borrow_and_update();
             let nothing = match self.job.pick(&self.shared, &self.tried) {
                 Ok(pick) => return Ok(Some(pick)),
                 Err(nothing) => nothing,
             };
-            let waits = self.tried.is_empty()
+            let waits = self.behind
                 && nothing == Nothing::Unavailable
+                && Time::now() < self.wait_end
                 && self.job.may_get_slot(&self.shared);
-            if !waits || Time::now() >= wait_end {
+            if !waits {
                 return Err(self.no_server(nothing));
             }
+            let pause = if self.tried.is_empty() {
+                self.wait_end
+            } else {
+                Time::min(self.wait_end, Time::now() + BEHIND_PAUSE)
+            };
             tokio::select! {
                 () = reply.gone() => return Ok(None),
-                _ = self.changes.changed() => (),
-                () = relay::sleep_until(wait_end) => (),
+                _ = self.changes.changed(), if self.tried.is_empty() => (),
+                () = relay::sleep_until(pause) => (),
             }
+            self.tried.clear();
         }
     }
 
@@ -189,9 +204,11 @@
     /// Notes what the end of an attempt says about the server.
     fn note(&mut self, pick: &Pick, end: &End) {
         self.may_have_run |= retry::may_have_run(end);
+        self.behind &= retry::is_behind(end);
         let mut routes = self.shared.routes();
         match end {
             End::NotSent(_) => routes.unreachable(&pick.server, pick.epoch, Time::now()),
+            End::Lost(_) => routes.lost(&pick.server, pick.epoch),
             End::Refused(refusal) if refusal.reason == Reason::Leaving => {
                 routes.leaving(&pick.server, pick.epoch);
             }
--- a/src/entry/retry.rs
+++ b/src/entry/retry.rs
@@ -114,6 +114,17 @@
     }
 }
 
+/// Returns whether the agent refused because it has not read what the entry has read.
+pub fn is_behind(end: &End) -> bool {
+    match end {
+        End::Refused(refusal) => {
+            let reasons = [Reason::NoSlot, Reason::NoEpoch, Reason::Unknown];
+            refusal.not_run && reasons.contains(&refusal.reason)
+        }
+        _ => false,
+    }
+}
+
 /// Returns the problem that an attempt's end amounts to.
 pub fn problem(end: &End, kind: Kind) -> Problem {
     let problem = match end {
--- a/src/entry/route.rs
+++ b/src/entry/route.rs
@@ -235,7 +235,8 @@
         now: Time,
     ) {
         let known = self.of_epoch(server, epoch);
-        known.leaving = load.leaving;
+        // Never taken back by a report that was under way when the server began to leave.
+        known.leaving |= load.leaving;
         known.unreachable_until = None;
         known.reports.insert(target.to_owned(), (now, load));
     }
@@ -250,6 +251,11 @@
         self.of_epoch(server, epoch).unreachable_until = Some(now + UNREACHABLE);
     }
 
+    /// Notes that a request was lost at a server, so that what it has loaded is not known any more.
+    pub fn lost(&mut self, server: &id::Instance, epoch: u64) {
+        self.of_epoch(server, epoch).reports.clear();
+    }
+
     /// Forgets servers that are not in the instance list and have nothing in flight.
     pub fn retain(&mut self, listed: impl Fn(&id::Instance) -> bool) {
         self.servers
--- a/tests/caller_port.rs
+++ b/tests/caller_port.rs
@@ -1,22 +1,46 @@
 //! The caller port of an entry, with fake agents that the tests play.
 
+#[cfg(test)]
+#[path = "caller_port/caller.rs"]
+mod caller;
+#[cfg(test)]
+#[path = "caller_port/failure.rs"]
+mod failure;
+#[cfg(test)]
+#[path = "caller_port/fixture.rs"]
+mod fixture;
 #[cfg(test)]
 #[path = "caller_port/harness.rs"]
 mod harness;
+#[cfg(test)]
+#[path = "caller_port/limit.rs"]
+mod limit;
+#[cfg(test)]
+#[path = "caller_port/operator.rs"]
+mod operator;
+#[cfg(test)]
+#[path = "caller_port/parse.rs"]
+mod parse;
+#[cfg(test)]
+#[path = "caller_port/service.rs"]
+mod service;
 
-use chestnuthub::wire::Work;
+use chestnuthub::{
+    timer::Time,
+    wire::Work, //
+};
 use harness::{
+    EVENTS,
     OTHER_TOKEN,
     System,
     TOKEN,
+    grant,
     post_chat,
     send_end,
     send_head,
     send_piece, //
 };
 
-const EVENTS: &str = "text/event-stream";
-
 /// Guards against buffering: each event must reach the caller before the next one is produced.
 #[tokio::test]
 async fn a_stream_reaches_the_caller_piece_by_piece() {
@@ -35,35 +59,23 @@
     assert_eq!(caller.chunks().await.unwrap(), "data: [DONE]\n\n");
 }
 
-/// Guards against changing a call of a service on its way.
+/// Guards against passing on half an event, after which a stream could not be resumed.
 #[tokio::test]
-async fn a_service_call_is_passed_on() {
+async fn events_split_over_frames_are_passed_on_whole() {
     let mut system = System::start(1);
-    let head = format!(
-        "PUT /services/shopdesk/parts/7?x=1 HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TOKEN}\r\n\
-         Content-Type: text/plain\r\n"
-    );
-    let mut caller = system.call(&head, "teeth=12").await;
-    let (mut exchange, request, body) = system.request(0).await;
-    assert_eq!(body, b"teeth=12");
-    let Work::Call(call) = &request.work else {
-        panic!("not a call: {request:?}");
-    };
-    assert_eq!(
-        (call.method.as_str(), call.path.as_str()),
-        ("PUT", "/parts/7?x=1")
-    );
-    assert_eq!(call.content_type.as_deref(), Some("text/plain"));
-    assert_eq!(call.key, None);
-    send_head(&mut exchange, &request, "text/plain").await;
-    send_piece(&mut exchange, "ok").await;
+    let mut caller = system.chat(true).await;
+    let (mut exchange, request, _) = system.request(0).await;
+    send_head(&mut exchange, &request, EVENTS).await;
+    for part in ["data: a", "b\n", "\nda", "ta: c\n\ndata: [DONE]\n\n"] {
+        send_piece(&mut exchange, part).await;
+    }
     send_end(&mut exchange).await;
-    assert_eq!(caller.head().await.status, 200);
-    assert_eq!(caller.chunks().await.as_deref(), Some("ok"));
+    caller.head().await;
+    assert_eq!(caller.chunk().await.as_deref(), Some("data: ab\n\n"));
+    let rest = caller.chunks().await;
+    assert_eq!(rest.as_deref(), Some("data: c\n\ndata: [DONE]\n\n"));
 }
 
-const BODY: &str = r#"{"model":"gear-check","messages":[]}"#;
-
 /// Guards against requests without a valid credential.
 #[tokio::test]
 async fn a_missing_or_wrong_token_is_refused() {
@@ -77,6 +89,8 @@
     }
 }
 
+const BODY: &str = r#"{"model":"gear-check","messages":[]}"#;
+
 /// Guards against telling one institution what another one may call.
 #[tokio::test]
 async fn the_model_of_another_institution_does_not_exist() {
@@ -89,3 +103,122 @@
     assert_eq!(answer.status, 404);
     assert_eq!(others["detail"], missing["detail"]);
 }
+
+/// Guards against listing models of other institutions.
+#[tokio::test]
+async fn the_list_holds_the_models_of_the_institution() {
+    let system = System::start(0);
+    let head = format!("GET /v1/models HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TOKEN}\r\n");
+    let mut caller = system.call(&head, "").await;
+    let (answer, list) = caller.json().await;
+    assert_eq!(answer.status, 200);
+    assert_eq!(list["data"].as_array().unwrap().len(), 1);
+    assert_eq!(list["data"][0]["id"], "gear-check@1");
+}
+
+/// Guards against two callers that choose the same id: a cancellation at the engine goes by it.
+#[tokio::test]
+async fn equal_request_ids_of_callers_stay_apart() {
+    let mut system = System::start(1);
+    let head = format!("{}X-Request-Id: same\r\n", post_chat(TOKEN));
+    let mut first = system.call(&head, BODY).await;
+    let (mut one, request, _) = system.request(0).await;
+    let _second = system.call(&head, BODY).await;
+    let (_two, other, _) = system.request(0).await;
+    assert!(request.id.as_str().starts_with("same~"));
+    assert!(other.id.as_str().starts_with("same~"));
+    assert_ne!(request.id, other.id);
+    send_head(&mut one, &request, "application/json").await;
+    send_end(&mut one).await;
+    assert_eq!(first.head().await.headers["x-request-id"], "same");
+}
+
+/// Guards against refusing a model that was just released, before its first slot is granted.
+#[tokio::test]
+async fn a_request_waits_for_the_first_slot() {
+    let mut system = System::start_without_slots(1);
+    system.context.view.note_news(Time::now());
+    let mut caller = system.chat(false).await;
+    // The request is taken in before the slot exists.
+    while system.context.metrics.in_flight.get() == 0 {
+        tokio::task::yield_now().await;
+    }
+    grant(&system.context.view, "gearmind-1");
+    let (mut exchange, request, _) = system.request(0).await;
+    send_head(&mut exchange, &request, "application/json").await;
+    send_piece(&mut exchange, "{}").await;
+    send_end(&mut exchange).await;
+    assert_eq!(caller.head().await.status, 200);
+    assert_eq!(caller.chunks().await.as_deref(), Some("{}"));
+}
+
+/// Guards against holding a request for a slot that can't be granted while the log is down.
+#[tokio::test]
+async fn without_the_log_a_request_does_not_wait_for_a_slot() {
+    let system = System::start_without_slots(1);
+    let (answer, problem) = system.chat(false).await.problem().await;
+    assert_eq!(answer.status, 503);
+    assert_eq!(problem["not_run"], true);
+    assert!(answer.headers.contains_key("retry-after"));
+}
+
+/// Guards against cutting requests at a graceful stop, and against taking new ones.
+#[tokio::test]
+async fn a_stop_finishes_requests_in_flight() {
+    let mut system = System::start(1);
+    let mut caller = system.chat(true).await;
+    let (mut exchange, request, _) = system.request(0).await;
+    send_head(&mut exchange, &request, EVENTS).await;
+    send_piece(&mut exchange, "data: 1\n\n").await;
+    caller.head().await;
+    caller.chunk().await;
+    let entry = system.entry.clone();
+    let draining = tokio::spawn(async move { entry.drained().await });
+    while tokio::net::TcpStream::connect(system.entry.caller_addr())
+        .await
+        .is_ok()
+    {
+        tokio::task::yield_now().await;
+    }
+    assert!(!draining.is_finished());
+    send_piece(&mut exchange, "data: [DONE]\n\n").await;
+    send_end(&mut exchange).await;
+    assert_eq!(caller.chunks().await.as_deref(), Some("data: [DONE]\n\n"));
+    draining.await.unwrap();
+}
+
+/// Guards against work for a caller that is gone.
+#[tokio::test]
+async fn the_exchange_is_cancelled_when_the_caller_is_gone() {
+    let mut system = System::start(1);
+    for begun in [false, true] {
+        let caller = system.chat(true).await;
+        let (mut exchange, request, _) = system.request(0).await;
+        if begun {
+            send_head(&mut exchange, &request, EVENTS).await;
+            send_piece(&mut exchange, "data: 1\n\n").await;
+        }
+        drop(caller);
+        exchange.cancelled().await;
+    }
+}
+
+/// Guards against losing limits or the body on the way to the agent.
+#[tokio::test]
+async fn the_request_carries_what_the_caller_asked_for() {
+    let mut system = System::start(1);
+    let _caller = system.chat(true).await;
+    let (_exchange, request, body) = system.request(0).await;
+    let Work::Chat(chat) = request.work else {
+        panic!("not a chat");
+    };
+    assert_eq!(chat.model.as_str(), "gear-check@1");
+    assert_eq!(
+        (chat.adapter, chat.stream, chat.resume_from),
+        (None, true, 0)
+    );
+    assert_eq!(request.institution.as_str(), "cascade");
+    assert_eq!((request.priority, request.max_queue), (1, 10));
+    assert!(request.timeout_ms > 0 && request.timeout_ms < 30_000);
+    assert!(body.starts_with(br#"{"model":"gear-check""#));
+}
--- /dev/null
+++ b/tests/caller_port/failure.rs
@@ -0,0 +1,212 @@
+//! Agents that die, refuse, stay silent or answer for another request.
+
+use chestnuthub::{
+    timer::Time,
+    wire::{
+        Frame,
+        Load,
+        Reason,
+        Refusal,
+        Work, //
+    },
+};
+
+use super::harness::{
+    EVENTS,
+    System,
+    refuse,
+    send_end,
+    send_head,
+    send_piece, //
+};
+
+/// Guards against handing one caller the answer of another.
+#[tokio::test]
+async fn a_crossed_answer_is_an_explicit_failure() {
+    let mut system = System::start(1);
+    let mut first = system.chat(false).await;
+    let (mut one, request, _) = system.request(0).await;
+    let _second = system.chat(false).await;
+    let (_two, other, _) = system.request(0).await;
+    assert_ne!(request.id, other.id);
+    send_head(&mut one, &other, "application/json").await;
+    send_piece(&mut one, "the answer of another").await;
+    let (answer, problem) = first.problem().await;
+    assert_eq!(answer.status, 502);
+    assert_eq!(problem["not_run"], false);
+}
+
+/// Guards against a broken stream that looks complete.
+#[tokio::test]
+async fn a_stream_that_breaks_ends_with_an_error_event() {
+    let mut system = System::start(1);
+    let mut caller = system.chat(true).await;
+    let (mut exchange, request, _) = system.request(0).await;
+    send_head(&mut exchange, &request, EVENTS).await;
+    send_piece(&mut exchange, "data: 1\n\ndata: half of").await;
+    caller.head().await;
+    assert_eq!(caller.chunk().await.as_deref(), Some("data: 1\n\n"));
+    system.endpoints[0].close();
+    let rest = caller.chunks().await.unwrap();
+    assert!(rest.starts_with("event: error\ndata: {"), "{rest}");
+    assert!(rest.contains(r#""not_run":false"#), "{rest}");
+    assert!(!rest.contains("[DONE]") && !rest.contains("half"), "{rest}");
+}
+
+/// Guards against losing or repeating events when a stream moves to another server.
+#[tokio::test]
+async fn a_stream_that_breaks_is_resumed_on_another_server() {
+    let mut system = System::start(2);
+    let mut caller = system.chat(true).await;
+    let (mut exchange, request, first_body) = system.request(0).await;
+    send_head(&mut exchange, &request, EVENTS).await;
+    for event in ["data: 1\n\n", "data: 2\n\n", "data: ha"] {
+        send_piece(&mut exchange, event).await;
+    }
+    caller.head().await;
+    caller.chunk().await;
+    caller.chunk().await;
+    system.endpoints[0].close();
+    let (mut exchange, request, body) = system.request(1).await;
+    let Work::Chat(chat) = &request.work else {
+        panic!("not a chat");
+    };
+    assert_eq!(chat.resume_from, 2);
+    assert_eq!(body, first_body);
+    send_head(&mut exchange, &request, EVENTS).await;
+    send_piece(&mut exchange, "data: 3\n\ndata: [DONE]\n\n").await;
+    send_end(&mut exchange).await;
+    let rest = caller.chunks().await;
+    assert_eq!(rest.as_deref(), Some("data: 3\n\ndata: [DONE]\n\n"));
+}
+
+/// Guards against an answer other than an event stream that is cut but looks complete.
+#[tokio::test]
+async fn a_body_that_breaks_is_cut_off() {
+    let mut system = System::start(2);
+    let mut caller = system.chat(false).await;
+    let (mut exchange, request, _) = system.request(0).await;
+    send_head(&mut exchange, &request, "application/json").await;
+    send_piece(&mut exchange, "{").await;
+    assert_eq!(caller.head().await.status, 200);
+    assert_eq!(caller.chunk().await.as_deref(), Some("{"));
+    drop(exchange);
+    assert_eq!(caller.chunks().await, None);
+}
+
+/// Guards against giving up although another slot may take the request.
+#[tokio::test]
+async fn a_refused_request_goes_to_the_next_slot() {
+    let mut system = System::start(2);
+    let mut caller = system.chat(false).await;
+    let (exchange, _, _) = system.request(0).await;
+    refuse(exchange, Reason::Busy, true).await;
+    let (mut exchange, request, _) = system.request(1).await;
+    send_head(&mut exchange, &request, "application/json").await;
+    send_piece(&mut exchange, "{}").await;
+    send_end(&mut exchange).await;
+    assert_eq!(caller.head().await.status, 200);
+    assert_eq!(caller.chunks().await.as_deref(), Some("{}"));
+}
+
+/// Guards against a refusal without a time to come back, and against an endless search.
+#[tokio::test]
+async fn a_request_that_all_slots_refuse_is_refused() {
+    let mut system = System::start(2);
+    let mut caller = system.chat(false).await;
+    for agent in 0..2 {
+        let (exchange, _, _) = system.request(agent).await;
+        refuse(exchange, Reason::Busy, true).await;
+    }
+    let (answer, problem) = caller.problem().await;
+    assert_eq!(answer.status, 503);
+    assert_eq!(problem["type"], "urn:chestnuthub:problem:busy");
+    assert_eq!(problem["not_run"], true);
+    let seconds: u64 = answer.headers["retry-after"].parse().unwrap();
+    assert!((7..=11).contains(&seconds), "{seconds}");
+}
+
+/// Guards against "not run" when an earlier attempt may have run the request.
+#[tokio::test]
+async fn not_run_holds_for_every_attempt() {
+    let mut system = System::start(2);
+    let mut caller = system.chat(false).await;
+    let (exchange, _, _) = system.request(0).await;
+    drop(exchange);
+    let (exchange, _, _) = system.request(1).await;
+    refuse(exchange, Reason::Busy, true).await;
+    let (answer, problem) = caller.problem().await;
+    assert_eq!(answer.status, 503);
+    assert_eq!(problem["not_run"], false);
+}
+
+/// Guards against new work for a server that is leaving.
+#[tokio::test]
+async fn a_leaving_server_gets_no_further_request() {
+    let mut system = System::start(2);
+    for round in 0..3 {
+        let mut caller = system.chat(false).await;
+        if round == 0 {
+            let (exchange, _, _) = system.request(0).await;
+            refuse(exchange, Reason::Leaving, true).await;
+        }
+        // Without a resident replica the first slot would be chosen if it were usable.
+        let (exchange, _, _) = system.request(1).await;
+        refuse(exchange, Reason::Busy, true).await;
+        assert_eq!(caller.problem().await.0.status, 503);
+    }
+    assert!(system.agents[0].try_recv().is_err());
+}
+
+/// Guards against refusing a model that was just released because an agent is a little behind.
+#[tokio::test]
+async fn an_agent_that_is_behind_is_asked_again() {
+    let mut system = System::start(1);
+    system.context.view.note_news(Time::now());
+    let mut caller = system.chat(false).await;
+    let (exchange, _, _) = system.request(0).await;
+    refuse(exchange, Reason::NoSlot, true).await;
+    let (mut exchange, request, _) = system.request(0).await;
+    send_head(&mut exchange, &request, "application/json").await;
+    send_end(&mut exchange).await;
+    assert_eq!(caller.head().await.status, 200);
+}
+
+/// Guards against a refusal that is lost because the agent stopped reading a large body.
+#[tokio::test]
+async fn a_refusal_before_the_end_of_the_body_is_heard() {
+    let mut system = System::start(1);
+    let text = "x".repeat(4 << 20);
+    let body = format!(r#"{{"model":"gear-check","messages":[{{"content":"{text}"}}]}}"#);
+    let head = super::post_chat(super::TOKEN);
+    let mut caller = system.call(&head, &body).await;
+    let mut exchange = system.agents[0].recv().await.unwrap();
+    let Some(Frame::Open(_)) = exchange.next().await.unwrap() else {
+        panic!("the exchange does not begin with a request");
+    };
+    let refusal = Refusal {
+        reason: Reason::QueueFull,
+        not_run: true,
+        retry_after_ms: 1_000,
+        load: Load::default(),
+    };
+    exchange.send(&Frame::Refused(refusal)).await.unwrap();
+    exchange.finish();
+    drop(exchange);
+    let (answer, problem) = caller.problem().await;
+    assert_eq!(answer.status, 429);
+    assert_eq!(problem["not_run"], true);
+}
+
+/// Guards against waiting for a server that can't be connected to.
+#[tokio::test]
+async fn an_unreachable_server_is_passed_over() {
+    let mut system = System::start(2);
+    system.endpoints[0].close();
+    system.agents.remove(0).close();
+    let mut caller = system.chat(false).await;
+    let (mut exchange, request, _) = system.request(0).await;
+    send_head(&mut exchange, &request, "application/json").await;
+    send_end(&mut exchange).await;
+    assert_eq!(caller.head().await.status, 200);
+}
--- a/tests/caller_port/harness.rs
+++ b/tests/caller_port/harness.rs
@@ -1,84 +1,44 @@
-//! An entry on loopback, fake agents that the test plays, and a caller of raw HTTP.
+//! An entry on loopback and fake agents that the test plays.
 
 use std::{
-    collections::BTreeMap,
     fs,
-    net::SocketAddr,
-    path::{
-        Path,
-        PathBuf, //
-    },
-    sync::Arc,
+    path::PathBuf, //
 };
 
 use chestnuthub::{
-    catalogue::{
-        Access,
-        Call,
-        Institution,
-        Item,
-        Model,
-        Note,
-        Service, //
-    },
     context::Context,
-    decision::{
-        Body,
-        Record, //
-    },
     entry::Entry,
-    metrics::Metrics,
     peer::{
         Endpoint,
-        Exchange,
-        Identity, //
-    },
-    platform::{
-        list::{
-            Instance,
-            Role,
-            State, //
-        },
-        log::Log,
-    },
-    settings::{
-        self,
-        Platform,
-        Settings,
-        Tls, //
+        Exchange, //
     },
-    view::View,
+    settings,
     wire::{
         Frame,
         Head,
         Load,
         Piece,
+        Reason,
+        Refusal,
         Request, //
     },
 };
-use rcgen::{
-    BasicConstraints,
-    CertificateParams,
-    CertifiedIssuer,
-    IsCa,
-    KeyPair, //
+use tokio::sync::{
+    mpsc,
+    watch, //
 };
-use sha2::{
-    Digest,
-    Sha256, //
+use uuid::Uuid;
+
+use super::fixture::{
+    bind,
+    context,
+    fill,
+    write_keys, //
 };
-use tokio::{
-    io::{
-        AsyncReadExt,
-        AsyncWriteExt, //
-    },
-    net::TcpStream,
-    sync::{
-        mpsc,
-        watch, //
-    },
+pub(crate) use super::{
+    caller::Caller,
+    fixture::grant, //
 };
-use uuid::Uuid;
 
 /// Token of the institution `cascade`.
 pub(crate) const TOKEN: &str = "token-of-cascade";
@@ -86,9 +46,18 @@
 /// Token of the institution `tengis`.
 pub(crate) const OTHER_TOKEN: &str = "token-of-tengis";
 
+/// Token of an operator.
+pub(crate) const OPERATOR_TOKEN: &str = "token-of-an-operator";
+
+/// Content type of server-sent events.
+pub(crate) const EVENTS: &str = "text/event-stream";
+
 /// An entry and the fake agents that it knows.
 pub(crate) struct System {
     pub(crate) entry: Entry,
+    pub(crate) context: Context,
+    pub(crate) stop: watch::Sender<bool>,
+    pub(crate) endpoints: Vec<Endpoint>,
     pub(crate) agents: Vec<mpsc::UnboundedReceiver<Exchange>>,
 }
 
@@ -96,13 +65,23 @@
     /// Starts an entry with `agents` fake agents, each with a slot for `gear-check@1` and a
     /// server of `shopdesk`.
     pub(crate) fn start(agents: usize) -> Self {
+        let system = Self::start_without_slots(agents);
+        for index in 1..=agents {
+            grant(&system.context.view, &format!("gearmind-{index}"));
+        }
+        system
+    }
+
+    /// Starts an entry with `agents` fake agents that have no slots.
+    pub(crate) fn start_without_slots(agents: usize) -> Self {
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(Uuid::new_v4().to_string());
         fs::create_dir_all(&folder).unwrap();
         let names: Vec<String> = (1..=agents)
             .map(|index| format!("gearmind-{index}"))
             .collect();
         write_keys(&folder, names.iter().map(String::as_str).chain(["entry-1"]));
-        let context = context(&folder);
+        let (stop, stopping) = watch::channel(false);
+        let context = context(&folder, stopping);
         let mut endpoints = Vec::new();
         let mut receivers = Vec::new();
         for name in &names {
@@ -123,6 +102,9 @@
         fs::remove_dir_all(&folder).unwrap();
         Self {
             entry,
+            context,
+            stop,
+            endpoints,
             agents: receivers,
         }
     }
@@ -143,6 +125,18 @@
         }
     }
 
+    /// Waits for the next request at any fake agent.
+    pub(crate) async fn any_request(&mut self) -> (usize, Exchange) {
+        loop {
+            for (index, agent) in self.agents.iter_mut().enumerate() {
+                if let Ok(exchange) = agent.try_recv() {
+                    return (index, exchange);
+                }
+            }
+            tokio::task::yield_now().await;
+        }
+    }
+
     /// Sends a request and returns the caller that waits for its answer.
     pub(crate) async fn call(&self, head: &str, body: &str) -> Caller {
         let mut caller = self.connect().await;
@@ -159,10 +153,7 @@
     }
 
     pub(crate) async fn connect(&self) -> Caller {
-        Caller {
-            stream: TcpStream::connect(self.entry.caller_addr()).await.unwrap(),
-            received: Vec::new(),
-        }
+        Caller::connect(self.entry.caller_addr()).await
     }
 }
 
@@ -171,6 +162,18 @@
     format!("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {token}\r\n")
 }
 
+/// Refuses a request.
+pub(crate) async fn refuse(mut exchange: Exchange, reason: Reason, not_run: bool) {
+    let refusal = Refusal {
+        reason,
+        not_run,
+        retry_after_ms: 7_000,
+        load: Load::default(),
+    };
+    exchange.send(&Frame::Refused(refusal)).await.unwrap();
+    exchange.finish();
+}
+
 /// Sends the head of an answer to `request`.
 pub(crate) async fn send_head(exchange: &mut Exchange, request: &Request, content_type: &str) {
     let head = Head {
@@ -197,104 +200,6 @@
     exchange.finish();
 }
 
-/// Head of an answer as a caller sees it.
-#[derive(Debug)]
-pub(crate) struct Answer {
-    pub(crate) status: u16,
-    pub(crate) headers: BTreeMap<String, String>,
-}
-
-/// A caller that reads answers byte by byte, so that a test sees when each piece arrives.
-pub(crate) struct Caller {
-    pub(crate) stream: TcpStream,
-    received: Vec<u8>,
-}
-
-impl Caller {
-    pub(crate) async fn send(&mut self, head: &str, body: &str) {
-        let text = format!("{head}Content-Length: {}\r\n\r\n{body}", body.len());
-        self.stream.write_all(text.as_bytes()).await.unwrap();
-    }
-
-    pub(crate) async fn head(&mut self) -> Answer {
-        let text = self.until("\r\n\r\n").await.unwrap();
-        let mut lines = text.split("\r\n");
-        let status = lines.next().unwrap().split(' ').nth(1).unwrap();
-        let headers = lines.filter_map(|line| line.split_once(": "));
-        Answer {
-            status: status.parse().unwrap(),
-            headers: headers
-                .map(|(name, value)| (name.to_lowercase(), value.to_owned()))
-                .collect(),
-        }
-    }
-
-    /// Returns the next chunk, empty at the end of the body, nothing if the body was cut off.
-    pub(crate) async fn chunk(&mut self) -> Option<String> {
-        let size = self.until("\r\n").await?;
-        let size = usize::from_str_radix(&size, 16).unwrap();
-        let chunk = self.take(size + 2).await?;
-        Some(chunk.strip_suffix("\r\n").unwrap().to_owned())
-    }
-
-    /// Returns all chunks up to the end of the body, nothing if the body was cut off.
-    pub(crate) async fn chunks(&mut self) -> Option<String> {
-        let mut text = String::new();
-        loop {
-            match self.chunk().await? {
-                chunk if chunk.is_empty() => return Some(text),
-                chunk => text.push_str(&chunk),
-            }
-        }
-    }
-
-    /// Reads an answer with problem data.
-    pub(crate) async fn problem(&mut self) -> (Answer, serde_json::Value) {
-        let answer = self.head().await;
-        assert_eq!(answer.headers["content-type"], "application/problem+json");
-        let size = answer.headers["content-length"].parse().unwrap();
-        let body = self.take(size).await.unwrap();
-        (answer, serde_json::from_str(&body).unwrap())
-    }
-
-    async fn until(&mut self, end: &str) -> Option<String> {
-        loop {
-            let found = self
-                .received
-                .windows(end.len())
-                .position(|window| window == end.as_bytes());
-            if let Some(index) = found {
-                let text = self.take(index + end.len()).await?;
-                return Some(text[..index].to_owned());
-            }
-            if !self.fill().await {
-                return None;
-            }
-        }
-    }
-
-    async fn take(&mut self, size: usize) -> Option<String> {
-        while self.received.len() < size {
-            if !self.fill().await {
-                return None;
-            }
-        }
-        let taken = self.received.drain(..size).collect();
-        Some(String::from_utf8(taken).unwrap())
-    }
-
-    async fn fill(&mut self) -> bool {
-        let mut buffer = [0; 4_096];
-        match self.stream.read(&mut buffer).await {
-            Ok(0) | Err(_) => false,
-            Ok(size) => {
-                self.received.extend_from_slice(&buffer[..size]);
-                true
-            }
-        }
-    }
-}
-
 async fn accept(endpoint: Endpoint, exchanges: mpsc::UnboundedSender<Exchange>) {
     while let Some(incoming) = endpoint.accept().await {
         let Ok(connection) = incoming.await else {
@@ -310,168 +215,3 @@
         });
     }
 }
-
-fn write_keys<'a>(folder: &Path, names: impl Iterator<Item = &'a str>) {
-    let mut params = CertificateParams::default();
-    params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
-    let authority = CertifiedIssuer::self_signed(params, KeyPair::generate().unwrap()).unwrap();
-    fs::write(folder.join("authority.pem"), authority.pem()).unwrap();
-    for name in names {
-        let key = KeyPair::generate().unwrap();
-        let params = CertificateParams::new([name.to_owned()]).unwrap();
-        let certificate = params.signed_by(&key, &authority).unwrap();
-        fs::write(folder.join(format!("{name}.pem")), certificate.pem()).unwrap();
-        fs::write(folder.join(format!("{name}.key")), key.serialize_pem()).unwrap();
-    }
-}
-
-fn tls(folder: &Path, name: &str) -> Tls {
-    Tls {
-        authority: folder.join("authority.pem"),
-        certificate: folder.join(format!("{name}.pem")),
-        key: folder.join(format!("{name}.key")),
-    }
-}
-
-fn bind(folder: &Path, name: &str) -> Endpoint {
-    let identity = Identity::load(&tls(folder, name)).unwrap();
-    Endpoint::bind(loopback(), &identity).unwrap()
-}
-
-fn loopback() -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 0))
-}
-
-fn digest(token: &str) -> String {
-    let digest = Sha256::digest(token.as_bytes());
-    digest.iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
-fn context(folder: &Path) -> Context {
-    let institutions = [("cascade", TOKEN), ("tengis", OTHER_TOKEN)];
-    let role = settings::Entry {
-        caller_addr: loopback(),
-        institutions: institutions
-            .iter()
-            .map(|(name, token)| ((*name).into(), vec![digest(token)]))
-            .collect(),
-    };
-    let settings = Settings {
-        instance: "entry-1".into(),
-        region: "puget".to_owned(),
-        failure_domain: "puget-a".to_owned(),
-        peer_addr: loopback(),
-        operator_addr: loopback(),
-        platform: Platform {
-            log: "http://127.0.0.1:9".to_owned(),
-            log_retention_h: 24,
-            list: "http://127.0.0.1:9".to_owned(),
-            store: "http://127.0.0.1:9".to_owned(),
-        },
-        tls: tls(folder, "entry-1"),
-        operators: BTreeMap::new(),
-        log_level: "info".to_owned(),
-        role: settings::Role::Entry(role),
-    };
-    Context {
-        log: Log::new(&settings.platform.log),
-        settings: Arc::new(settings),
-        view: Arc::new(View::default()),
-        endpoint: bind(folder, "entry-1"),
-        runtime: tokio::runtime::Handle::current(),
-        metrics: Arc::new(Metrics::default()),
-        stopping: watch::channel(false).1,
-    }
-}
-
-fn fill(view: &View, names: &[String], addrs: Vec<SocketAddr>) {
-    let mut note = Note::new("operator", 0);
-    note.added = vec![
-        Item::Institution(institution("cascade")),
-        Item::Institution(institution("tengis")),
-        Item::Model(model("gear-check")),
-        Item::Model(model("laptop-check")),
-        Item::Service(Service {
-            name: "shopdesk".into(),
-            pool: "gearmind".into(),
-            non_idempotent: vec![Call {
-                method: "POST".to_owned(),
-                path: "/orders".to_owned(),
-            }],
-            stale_limit_s: None,
-        }),
-        Item::Access(access("cascade", "gear-check")),
-        Item::Access(access("cascade", "shopdesk")),
-        Item::Access(access("tengis", "laptop-check")),
-    ];
-    view.update_catalogue(|catalogue| catalogue.apply(1, &note));
-    let instances = names.iter().zip(&addrs).map(|(name, addr)| Instance {
-        name: name.as_str().into(),
-        role: Role::Agent,
-        addr: *addr,
-        operator_addr: loopback(),
-        pool: "gearmind".into(),
-        region: "puget".to_owned(),
-        failure_domain: "puget-a".to_owned(),
-        state: State::Live,
-    });
-    view.set_instances(instances.collect());
-    for name in names {
-        grant(view, name);
-    }
-}
-
-/// Registers a server and grants it a slot for `gear-check@1`.
-pub(crate) fn grant(view: &View, server: &str) {
-    let model = "gear-check@1".into();
-    view.update_table(|table| {
-        let register = Record::new(Body::Register {
-            server: server.into(),
-            incarnation: Uuid::new_v4(),
-            memory_mb: 80_000,
-            pool: "gearmind".into(),
-            region: "puget".to_owned(),
-            failure_domain: "puget-a".to_owned(),
-        });
-        table.apply(table.applied() + 1, &register);
-        let grant = Record::new(Body::Grant {
-            replaces: table.head(&model),
-            model,
-            server: server.into(),
-            limit: 10,
-        });
-        table.apply(table.applied() + 1, &grant);
-    });
-}
-
-fn institution(name: &str) -> Institution {
-    Institution {
-        name: name.into(),
-        cold_start_weight: 1.0,
-        idle_hour_weight: 1.0,
-    }
-}
-
-fn model(name: &str) -> Model {
-    Model {
-        name: name.to_owned(),
-        version: 1,
-        pool: "gearmind".into(),
-        memory_mb: 1_000,
-        checkpoint_mb: 1_000,
-        max_replicas: 2,
-        home_slots: 2,
-        stale_limit_s: None,
-    }
-}
-
-fn access(institution: &str, target: &str) -> Access {
-    Access {
-        institution: institution.into(),
-        target: target.to_owned(),
-        max_in_flight: 10,
-        max_queue: 10,
-        requests_per_s: 100.0,
-        priority: 1,
-    }
-}
--- /dev/null
+++ b/tests/caller_port/limit.rs
@@ -0,0 +1,121 @@
+//! Limits on what a caller may send.
+
+use std::time::Duration;
+
+use tokio::{
+    io::AsyncWriteExt,
+    time::Instant, //
+};
+
+use super::harness::{
+    System,
+    TOKEN,
+    post_chat, //
+};
+
+/// Guards against heads that fill the memory.
+#[tokio::test]
+async fn an_oversized_head_is_refused() {
+    let system = System::start(0);
+    let head = format!("{}X-Filler: {}\r\n", post_chat(TOKEN), "x".repeat(16 << 10));
+    let mut caller = system.call(&head, "{}").await;
+    assert_eq!(caller.head().await.status, 431);
+}
+
+/// Guards against a head limit below what the page promises.
+#[tokio::test]
+async fn a_large_head_within_the_limit_is_served() {
+    let system = System::start(0);
+    let head = format!("{}X-Filler: {}\r\n", post_chat(TOKEN), "x".repeat(15 << 10));
+    let (answer, _) = system.call(&head, "{}").await.problem().await;
+    assert_eq!(answer.status, 400);
+}
+
+/// Guards against bodies that fill the memory, with and without an announced length.
+#[tokio::test]
+async fn an_oversized_body_is_refused() {
+    let system = System::start(0);
+    let body = "x".repeat((8 << 20) + 1);
+    let mut caller = system.call(&post_chat(TOKEN), &body).await;
+    let (answer, problem) = caller.problem().await;
+    assert_eq!(answer.status, 413);
+    assert_eq!(problem["not_run"], true);
+    let mut caller = system.connect().await;
+    let chunked = format!("{}Transfer-Encoding: chunked\r\n\r\n", post_chat(TOKEN));
+    caller
+        .write(&format!("{chunked}{:x}\r\n{body}", body.len()))
+        .await;
+    let (answer, _) = caller.problem().await;
+    assert_eq!(answer.status, 413);
+}
+
+/// Guards against callers that hold connections by sending a head slowly. The clock is virtual.
+#[tokio::test(start_paused = true)]
+async fn a_slow_head_ends_the_connection() {
+    let system = System::start(0);
+    let started = Instant::now();
+    let mut caller = system.connect().await;
+    caller
+        .stream
+        .write_all(b"GET /v1/models HTTP/1.1\r\nHos")
+        .await
+        .unwrap();
+    assert!(caller.is_closed().await);
+    assert_eq!(started.elapsed().as_secs(), 10);
+}
+
+/// Guards against connections that stay open unused, and against closing them too early. The
+/// clock is virtual.
+#[tokio::test(start_paused = true)]
+async fn an_idle_connection_is_closed_after_a_minute() {
+    let system = System::start(0);
+    let mut caller = system.connect().await;
+    let head = format!("GET /v1/models HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TOKEN}\r\n");
+    caller.send(&head, "").await;
+    assert_eq!(caller.json().await.0.status, 200);
+    tokio::time::sleep(Duration::from_secs(50)).await;
+    caller.send(&head, "").await;
+    assert_eq!(caller.json().await.0.status, 200);
+    let started = Instant::now();
+    assert!(caller.is_closed().await);
+    assert_eq!(started.elapsed().as_secs(), 60);
+}
+
+/// Guards against one burst at one entry that takes more than the entry's share at once.
+#[tokio::test]
+async fn a_request_beyond_the_bound_in_flight_is_refused_at_once() {
+    let mut system = System::start(1);
+    let mut held = Vec::new();
+    for _ in 0..10 {
+        let caller = system.chat(true).await;
+        held.push((caller, system.request(0).await));
+    }
+    let (answer, problem) = system.chat(true).await.problem().await;
+    assert_eq!(answer.status, 429);
+    assert_eq!(problem["not_run"], true);
+    assert!(answer.headers.contains_key("retry-after"));
+}
+
+/// Guards against a deadline that is ignored or taken for another.
+#[tokio::test]
+async fn a_malformed_deadline_is_refused() {
+    let system = System::start(0);
+    for value in ["0", "-1", "soon", "1.5", "99999999999999999999"] {
+        let head = format!("{}Request-Timeout-Ms: {value}\r\n", post_chat(TOKEN));
+        let (answer, _) = system.call(&head, "{}").await.problem().await;
+        assert_eq!(answer.status, 400, "{value}");
+    }
+}
+
+/// Guards against a request without an answer when an agent stays silent.
+#[tokio::test]
+async fn a_request_is_answered_by_its_deadline() {
+    let mut system = System::start(1);
+    let head = format!("{}Request-Timeout-Ms: 200\r\n", post_chat(TOKEN));
+    let body = r#"{"model":"gear-check","messages":[]}"#;
+    let mut caller = system.call(&head, body).await;
+    let _silent = system.request(0).await;
+    let (answer, problem) = caller.problem().await;
+    assert_eq!(answer.status, 504);
+    assert_eq!(problem["not_run"], false);
+}
--- /dev/null
+++ b/tests/caller_port/operator.rs
@@ -0,0 +1,88 @@
+//! The operator port.
+
+use chestnuthub::operator;
+
+use super::harness::{
+    Caller,
+    OPERATOR_TOKEN,
+    System,
+    TOKEN, //
+};
+
+async fn get(system: &System, path: &str, token: Option<&str>) -> (u16, String) {
+    let addr = operator::start(&system.context).unwrap();
+    let mut caller = Caller::connect(addr).await;
+    let token = token.map(|token| format!("Authorization: Bearer {token}\r\n"));
+    let token = token.unwrap_or_default();
+    caller
+        .send(&format!("GET {path} HTTP/1.1\r\nHost: x\r\n{token}"), "")
+        .await;
+    let (answer, body) = caller.whole().await;
+    (answer.status, body)
+}
+
+/// Guards against a balancer that sends callers to an entry that knows no model yet.
+#[tokio::test]
+async fn an_instance_is_ready_once_it_has_catalogue_and_list() {
+    let system = System::start(1);
+    assert_eq!(get(&system, "/healthz", None).await.0, 200);
+    assert_eq!(get(&system, "/readyz", None).await.0, 200);
+    system.context.view.set_instances(Vec::new());
+    assert_eq!(get(&system, "/readyz", None).await.0, 503);
+}
+
+/// Guards against a balancer that goes on sending callers to an instance that stops.
+#[tokio::test]
+async fn an_instance_that_stops_is_not_ready() {
+    let system = System::start(1);
+    system.stop.send_replace(true);
+    assert_eq!(get(&system, "/readyz", None).await.0, 503);
+    assert_eq!(get(&system, "/healthz", None).await.0, 200);
+}
+
+/// Guards against status or metrics without an operator's credential.
+#[tokio::test]
+async fn status_and_metrics_need_an_operator() {
+    let system = System::start(1);
+    for path in ["/status", "/metrics"] {
+        for token in [None, Some(TOKEN)] {
+            assert_eq!(get(&system, path, token).await.0, 401, "{path}");
+        }
+        assert_eq!(
+            get(&system, path, Some(OPERATOR_TOKEN)).await.0,
+            200,
+            "{path}"
+        );
+    }
+}
+
+/// Guards against a status that does not say which record decided a slot.
+#[tokio::test]
+async fn the_status_names_the_records_that_decided() {
+    let system = System::start(2);
+    let (_, body) = get(&system, "/status", Some(OPERATOR_TOKEN)).await;
+    let status: serde_json::Value = serde_json::from_str(&body).unwrap();
+    assert_eq!(status["instance"], "entry-1");
+    assert_eq!(status["role"], "entry");
+    assert_eq!(status["applied"]["decisions"], 4);
+    assert_eq!(status["applied"]["releases"], 1);
+    assert_eq!(status["models"][0]["model"], "gear-check@1");
+    assert_eq!(status["models"][0]["slots"][1]["server"], "gearmind-2");
+    assert_eq!(status["models"][0]["slots"][1]["grant"], 4);
+    assert_eq!(status["servers"][0]["epoch"], 1);
+}
+
+/// Guards against metrics that a scraper can't read.
+#[tokio::test]
+async fn metrics_are_open_metrics_text() {
+    let system = System::start(1);
+    system
+        .call("GET / HTTP/1.1\r\nHost: x\r\n", "")
+        .await
+        .problem()
+        .await;
+    let (_, text) = get(&system, "/metrics", Some(OPERATOR_TOKEN)).await;
+    assert!(text.ends_with("# EOF\n"), "{text}");
+    let line = r#"chestnuthub_requests_total{kind="caller",outcome="unauthorized"} 1"#;
+    assert!(text.contains(line), "{text}");
+}
--- /dev/null
+++ b/tests/caller_port/parse.rs
@@ -0,0 +1,188 @@
+//! What callers write into targets, paths and headers never stops the entry.
+
+use chestnuthub::{
+    catalogue::{
+        Access,
+        Adapter,
+        Catalogue,
+        Item,
+        Model,
+        Note, //
+    },
+    entry::{
+        credential,
+        header,
+        path,
+        sse::Splitter, //
+    },
+};
+use hyper::{
+    HeaderMap,
+    header::{
+        AUTHORIZATION,
+        HeaderValue, //
+    },
+};
+use proptest::{
+    collection::vec,
+    prelude::*,
+    test_runner::{
+        Config,
+        RngSeed, //
+    },
+};
+
+fn config() -> Config {
+    Config {
+        cases: 512,
+        rng_seed: RngSeed::Fixed(17),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+fn model(name: &str, version: u32) -> Item {
+    Item::Model(Model {
+        name: name.to_owned(),
+        version,
+        pool: "gearmind".into(),
+        memory_mb: 1,
+        checkpoint_mb: 1,
+        max_replicas: 1,
+        home_slots: 1,
+        stale_limit_s: None,
+    })
+}
+
+fn access(institution: &str, target: &str) -> Item {
+    Item::Access(Access {
+        institution: institution.into(),
+        target: target.to_owned(),
+        max_in_flight: 1,
+        max_queue: 1,
+        requests_per_s: 1.0,
+        priority: 0,
+    })
+}
+
+fn catalogue() -> Catalogue {
+    let mut note = Note::new("operator", 0);
+    note.added = vec![
+        model("gear", 2),
+        model("gear", 10),
+        model("gear-check", 11),
+        model("b/c", 1),
+        access("cascade", "gear"),
+        access("a/b", "c"),
+        model("c", 1),
+        Item::Adapter(Adapter {
+            name: "bevel".into(),
+            model: "gear@2".into(),
+            memory_mb: 1,
+        }),
+    ];
+    let mut catalogue = Catalogue::default();
+    catalogue.apply(1, &note);
+    catalogue
+}
+
+/// Guards against a target that resolves to another version, adapter or institution.
+#[test]
+fn targets_resolve_to_what_they_name() {
+    let catalogue = catalogue();
+    let cases = [
+        ("cascade", "gear", Some(("gear@10", None))),
+        ("cascade", "gear@2", Some(("gear@2", None))),
+        ("cascade", "gear@2+bevel", Some(("gear@2", Some("bevel")))),
+        ("cascade", "gear+bevel", Some(("gear@2", Some("bevel")))),
+        ("cascade", "gear@10+bevel", None),
+        ("cascade", "gear@3", None),
+        ("cascade", "gear@02", None),
+        ("cascade", "gear@", None),
+        ("cascade", "gear+", None),
+        ("cascade", "gear-check", None),
+        ("cascade", "", None),
+        ("tengis", "gear", None),
+        // The key of this institution's access to "b/c" would be that of "a/b" to "c".
+        ("a", "b/c", None),
+        ("a/b", "c", Some(("c@1", None))),
+    ];
+    for (institution, target, expected) in cases {
+        let found = catalogue.resolve(&institution.into(), target).ok();
+        let found = found.map(|found| {
+            let adapter = found
+                .adapter
+                .map(|adapter| adapter.name.as_str().to_owned());
+            (found.model.id().as_str().to_owned(), adapter)
+        });
+        let expected =
+            expected.map(|(model, adapter)| (model.to_owned(), adapter.map(str::to_owned)));
+        assert_eq!(found, expected, "{institution} {target}");
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Guards against a panic on any target, and against a model of another name.
+    #[test]
+    fn any_target_is_resolved_or_unknown(target in "(gear|\\PC{0,8})[@+]?\\PC{0,8}[@+]?(bevel|\\PC{0,8})") {
+        let catalogue = catalogue();
+        let institution = "cascade".into();
+        if let Ok(found) = catalogue.resolve(&institution, &target) {
+            prop_assert_eq!(&found.model.name, "gear");
+        }
+        let _ = catalogue.resolve_service(&institution, &target);
+    }
+
+    /// Guards against a panic on any path, and against a path below the service that is relative.
+    #[test]
+    fn any_path_is_split_or_refused(path in "(/services/)?[a-z./%\\\\?0-9]{0,24}\\PC{0,4}") {
+        if let Ok((name, below)) = path::split_service(&path) {
+            prop_assert!(!name.is_empty() && below.starts_with('/'));
+            prop_assert!(!below.split('?').next().unwrap().contains("/.."));
+        }
+    }
+
+    /// Guards against a panic on any header, and against a request id that breaks a log line.
+    #[test]
+    fn any_header_is_read_or_refused(bytes in vec(any::<u8>(), 0..40)) {
+        let Ok(value) = HeaderValue::from_bytes(&bytes) else {
+            return Ok(());
+        };
+        let mut headers = HeaderMap::new();
+        for name in [header::REQUEST_ID, header::TIMEOUT, header::IDEMPOTENCY_KEY, AUTHORIZATION] {
+            headers.insert(name, value.clone());
+        }
+        let _ = (header::token(&headers), header::idempotency_key(&headers));
+        if let Ok(timeout) = header::timeout(&headers) {
+            prop_assert!(!timeout.is_zero() && timeout.as_secs() <= 300);
+        }
+        let id = header::request_id(&headers);
+        prop_assert!(!id.is_empty() && id.bytes().all(|byte| byte.is_ascii_graphic()));
+        let _ = credential::bearer(&String::from_utf8_lossy(&bytes));
+    }
+
+    /// Guards against bytes lost or counted twice wherever an event stream is cut.
+    #[test]
+    fn an_event_stream_is_the_same_however_it_is_cut(
+        text in "((data: [a-z]{0,4}\r?\n)?\r?\n?){0,12}",
+        cuts in vec(0_usize..64, 0..8),
+    ) {
+        let mut whole = Splitter::default();
+        let mut expected = whole.push(text.as_bytes()).to_vec();
+        expected.extend_from_slice(&whole.rest());
+        prop_assert_eq!(&expected[..], text.as_bytes());
+        let mut cuts: Vec<usize> = cuts.into_iter().map(|cut| cut.min(text.len())).collect();
+        cuts.extend([0, text.len()]);
+        cuts.sort_unstable();
+        let mut parts = Splitter::default();
+        let mut passed = Vec::new();
+        for pair in cuts.windows(2) {
+            passed.extend_from_slice(&parts.push(&text.as_bytes()[pair[0]..pair[1]]));
+        }
+        prop_assert_eq!(parts.events(), whole.events());
+        passed.extend_from_slice(&parts.rest());
+        prop_assert_eq!(&passed[..], text.as_bytes());
+    }
+}
--- /dev/null
+++ b/tests/caller_port/service.rs
@@ -0,0 +1,124 @@
+//! Calls of plain services.
+
+use chestnuthub::wire::{
+    Reason,
+    Work, //
+};
+use uuid::Uuid;
+
+use super::harness::{
+    System,
+    TOKEN,
+    refuse,
+    send_end,
+    send_head,
+    send_piece, //
+};
+
+fn head(method: &str, path: &str, more: &str) -> String {
+    format!("{method} {path} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TOKEN}\r\n{more}")
+}
+
+fn order(key: Uuid) -> String {
+    head(
+        "POST",
+        "/services/shopdesk/orders",
+        &format!("Idempotency-Key: {key}\r\n"),
+    )
+}
+
+/// Guards against changing a call of a service on its way.
+#[tokio::test]
+async fn a_call_is_passed_on() {
+    let mut system = System::start(1);
+    let head = head(
+        "PUT",
+        "/services/shopdesk/parts/7?x=1",
+        "Content-Type: text/plain\r\n",
+    );
+    let mut caller = system.call(&head, "teeth=12").await;
+    let (mut exchange, request, body) = system.request(0).await;
+    assert_eq!(body, b"teeth=12");
+    let Work::Call(call) = &request.work else {
+        panic!("not a call: {request:?}");
+    };
+    assert_eq!(
+        (call.method.as_str(), call.path.as_str()),
+        ("PUT", "/parts/7?x=1")
+    );
+    assert_eq!(call.content_type.as_deref(), Some("text/plain"));
+    assert_eq!(call.key, None);
+    send_head(&mut exchange, &request, "text/plain").await;
+    send_piece(&mut exchange, "ok").await;
+    send_end(&mut exchange).await;
+    assert_eq!(caller.head().await.status, 200);
+    assert_eq!(caller.chunks().await.as_deref(), Some("ok"));
+}
+
+/// Guards against a second run: calls with one key go to one agent, and a lost one nowhere else.
+#[tokio::test]
+async fn a_call_with_a_key_is_sent_once() {
+    let mut system = System::start(3);
+    let key = Uuid::now_v7();
+    let mut executor = None;
+    for _ in 0..3 {
+        let mut caller = system.call(&order(key), "").await;
+        let (agent, exchange) = system.any_request().await;
+        assert_eq!(*executor.get_or_insert(agent), agent);
+        drop(exchange);
+        let (answer, problem) = caller.problem().await;
+        assert_eq!(answer.status, 409);
+        assert_eq!(problem["type"], "urn:chestnuthub:problem:outcome_unknown");
+        assert_eq!(problem["not_run"], false);
+        assert!(answer.headers.contains_key("retry-after"));
+    }
+    for agent in &mut system.agents {
+        assert!(agent.try_recv().is_err());
+    }
+}
+
+/// Guards against a second run of a declared call that lacks its key: the agent refuses it.
+#[tokio::test]
+async fn a_declared_call_without_a_key_is_left_to_the_agent() {
+    let mut system = System::start(1);
+    let head = head("POST", "/services/shopdesk/orders", "");
+    let mut caller = system.call(&head, "").await;
+    let (exchange, _, _) = system.request(0).await;
+    refuse(exchange, Reason::BadKey, true).await;
+    let (answer, problem) = caller.problem().await;
+    assert_eq!(answer.status, 400);
+    assert_eq!(problem["not_run"], true);
+}
+
+/// Guards against more than one repetition of a call that may be repeated.
+#[tokio::test]
+async fn a_lost_idempotent_call_is_repeated_once() {
+    let mut system = System::start(3);
+    let head = head("GET", "/services/shopdesk/parts", "");
+    let mut caller = system.call(&head, "").await;
+    for _ in 0..2 {
+        drop(system.any_request().await);
+    }
+    let (answer, problem) = caller.problem().await;
+    assert_eq!(answer.status, 502);
+    assert_eq!(problem["not_run"], false);
+}
+
+/// Guards against spellings of a path or key that get around what the catalogue declares.
+#[tokio::test]
+async fn a_call_with_a_second_spelling_is_refused() {
+    let system = System::start(1);
+    let cases = [
+        ("/services/shopdesk/x/../orders", ""),
+        ("/services/shopdesk//orders", ""),
+        ("/services/shopdesk/%6Frders", ""),
+        ("/services/shopdesk/orders%2f1", ""),
+        ("/services/shopdesk/orders", "Idempotency-Key: 17\r\n"),
+    ];
+    for (path, more) in cases {
+        let mut caller = system.call(&head("POST", path, more), "").await;
+        let (answer, problem) = caller.problem().await;
+        assert_eq!(answer.status, 400, "{path}");
+        assert_eq!(problem["not_run"], true, "{path}");
+    }
+}
