--- a/tests/caller_port/parse.rs
+++ b/tests/caller_port/parse.rs
@@ -2,11 +2,7 @@
 
 use chestnuthub::{
     catalogue::{
-        Access,
-        Adapter,
         Catalogue,
-        Item,
-        Model,
         Note, //
     },
     entry::{
@@ -41,86 +37,16 @@
     }
 }
 
-fn model(name: &str, version: u32) -> Item {
-    Item::Model(Model {
-        name: name.to_owned(),
-        version,
-        pool: "gearmind".into(),
-        memory_mb: 1,
-        checkpoint_mb: 1,
-        max_replicas: 1,
-        home_slots: 1,
-        stale_limit_s: None,
-    })
-}
-
-fn access(institution: &str, target: &str) -> Item {
-    Item::Access(Access {
-        institution: institution.into(),
-        target: target.to_owned(),
-        max_in_flight: 1,
-        max_queue: 1,
-        requests_per_s: 1.0,
-        priority: 0,
-    })
-}
-
+/// Returns the catalogue of the table of targets.
 fn catalogue() -> Catalogue {
-    let mut note = Note::new("operator", 0);
-    note.added = vec![
-        model("gear", 2),
-        model("gear", 10),
-        model("gear-check", 11),
-        model("b/c", 1),
-        access("cascade", "gear"),
-        access("a/b", "c"),
-        model("c", 1),
-        Item::Adapter(Adapter {
-            name: "bevel".into(),
-            model: "gear@2".into(),
-            memory_mb: 1,
-        }),
-    ];
+    let table = include_str!("../data/target/targets.json");
+    let mut table: serde_json::Value = serde_json::from_str(table).unwrap();
+    let note: Note = serde_json::from_value(table["note"].take()).unwrap();
     let mut catalogue = Catalogue::default();
     catalogue.apply(1, &note);
     catalogue
 }
 
-/// Guards against a target that resolves to another version, adapter or institution.
-#[test]
-fn targets_resolve_to_what_they_name() {
-    let catalogue = catalogue();
-    let cases = [
-        ("cascade", "gear", Some(("gear@10", None))),
-        ("cascade", "gear@2", Some(("gear@2", None))),
-        ("cascade", "gear@2+bevel", Some(("gear@2", Some("bevel")))),
-        ("cascade", "gear+bevel", Some(("gear@2", Some("bevel")))),
-        ("cascade", "gear@10+bevel", None),
-        ("cascade", "gear@3", None),
-        ("cascade", "gear@02", None),
-        ("cascade", "gear@", None),
-        ("cascade", "gear+", None),
-        ("cascade", "gear-check", None),
-        ("cascade", "", None),
-        ("tengis", "gear", None),
-        // The key of this institution's access to "b/c" would be that of "a/b" to "c".
-        ("a", "b/c", None),
-        ("a/b", "c", Some(("c@1", None))),
-    ];
-    for (institution, target, expected) in cases {
-        let found = catalogue.resolve(&institution.into(), target).ok();
-        let found = found.map(|found| {
-            let adapter = found
-                .adapter
-                .map(|adapter| adapter.name.as_str().to_owned());
-            (found.model.id().as_str().to_owned(), adapter)
-        });
-        let expected =
-            expected.map(|(model, adapter)| (model.to_owned(), adapter.map(str::to_owned)));
-        assert_eq!(found, expected, "{institution} {target}");
-    }
-}
-
 proptest! {
     #![proptest_config(config())]
 
--- /dev/null
+++ b/tests/entry_table.rs
@@ -0,0 +1,179 @@
+//! Tables of cases for the entry's decisions: see tests/data.
+
+use std::path::Path;
+
+use chestnuthub::{
+    catalogue::{
+        Catalogue,
+        Note, //
+    },
+    entry::{
+        relay::End,
+        retry::{
+            self,
+            Kind,
+            Progress,
+            Step, //
+        },
+        route::{
+            self,
+            Candidate, //
+        },
+    },
+    wire::{
+        Failure,
+        Load,
+        Reason,
+        Refusal, //
+    },
+};
+use fastrand::Rng;
+use serde::Deserialize;
+
+#[derive(Deserialize)]
+struct Choice {
+    name: String,
+    /// Server, whether resident, load, whether usable.
+    candidates: Vec<(String, bool, u32, bool)>,
+    locality: Option<String>,
+    /// Server and reason.
+    expected: Option<(String, String)>,
+}
+
+/// Guards against another order of spilling, and against locality without regard to load.
+fn choose(path: &Path) -> datatest_stable::Result<()> {
+    for case in read::<Vec<Choice>>(path)? {
+        let candidates: Vec<Candidate> = case
+            .candidates
+            .iter()
+            .map(|(server, resident, load, usable)| Candidate {
+                server: server.as_str().into(),
+                resident: *resident,
+                load: *load,
+                usable: *usable,
+            })
+            .collect();
+        for seed in 0..20 {
+            let mut rng = Rng::with_seed(seed);
+            let choice = route::choose(&candidates, case.locality.as_deref(), &mut rng);
+            let found = choice.map(|choice| {
+                let server = candidates[choice.index].server.as_str().to_owned();
+                (server, choice.why.as_str().to_owned())
+            });
+            assert_eq!(found, case.expected, "{} (seed {seed})", case.name);
+        }
+    }
+    Ok(())
+}
+
+#[derive(Deserialize)]
+struct After {
+    name: String,
+    /// How the attempt ended, and for a refusal its reason.
+    end: (String, Option<Reason>),
+    not_run: bool,
+    kind: String,
+    #[serde(default)]
+    begun: bool,
+    #[serde(default)]
+    pieces: u64,
+    events: Option<u64>,
+    #[serde(default)]
+    retries: u32,
+    #[serde(default)]
+    resumes: u32,
+    step: String,
+    status: u16,
+}
+
+/// Guards against repeating what may have run, and against "not run" when that is not certain.
+fn step(path: &Path) -> datatest_stable::Result<()> {
+    for case in read::<Vec<After>>(path)? {
+        let end = end(&case);
+        let kind = match case.kind.as_str() {
+            "chat" => Kind::Chat,
+            "repeatable" => Kind::Repeatable,
+            _ => Kind::Once,
+        };
+        let progress = Progress {
+            kind,
+            begun: case.begun,
+            pieces: case.pieces,
+            events: case.events,
+            retries: case.retries,
+            resumes: case.resumes,
+        };
+        let step = match retry::step(&end, &progress) {
+            Step::Next => "next".to_owned(),
+            Step::Retry => "retry".to_owned(),
+            Step::Resume(events) => format!("resume {events}"),
+            Step::Stop => "stop".to_owned(),
+        };
+        let problem = retry::problem(&end, kind);
+        assert_eq!(step, case.step, "{}", case.name);
+        assert_eq!(problem.status, case.status, "{}", case.name);
+        assert_eq!(problem.not_run, case.not_run, "{}", case.name);
+        assert_eq!(!retry::may_have_run(&end), case.not_run, "{}", case.name);
+    }
+    Ok(())
+}
+
+fn end(case: &After) -> End {
+    let detail = "detail".to_owned();
+    match case.end.0.as_str() {
+        "not_sent" => End::NotSent(detail),
+        "expired" => End::Expired,
+        "refused" => End::Refused(Refusal {
+            reason: case.end.1.unwrap_or(Reason::Busy),
+            not_run: case.not_run,
+            retry_after_ms: 0,
+            load: Load::default(),
+        }),
+        "failed" => End::Failed(Failure {
+            started: !case.not_run,
+            detail,
+        }),
+        "lost" => End::Lost(detail),
+        "wrong" => End::Wrong(detail),
+        "deadline" => End::Deadline,
+        other => panic!("{}: no end is called {other}", case.name),
+    }
+}
+
+/// Model version and adapter.
+type Found = Option<(String, Option<String>)>;
+
+#[derive(Deserialize)]
+struct Targets {
+    note: Note,
+    /// Institution, target and what it resolves to.
+    cases: Vec<(String, String, Found)>,
+}
+
+/// Guards against a target that resolves to another version, adapter or institution.
+fn target(path: &Path) -> datatest_stable::Result<()> {
+    let targets: Targets = read(path)?;
+    let mut catalogue = Catalogue::default();
+    catalogue.apply(1, &targets.note);
+    for (institution, target, expected) in targets.cases {
+        let found = catalogue.resolve(&institution.as_str().into(), &target);
+        let found = found.ok().map(|found| {
+            let adapter = found
+                .adapter
+                .map(|adapter| adapter.name.as_str().to_owned());
+            (found.model.id().as_str().to_owned(), adapter)
+        });
+        assert_eq!(found, expected, "{institution} {target}");
+    }
+    Ok(())
+}
+
+fn read<T: for<'de> Deserialize<'de>>(path: &Path) -> datatest_stable::Result<T> {
+    Ok(serde_json::from_str(&std::fs::read_to_string(path)?)?)
+}
+
+datatest_stable::harness! {
+    { test = choose, root = "tests/data/choose", pattern = r".*\.json$" },
+    { test = step, root = "tests/data/step", pattern = r".*\.json$" },
+    { test = target, root = "tests/data/target", pattern = r".*\.json$" },
+}
--- /dev/null
+++ b/tests/route.rs
@@ -0,0 +1,220 @@
+//! Routing among many entries, and what an entry remembers of servers.
+
+use std::time::Duration;
+
+use chestnuthub::{
+    entry::{
+        budget::Budget,
+        route::{
+            Candidate,
+            QUEUE_AGE,
+            RESIDENT_AGE,
+            State,
+            UNREACHABLE,
+            choose, //
+        },
+    },
+    id,
+    timer::Time,
+    wire::Load, //
+};
+use fastrand::Rng;
+use proptest::{
+    collection::vec,
+    prelude::*,
+    test_runner::{
+        Config,
+        RngSeed, //
+    },
+};
+
+const MODEL: &str = "gear-check@1";
+
+fn servers(count: usize) -> Vec<id::Instance> {
+    let names = (1..=count).map(|index| format!("gearmind-{index}"));
+    names.map(|name| name.as_str().into()).collect()
+}
+
+fn resident(queued: u32) -> Load {
+    Load {
+        resident: true,
+        queued,
+        ..Load::default()
+    }
+}
+
+/// Returns how many of `requests` requests each of nine servers gets from 40 entries that have
+/// all seen the same reports.
+fn spread(requests: usize, locality: Option<&str>, seed: u64) -> Vec<usize> {
+    let servers = servers(9);
+    let mut rng = Rng::with_seed(seed);
+    let mut entries: Vec<State> = (0..40).map(|_| State::default()).collect();
+    for entry in &mut entries {
+        for server in &servers {
+            entry.report(server, 1, MODEL, resident(3), Time::ZERO);
+        }
+    }
+    let mut counts = vec![0; servers.len()];
+    for request in 0..requests {
+        let entry = &mut entries[request % 40];
+        let candidates: Vec<Candidate> = servers
+            .iter()
+            .map(|server| entry.candidate(server, 1, MODEL, Time::ZERO))
+            .collect();
+        let choice = choose(&candidates, locality, &mut rng).expect("a server is usable");
+        entry.begin(&servers[choice.index]);
+        counts[choice.index] += 1;
+    }
+    counts
+}
+
+/// Guards against a herd: entries with equal reports must not all choose one server.
+#[test]
+fn equal_reports_don_t_draw_a_herd() {
+    for seed in 0..20 {
+        let counts = spread(900, None, seed);
+        let most = counts.iter().max().unwrap();
+        let least = counts.iter().min().unwrap();
+        assert!(*most <= 150 && *least >= 50, "seed {seed}: {counts:?}");
+    }
+}
+
+/// Guards against a prompt that everybody sends overloading the server that has it cached.
+#[test]
+fn a_common_prompt_spills_over_when_its_server_is_loaded() {
+    for seed in 0..20 {
+        let counts = spread(1_800, Some("/once upon a time"), seed);
+        let most = counts.iter().max().unwrap();
+        let least = counts.iter().min().unwrap();
+        // Each entry may hold its favourite at a quarter above the mean, 5 requests and 3 queued.
+        assert!(*most <= 440 && *least >= 100, "seed {seed}: {counts:?}");
+    }
+}
+
+/// Guards against locality that is lost although the server has room.
+#[test]
+fn a_prompt_returns_to_its_server() {
+    let mut state = State::default();
+    let servers = servers(9);
+    for server in &servers {
+        state.report(server, 1, MODEL, resident(0), Time::ZERO);
+    }
+    let candidates: Vec<Candidate> = servers
+        .iter()
+        .map(|server| state.candidate(server, 1, MODEL, Time::ZERO))
+        .collect();
+    let favourite = |prompt, seed| {
+        let choice = choose(&candidates, Some(prompt), &mut Rng::with_seed(seed));
+        choice.unwrap().index
+    };
+    for prompt in ["a", "b", "c"] {
+        let first = favourite(prompt, 0);
+        assert!((1..50).all(|seed| favourite(prompt, seed) == first));
+    }
+}
+
+/// Guards against routing by what is known of an earlier agent process or by old reports.
+#[test]
+fn what_is_known_of_a_server_ends() {
+    let mut state = State::default();
+    let server = "gearmind-1".into();
+    let at = |state: &State, epoch, after| {
+        let found = state.candidate(&server, epoch, MODEL, Time::ZERO + after);
+        (found.usable, found.resident, found.load)
+    };
+    let moment = Duration::from_millis(1);
+    assert_eq!(at(&state, 1, Duration::ZERO), (true, false, 0));
+    state.report(&server, 1, MODEL, resident(4), Time::ZERO);
+    state.begin(&server);
+    assert_eq!(at(&state, 1, QUEUE_AGE - moment), (true, true, 5));
+    assert_eq!(at(&state, 1, QUEUE_AGE), (true, true, 1));
+    assert_eq!(at(&state, 1, RESIDENT_AGE), (true, false, 1));
+    state.unreachable(&server, 1, Time::ZERO);
+    assert!(!at(&state, 1, UNREACHABLE - moment).0);
+    assert!(at(&state, 1, UNREACHABLE).0);
+    state.leaving(&server, 1);
+    // A report that was under way when the server began to leave.
+    state.report(&server, 1, MODEL, resident(0), Time::ZERO);
+    assert!(!at(&state, 1, RESIDENT_AGE).0);
+    assert_eq!(at(&state, 2, Duration::ZERO), (true, false, 1));
+    state.end(&server);
+    state.retain(|_| false);
+    assert_eq!(at(&state, 1, Duration::ZERO), (true, false, 0));
+}
+
+/// Guards against retries that multiply requests, under random traffic.
+#[test]
+fn the_retry_budget_is_never_exceeded() {
+    for seed in 0..50 {
+        let mut rng = Rng::with_seed(seed);
+        let mut budget = Budget::default();
+        let mut now = Time::from_millis(rng.u64(..100_000));
+        // Second of the event and whether it was a retry.
+        let mut events: Vec<(u64, bool)> = Vec::new();
+        for _ in 0..3_000 {
+            now = now + Duration::from_millis(rng.u64(..40));
+            let second = now.as_millis() / 1_000;
+            if rng.u8(..) < 200 {
+                budget.request(now);
+                events.push((second, false));
+            }
+            if rng.bool() && budget.retry(now) {
+                events.push((second, true));
+                let window = events.iter().filter(|event| event.0 + 10 > second);
+                let (retries, requests): (Vec<&(u64, bool)>, Vec<_>) =
+                    window.partition(|event| event.1);
+                let limit = usize::max(10, requests.len() / 10);
+                assert!(
+                    retries.len() <= limit,
+                    "seed {seed}: {} of {limit}",
+                    retries.len()
+                );
+            }
+        }
+        let seconds = usize::try_from(events.last().unwrap().0 - events[0].0).unwrap();
+        let (retries, requests): (Vec<&(u64, bool)>, Vec<_>) =
+            events.iter().partition(|event| event.1);
+        assert!(
+            retries.len() <= requests.len() / 10 + seconds + 10,
+            "seed {seed}"
+        );
+        assert!(!retries.is_empty(), "seed {seed}");
+    }
+}
+
+fn candidate() -> impl Strategy<Value = Candidate> {
+    (any::<bool>(), 0_u32..6, any::<bool>()).prop_map(|(resident, load, usable)| Candidate {
+        server: "gearmind".into(),
+        resident,
+        load,
+        usable,
+    })
+}
+
+proptest! {
+    #![proptest_config(Config {
+        rng_seed: RngSeed::Fixed(17),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    /// Guards against work for a server that can't take it, and against giving up too early.
+    #[test]
+    fn only_usable_servers_are_chosen(
+        mut candidates in vec(candidate(), 0..6),
+        locality in proptest::option::of("[a-z]{0,3}"),
+        seed in any::<u64>(),
+    ) {
+        for (index, candidate) in candidates.iter_mut().enumerate() {
+            candidate.server = format!("gearmind-{index}").as_str().into();
+        }
+        let choice = choose(&candidates, locality.as_deref(), &mut Rng::with_seed(seed));
+        prop_assert_eq!(choice.is_some(), candidates.iter().any(|candidate| candidate.usable));
+        if let Some(choice) = choice {
+            let chosen = &candidates[choice.index];
+            prop_assert!(chosen.usable);
+            let resident = candidates.iter().any(|other| other.usable && other.resident);
+            prop_assert_eq!(chosen.resident, resident);
+        }
+    }
+}
