--- a/src/bench/demo.rs
+++ b/src/bench/demo.rs
@@ -62,7 +62,10 @@
     for answer in answers {
         let answer = answer.map_err(|_| Error::Check("a caller panicked".to_owned()))??;
         print_stream(&answer);
-        check(answer.is_complete(), &format!("the stream is whole: {}", answer.body))?;
+        check(
+            answer.is_complete(),
+            &format!("the stream is whole: {}", answer.body),
+        )?;
     }
     let loads = fleet.count_engines("loads_started")?;
     println!("loads of {model}: {loads}");
--- a/src/operator/status.rs
+++ b/src/operator/status.rs
@@ -26,7 +26,7 @@
     /// Milliseconds since the log was last heard of, null before the first time.
     news_age_ms: Option<u64>,
     instances: usize,
-    models: Vec<Model>,
+    slots: Vec<Slot>,
     servers: Vec<Server>,
 }
 
@@ -37,13 +37,14 @@
     releases: u64,
 }
 
-/// A model version and the servers that may load it.
+/// The permission to load a model version on a backend server.
 #[derive(Debug, Serialize)]
-struct Model {
+struct Slot {
     model: id::Model,
     /// Offset of the newest valid decision about the model version.
     decided_at: u64,
-    slots: Vec<decision::Slot>,
+    #[serde(flatten)]
+    slot: decision::Slot,
 }
 
 /// A registered backend server.
@@ -94,17 +95,21 @@
         release: catalogue.head(),
         news_age_ms: news.map(age),
         instances: context.view.instances().len(),
-        models: table.models().map(|model| slots(&table, model)).collect(),
+        slots: slots(&table),
         servers: table.servers().map(server).collect(),
     }
 }
 
-fn slots(table: &decision::Table, model: &id::Model) -> Model {
-    Model {
-        model: model.clone(),
-        decided_at: table.head(model),
-        slots: table.slots(model).to_vec(),
-    }
+fn slots(table: &decision::Table) -> Vec<Slot> {
+    let of_model = |model| {
+        let slots = table.slots(model).iter();
+        slots.map(move |slot| Slot {
+            model: model.clone(),
+            decided_at: table.head(model),
+            slot: slot.clone(),
+        })
+    };
+    table.models().flat_map(of_model).collect()
 }
 
 fn server((server, epoch): (&id::Instance, &decision::Epoch)) -> Server {
