bench: wait for the home slots before a test begins

Both tests began before the coordinators had granted the second slots. Change: Fleet::start waits until every daemon knows the home slots.

--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -41,6 +41,9 @@
 /// Longest wait until all daemons are ready.
 const READY_LIMIT: Duration = Duration::from_secs(30);
 
+/// Slots that each model of the first release note has ahead of need.
+const HOME_SLOTS: usize = 2;
+
 /// Pause between checks of readiness.
 const READY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -116,6 +119,18 @@
         Ok(())
     }
 
+    /// Returns the number of slots that the daemon knows.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the daemon does not answer.
+    pub fn slots(&self, operator_token: &str) -> Result<usize, Error> {
+        let url = format!("http://{}/status", self.operator_addr);
+        let request = ureq::get(url).header("Authorization", format!("Bearer {operator_token}"));
+        let status: Value = request.call()?.body_mut().read_json()?;
+        Ok(status["slots"].as_array().map_or(0, Vec::len))
+    }
+
     /// Returns whether the daemon says that it is ready.
     pub fn is_ready(&self) -> bool {
         let url = format!("http://{}/readyz", self.operator_addr);
@@ -226,6 +241,7 @@
         }
         fleet.publish_first_note()?;
         fleet.wait_until_ready()?;
+        fleet.wait_for_slots()?;
         Ok(fleet)
     }
 
@@ -473,6 +489,23 @@
         Ok(())
     }
 
+    /// Waits until every daemon knows the home slots of all models.
+    fn wait_for_slots(&self) -> Result<(), Error> {
+        let deadline = Instant::now() + READY_LIMIT;
+        let home_slots = self.plan.engines.min(HOME_SLOTS);
+        let wanted = home_slots * self.plan.deployment.models as usize;
+        let daemons = self.entries.iter().chain(&self.engine_agents);
+        for daemon in daemons.chain(&self.service_agents) {
+            while daemon.slots(&self.operator_token)? < wanted {
+                if Instant::now() > deadline {
+                    return Err(Error::NotReady(format!("slots at {}", daemon.name)));
+                }
+                thread::sleep(READY_PAUSE);
+            }
+        }
+        Ok(())
+    }
+
     fn wait_until_ready(&self) -> Result<(), Error> {
         let deadline = Instant::now() + READY_LIMIT;
         let daemons = self.entries.iter().chain(&self.engine_agents);
