platform: test the clients against the emulators and fix their errors

Cause: nothing showed that the clients tell a call that never left the process from one whose answer is missing. ureq's clients also took a proxy from the environment, reported a body that breaks off as malformed JSON and an answer that is no HTTP as a missing answer.

Change: tests/platform.rs runs the cases in tests/data/platform/: fault cases for each client, raw answers for the error classes, and a stream whose events the test permits one by one, so that a held back event makes the read fail. The clients use no proxy; a body that breaks off is `NoAnswer` and an answer that is no HTTP is `Malformed`. The store limits adapters in flight over all engines. A broken stream delivers the events before the break.

--- a/src/emulator/cli.rs
+++ b/src/emulator/cli.rs
@@ -117,10 +117,17 @@
         .help("Full speed of a transfer")
         .argument::<u64>("N")
         .fallback(1 << 30);
+    let adapters_full_speed = long("adapters-full-speed")
+        .help("Adapters that are sent at full speed at once")
+        .argument::<u32>("N")
+        .fallback(32);
+    let adapter_time = duration_ms("adapter-ms", "Time that an adapter takes at full speed", 5);
     construct!(store::Limits {
         loads_per_s,
         full_speed,
         bytes_per_s,
+        adapters_full_speed,
+        adapter_time,
     })
     .map(Command::Store)
 }
@@ -140,7 +147,11 @@
         .help("Completions that run at once")
         .argument::<u32>("N")
         .fallback(8);
-    let adapter_time = duration_ms("adapter-ms", "Time that an adapter load takes", 5);
+    let adapter_time = duration_ms(
+        "adapter-ms",
+        "Time that an engine needs to apply an adapter",
+        0,
+    );
     let load_lag = duration_ms("load-lag-ms", "Age of the load report", 500);
     construct!(engine::Settings {
         store,
--- a/src/emulator/engine/chat.rs
+++ b/src/emulator/engine/chat.rs
@@ -3,8 +3,7 @@
 use std::{
     future,
     io,
-    sync::Arc,
-    time::Duration, //
+    sync::Arc, //
 };
 
 use bytes::Bytes;
@@ -41,9 +40,6 @@
 /// Tokens of an answer without `max_tokens`.
 const DEFAULT_TOKENS: u64 = 16;
 
-/// Time for the events before a break to leave the server.
-const BREAK_DELAY: Duration = Duration::from_millis(20);
-
 /// Body of a completion request.
 #[derive(Debug, Deserialize)]
 struct Body {
@@ -142,14 +138,16 @@
             () = parts.closed() => End::CallerGone,
             () = self.cancelled() => End::Cancelled,
         };
-        if matches!(end, End::Cut | End::Broken) {
-            sleep(BREAK_DELAY).await;
-            let broken = io::Error::other("the completion was interrupted");
-            // The caller may have gone away meanwhile.
-            let _ = parts.send(Err(broken)).await;
-        }
+        // Recorded before the last part, so that a caller who has read it finds the record right.
         engine.forget_cancel(&self.request);
         engine.lock().end(self.index, end);
+        let last = match end {
+            End::Finished => Ok(Bytes::from_static(b"data: [DONE]\n\n")),
+            End::Cut | End::Broken => Err(io::Error::other("the completion was interrupted")),
+            End::Open | End::Cancelled | End::CallerGone => return end,
+        };
+        // The caller may have gone away meanwhile.
+        let _ = parts.send(last).await;
         end
     }
 
@@ -181,10 +179,6 @@
                 return End::CallerGone;
             }
         }
-        let done = Bytes::from_static(b"data: [DONE]\n\n");
-        if parts.send(Ok(done)).await.is_err() {
-            return End::CallerGone;
-        }
         End::Finished
     }
 
--- a/src/emulator/engine/mod.rs
+++ b/src/emulator/engine/mod.rs
@@ -55,7 +55,7 @@
     pub(super) token_interval: Duration,
     /// Completions that run at once.
     pub(super) max_running: u32,
-    /// Time that an adapter load takes.
+    /// Time that an adapter takes after the store has sent it.
     pub(super) adapter_time: Duration,
     /// Age of the load report.
     pub(super) load_lag: Duration,
--- a/src/emulator/engine/order.rs
+++ b/src/emulator/engine/order.rs
@@ -90,9 +90,8 @@
         if let Err(outcome) = self.lock().begin_load(order) {
             return outcome;
         }
-        let url = format!("{}/checkpoints/{}/data", self.settings.store, order.model);
-        let fetched = task::spawn_blocking(move || fetch(&url)).await;
-        let fetched = fetched.unwrap_or(false);
+        let path = format!("checkpoints/{}/data", order.model);
+        let fetched = self.fetch(&path).await;
         self.lock().end_load(&order.model, fetched)
     }
 
@@ -110,15 +109,23 @@
         if let Err(outcome) = self.lock().begin_adapter(order, adapter) {
             return outcome;
         }
+        let fetched = self.fetch(&format!("adapters/{adapter}/data")).await;
         sleep(self.settings.adapter_time).await;
-        self.lock().end_adapter(order, adapter)
+        self.lock().end_adapter(order, adapter, fetched)
+    }
+
+    /// Fetches a path of the weight store and returns whether all of it arrived.
+    async fn fetch(&self, path: &str) -> bool {
+        let url = format!("{}/{path}", self.settings.store.trim_end_matches('/'));
+        let fetched = task::spawn_blocking(move || fetch(&url)).await;
+        fetched.unwrap_or(false)
     }
 }
 
-/// Fetches weights and returns whether they arrived.
 fn fetch(url: &str) -> bool {
     let agent: ureq::Agent = ureq::Agent::config_builder()
         .timeout_global(Some(FETCH_TIMEOUT))
+        .proxy(None)
         .build()
         .into();
     let response = agent.get(url).call();
--- a/src/emulator/engine/queue.rs
+++ b/src/emulator/engine/queue.rs
@@ -21,6 +21,9 @@
 
 use crate::platform::engine::Load;
 
+/// Changes of the load that are remembered between two reports.
+const MAX_PAST_LOADS: usize = 10_000;
+
 #[derive(Debug, Default)]
 struct State {
     running: u32,
@@ -38,6 +41,9 @@
             waiting: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
         };
         self.loads.push_back((Instant::now(), load));
+        if self.loads.len() > MAX_PAST_LOADS {
+            self.loads.pop_front();
+        }
     }
 }
 
--- a/src/emulator/engine/state.rs
+++ b/src/emulator/engine/state.rs
@@ -25,6 +25,7 @@
 
 const BUSY: Outcome = (423, "another order about the model is in progress");
 const NO_MEMORY: Outcome = (507, "the memory does not suffice");
+const NO_WEIGHTS: Outcome = (502, "the weight store gave no weights");
 const NOT_LOADED: Outcome = (404, "the model is not loaded");
 
 /// What the engine holds and what happened to it.
@@ -125,7 +126,7 @@
         self.models.remove(model);
         self.record.loads_failed.push(model.clone());
         self.account();
-        (502, "the weight store gave no weights")
+        NO_WEIGHTS
     }
 
     /// Stops serving a model version whose memory stays taken until the unload ends.
@@ -171,10 +172,16 @@
     }
 
     /// Ends the load of an adapter; its model may have been unloaded meanwhile.
-    pub(super) fn end_adapter(&mut self, order: &Order, adapter: &id::Adapter) -> Outcome {
+    pub(super) fn end_adapter(
+        &mut self,
+        order: &Order,
+        adapter: &id::Adapter,
+        fetched: bool,
+    ) -> Outcome {
         let key = (order.model.clone(), adapter.clone());
         self.loading_adapters.remove(&key);
         let outcome = match self.models.get_mut(&order.model) {
+            _ if !fetched => NO_WEIGHTS,
             Some(resident) => {
                 resident.adapters.push((adapter.clone(), order.memory_mb));
                 self.record.adapter_loads.push(adapter.clone());
--- a/src/emulator/http.rs
+++ b/src/emulator/http.rs
@@ -12,7 +12,8 @@
     sync::Arc,
     task::{
         Context,
-        Poll, //
+        Poll,
+        ready, //
     }, //
 };
 
@@ -161,7 +162,11 @@
     }
 }
 
-struct Parts(mpsc::Receiver<Part>);
+/// A streamed body.
+struct Parts {
+    receiver: mpsc::Receiver<Part>,
+    failure: Option<io::Error>,
+}
 
 impl Body for Parts {
     type Data = Bytes;
@@ -171,8 +176,19 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        let part = self.0.poll_recv(context);
-        part.map(|part| part.map(|part| part.map(Frame::data)))
+        if let Some(failure) = self.failure.take() {
+            return Poll::Ready(Some(Err(failure)));
+        }
+        match ready!(self.receiver.poll_recv(context)) {
+            Some(Ok(part)) => Poll::Ready(Some(Ok(Frame::data(part)))),
+            Some(Err(failure)) => {
+                // hyper flushes the parts before the failure only when the body is pending.
+                self.failure = Some(failure);
+                context.waker().wake_by_ref();
+                Poll::Pending
+            }
+            None => Poll::Ready(None),
+        }
     }
 }
 
@@ -182,7 +198,11 @@
     fn from(answer: Answer) -> Self {
         let body = match answer.content {
             Content::Whole(bytes) => Full::new(bytes).map_err(from_infallible).boxed_unsync(),
-            Content::Streamed(parts) => Parts(parts).boxed_unsync(),
+            Content::Streamed(receiver) => Parts {
+                receiver,
+                failure: None,
+            }
+            .boxed_unsync(),
         };
         let mut builder = Response::builder().status(answer.status);
         for (name, value) in answer.headers {
@@ -247,6 +267,8 @@
     if path == "/faults" {
         return Ok(control(&faults, &parts.method, &body).into());
     }
+    // Taken before the plan, so that no clearing falls in between.
+    let cleared = faults.watch();
     let plan = if CONTROL_PATHS.contains(&path.as_str()) {
         Plan::default()
     } else {
@@ -261,7 +283,7 @@
         headers: parts.headers,
         body,
         plan,
-        cleared: faults.watch(),
+        cleared,
         caller,
     };
     let answer = tokio::spawn(carry_out(call, handler)).await;
--- a/src/emulator/store.rs
+++ b/src/emulator/store.rs
@@ -51,6 +51,10 @@
     pub(super) full_speed: u32,
     /// Full speed of a transfer in bytes a second.
     pub(super) bytes_per_s: u64,
+    /// Adapters that are sent at full speed at once, over all engines.
+    pub(super) adapters_full_speed: u32,
+    /// Time that an adapter takes at full speed.
+    pub(super) adapter_time: Duration,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -67,6 +71,9 @@
     started: Vec<String>,
     finished: u64,
     abandoned: u64,
+    adapters_running: u32,
+    most_adapters_running: u32,
+    adapters_sent: u64,
 }
 
 #[derive(Debug)]
@@ -96,6 +103,7 @@
         }
         ("PUT", ["checkpoints", model]) => store.put(model, &call.body),
         ("GET", ["checkpoints", model, "data"]) => store.send(model, &call).await,
+        ("GET", ["adapters", _, "data"]) => store.send_adapter().await,
         _ => Answer::error(404, "no such path"),
     }
 }
@@ -183,6 +191,27 @@
         self.limits.bytes_per_s as f64 * share / self.faults.slow_factor()
     }
 
+    /// Sends an adapter, proportionally slower while more than the limit are in flight.
+    async fn send_adapter(&self) -> Answer {
+        let running = {
+            let mut state = self.lock();
+            state.adapters_running += 1;
+            state.most_adapters_running = state.most_adapters_running.max(state.adapters_running);
+            state.adapters_running
+        };
+        let crowd = f64::from(running) / f64::from(self.limits.adapters_full_speed.max(1));
+        let slowdown = crowd.max(1.0) * self.faults.slow_factor();
+        sleep(self.limits.adapter_time.mul_f64(slowdown)).await;
+        let mut state = self.lock();
+        state.adapters_running -= 1;
+        state.adapters_sent += 1;
+        Answer::whole(
+            200,
+            "application/octet-stream",
+            Bytes::from_static(b"adapter"),
+        )
+    }
+
     fn abandon(&self) -> Answer {
         self.lock().abandoned += 1;
         Answer::error(499, "the caller went away")
@@ -198,6 +227,8 @@
                 "abandoned": state.abandoned,
                 "running": state.running,
                 "most_running": state.most_running,
+                "adapters_sent": state.adapters_sent,
+                "most_adapters_running": state.most_adapters_running,
             }),
         )
     }
--- a/src/platform/error.rs
+++ b/src/platform/error.rs
@@ -60,7 +60,8 @@
             ureq::Error::Io(cause) if cause.kind() == io::ErrorKind::ConnectionRefused => {
                 Self::Unreachable(detail)
             }
-            ureq::Error::Json(_) => Self::Malformed(detail),
+            ureq::Error::Json(cause) if cause.is_io() => Self::NoAnswer(detail),
+            ureq::Error::Json(_) | ureq::Error::Protocol(_) => Self::Malformed(detail),
             _ => Self::NoAnswer(detail),
         }
     }
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -27,6 +27,7 @@
         .timeout_global(Some(timeout))
         .http_status_as_error(false)
         .max_redirects(0)
+        .proxy(None)
         .build()
         .into()
 }
@@ -39,6 +40,7 @@
         .timeout_global(Some(timeout))
         .http_status_as_error(false)
         .max_redirects(0)
+        .proxy(None)
         .max_idle_connections(0)
         .build()
         .into()
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,435 @@
+//! Contract tests of the platform clients against the emulators.
+//!
+//! Each file under `tests/data/platform/` starts one emulator and lists steps. A `call` step uses
+//! a client of `chestnuthub::platform` and says what it must return.
+
+mod platform_support;
+
+use std::{
+    collections::HashMap,
+    io::{
+        BufRead,
+        BufReader, //
+    },
+    mem,
+    path::Path,
+    thread::{
+        self,
+        JoinHandle, //
+    },
+    time::Duration, //
+};
+
+use chestnuthub::{
+    emulator, id,
+    platform::{
+        Error,
+        engine::{
+            Answer,
+            Completion,
+            Engine,
+            Order, //
+        },
+        list::List,
+        log::Log,
+        service::{
+            Call,
+            Service, //
+        },
+        store::Store, //
+    },
+};
+use platform_support::{
+    Emulator,
+    answer_raw,
+    closed_url,
+    contains, //
+};
+use serde::Deserialize;
+use serde_json::{
+    Value,
+    json, //
+};
+
+/// A test file.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Case {
+    /// The failure that the test guards against.
+    guards: String,
+    /// Emulator with its arguments; without one, calls go to raw answers.
+    emulator: Option<String>,
+    #[serde(default)]
+    arguments: Vec<String>,
+    /// Arguments of the weight store that an engine uses.
+    #[serde(default)]
+    store_arguments: Vec<String>,
+    steps: Vec<Step>,
+}
+
+/// A step of a test.
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+enum Step {
+    /// Adds a fault.
+    Fault(Value),
+    /// Clears all faults.
+    Clear,
+    /// Kills the emulator.
+    Kill,
+    /// Takes a step with the engine's weight store instead of the engine.
+    Store(Box<Step>),
+    /// Puts a value at a path of the emulator.
+    Put(String, Value),
+    /// Posts a value to a path of the emulator.
+    Post(String, Value),
+    /// Deletes a path of the emulator.
+    Delete(String),
+    /// Calls a client and compares its result.
+    Call(ClientCall, Value),
+    /// Sends all later calls to a server that answers with these bytes and closes.
+    RawAnswer(String),
+    /// Sends all later calls to an address at which nothing listens.
+    NothingListens,
+    /// Starts a call in the background under a name.
+    Begin(String, ClientCall),
+    /// Compares the result of a call in the background.
+    Join(String, Value),
+    /// Compares what a path of the emulator shows now.
+    Shows(String, Value),
+    /// Waits until a path of the emulator shows a value.
+    Await(String, Value),
+    /// Reads a stream of this many events whose production the test permits one by one.
+    ReadEventByEvent(u64),
+    /// Starts a streamed completion and closes its connection after the first event.
+    Abandon,
+}
+
+/// A call of a platform client.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+enum ClientCall {
+    Append(String, String),
+    Read {
+        stream: String,
+        from: u64,
+        #[serde(default)]
+        wait_ms: u64,
+    },
+    Poll(Option<String>),
+    Describe(String),
+    Inventory,
+    Load,
+    Order {
+        order: Order,
+        #[serde(default = "default_timeout_ms")]
+        timeout_ms: u64,
+    },
+    Complete(Chat),
+    Cancel(String),
+    Service {
+        method: String,
+        path: String,
+        #[serde(default)]
+        body: String,
+        #[serde(default = "default_timeout_ms")]
+        timeout_ms: u64,
+    },
+}
+
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Chat {
+    request: String,
+    model: String,
+    adapter: Option<String>,
+    #[serde(default)]
+    priority: u8,
+    #[serde(default)]
+    resume_from: u64,
+    body: Value,
+    #[serde(default = "default_timeout_ms")]
+    timeout_ms: u64,
+}
+
+fn default_timeout_ms() -> u64 {
+    60_000
+}
+
+impl ClientCall {
+    /// Makes the call and describes its result.
+    fn run(&self, url: &str) -> Value {
+        let described = match self {
+            Self::Append(stream, body) => Log::new(url).append(stream, body).map(|n| json!(n)),
+            Self::Read {
+                stream,
+                from,
+                wait_ms,
+            } => {
+                let wait = Duration::from_millis(*wait_ms);
+                Log::new(url).read(stream, *from, 100, wait).map(|page| {
+                    let records = page.records.iter();
+                    let records: Vec<_> = records.map(|r| json!([r.offset, r.body])).collect();
+                    json!({ "first": page.first, "next": page.next, "records": records })
+                })
+            }
+            Self::Poll(etag) => List::new(url).poll(etag.as_deref()).map(|listing| {
+                listing.map_or(json!("unchanged"), |listing| {
+                    let instances = listing.instances.iter();
+                    let names: Vec<_> = instances.map(|i| i.name.as_str()).collect();
+                    json!({ "etag": listing.etag, "names": names })
+                })
+            }),
+            Self::Describe(model) => {
+                let checkpoint = Store::new(url).describe(&id::Model::from(model.as_str()));
+                checkpoint.map(|checkpoint| json!(checkpoint.bytes))
+            }
+            Self::Inventory => Engine::new(url).inventory().map(|i| json!(i)),
+            Self::Load => Engine::new(url).load().map(|load| json!(load)),
+            Self::Order { order, timeout_ms } => Engine::new(url)
+                .order(order, Duration::from_millis(*timeout_ms))
+                .map(|()| json!("done")),
+            Self::Complete(chat) => chat.start(url).map(|answer| chat.describe(answer)),
+            Self::Cancel(request) => Engine::new(url)
+                .cancel(&id::Request::from(request.as_str()))
+                .map(|()| json!("done")),
+            Self::Service {
+                method,
+                path,
+                body,
+                timeout_ms,
+            } => call_service(url, method, path, body, *timeout_ms),
+        };
+        described.unwrap_or_else(|error| describe_error(&error))
+    }
+}
+
+fn call_service(
+    url: &str,
+    method: &str,
+    path: &str,
+    body: &str,
+    timeout_ms: u64,
+) -> Result<Value, Error> {
+    let answer = Service::new(url).call(&Call {
+        method,
+        path,
+        content_type: Some("application/json"),
+        request: "request-1",
+        body: body.as_bytes(),
+        timeout: Duration::from_millis(timeout_ms),
+    })?;
+    let mut text = String::new();
+    let complete = BufReader::new(answer.body).read_line(&mut text).is_ok();
+    Ok(json!({
+        "status": answer.status,
+        "content_type": answer.content_type,
+        "body": text,
+        "complete": complete,
+    }))
+}
+
+fn describe_error(error: &Error) -> Value {
+    let kind = match error {
+        Error::Unreachable(_) => "unreachable".to_owned(),
+        Error::NoAnswer(_) => "no answer".to_owned(),
+        Error::Malformed(_) => "malformed".to_owned(),
+        Error::Status { status, .. } => format!("status {status}"),
+    };
+    json!({ "error": kind, "had_no_effect": error.had_no_effect() })
+}
+
+impl Chat {
+    fn start(&self, url: &str) -> Result<Answer, Error> {
+        let adapter = self.adapter.as_deref().map(id::Adapter::from);
+        Engine::new(url).complete(&Completion {
+            request: &id::Request::from(self.request.as_str()),
+            model: &id::Model::from(self.model.as_str()),
+            adapter: adapter.as_ref(),
+            priority: self.priority,
+            resume_from: self.resume_from,
+            body: self.body.to_string().as_bytes(),
+            timeout: Duration::from_millis(self.timeout_ms),
+        })
+    }
+
+    /// Describes an answer: the indexes of the tokens of this request and how the body ended.
+    fn describe(&self, answer: Answer) -> Value {
+        let status = answer.status;
+        let mut events = Events::new(answer);
+        let mut tokens = Vec::new();
+        let end = loop {
+            match events.next() {
+                Ok(Some(event)) if event == "[DONE]" => break "done",
+                Ok(Some(event)) => tokens.extend(self.token_indexes(&event)),
+                Ok(None) => break "closed",
+                Err(_) => break "broken",
+            }
+        };
+        json!({ "status": status, "tokens": tokens, "end": end })
+    }
+
+    /// Returns the indexes of the tokens in an event or a whole answer, -1 for a foreign token.
+    fn token_indexes(&self, event: &str) -> Vec<i64> {
+        let event: Value = serde_json::from_str(event).unwrap_or_default();
+        let choice = &event["choices"][0];
+        let content = choice["delta"]["content"].as_str();
+        let content = content.or(choice["message"]["content"].as_str());
+        let tokens = content.unwrap_or_default().split_inclusive(' ');
+        let index = |text: &str| {
+            let own = |index: &i64| emulator::token(&self.body["messages"], *index as u64) == text;
+            (0..100).find(own).unwrap_or(-1)
+        };
+        tokens.map(index).collect()
+    }
+}
+
+/// Events of a stream, or the whole body as one event.
+struct Events(BufReader<Box<dyn std::io::Read + Send>>);
+
+impl Events {
+    fn new(answer: Answer) -> Self {
+        Self(BufReader::new(answer.body))
+    }
+
+    fn next(&mut self) -> std::io::Result<Option<String>> {
+        let mut line = String::new();
+        while line.trim().is_empty() {
+            line.clear();
+            if self.0.read_line(&mut line)? == 0 {
+                return Ok(None);
+            }
+        }
+        let line = line.trim();
+        Ok(Some(line.strip_prefix("data: ").unwrap_or(line).to_owned()))
+    }
+}
+
+/// A test in progress.
+struct Run {
+    emulator: Option<Emulator>,
+    /// Outlives the engine that uses it.
+    store: Option<Emulator>,
+    url: String,
+    background: HashMap<String, JoinHandle<Value>>,
+}
+
+impl Run {
+    fn start(case: &Case) -> Self {
+        let mut arguments = case.arguments.clone();
+        let is_engine = case.emulator.as_deref() == Some("engine");
+        let store = is_engine.then(|| Emulator::start("store", &case.store_arguments));
+        if let Some(store) = &store {
+            arguments.extend(["--store".to_owned(), store.url.clone()]);
+        }
+        let emulator = case.emulator.as_deref();
+        let emulator = emulator.map(|name| Emulator::start(name, &arguments));
+        let url = emulator.as_ref().map(|emulator| emulator.url.clone());
+        Self {
+            url: url.unwrap_or_default(),
+            emulator,
+            store,
+            background: HashMap::new(),
+        }
+    }
+
+    fn emulator(&self) -> &Emulator {
+        self.emulator.as_ref().expect("the test has an emulator")
+    }
+
+    fn step(&mut self, step: &Step) -> Result<(), String> {
+        match step {
+            Step::Fault(fault) => self.emulator().post("/faults", fault),
+            Step::Clear => self.emulator().delete("/faults"),
+            Step::Kill => self.emulator.as_mut().expect("an emulator").kill(),
+            Step::Store(step) => {
+                mem::swap(&mut self.emulator, &mut self.store);
+                let result = self.step(step);
+                mem::swap(&mut self.emulator, &mut self.store);
+                return result;
+            }
+            Step::Put(path, body) => self.emulator().put(path, body),
+            Step::Post(path, body) => self.emulator().post(path, body),
+            Step::Delete(path) => self.emulator().delete(path),
+            Step::RawAnswer(answer) => self.url = answer_raw(answer),
+            Step::NothingListens => self.url = closed_url(),
+            Step::Call(call, wanted) => return compare(&call.run(&self.url), wanted),
+            Step::Begin(name, call) => {
+                let (call, url) = (call.clone(), self.url.clone());
+                let thread = thread::spawn(move || call.run(&url));
+                self.background.insert(name.clone(), thread);
+            }
+            Step::Join(name, wanted) => {
+                let thread = self.background.remove(name).expect("a started call");
+                return compare(&thread.join().expect("the call returns"), wanted);
+            }
+            Step::Shows(path, wanted) => return compare(&self.emulator().get(path), wanted),
+            Step::Await(path, wanted) => return self.emulator().await_contains(path, wanted),
+            Step::ReadEventByEvent(events) => return self.read_event_by_event(*events),
+            Step::Abandon => return self.abandon(),
+        }
+        Ok(())
+    }
+
+    fn stream(&self, tokens: u64) -> (Chat, Result<Answer, Error>) {
+        let chat = Chat {
+            request: "stream-1".to_owned(),
+            model: "m@1".to_owned(),
+            adapter: None,
+            priority: 0,
+            resume_from: 0,
+            body: json!({ "messages": ["piecewise"], "stream": true, "max_tokens": tokens }),
+            timeout_ms: default_timeout_ms(),
+        };
+        let answer = chat.start(&self.url);
+        (chat, answer)
+    }
+
+    /// Reads each event before it permits the production of the next.
+    ///
+    /// A client or server that holds events back makes the read wait for an event that is never
+    /// produced, so the read fails with the timeout of the completion.
+    fn read_event_by_event(&self, count: u64) -> Result<(), String> {
+        let (chat, answer) = self.stream(count - 1);
+        let mut events = Events::new(answer.map_err(|error| error.to_string())?);
+        for index in 0..count {
+            self.emulator().post("/release", &json!({ "tokens": 1 }));
+            let event = events.next().map_err(|error| error.to_string())?;
+            let tokens = chat.token_indexes(&event.ok_or("the stream ended early")?);
+            let expected = (index < count - 1).then_some(index as i64);
+            compare(&json!(tokens), &json!(Vec::from_iter(expected)))?;
+            let produced = json!({ "completions": [{ "produced": index + 1 }] });
+            compare(&self.emulator().get("/record"), &produced)?;
+        }
+        let end = events.next().map_err(|error| error.to_string())?;
+        compare(&json!(end), &json!("[DONE]"))
+    }
+
+    fn abandon(&self) -> Result<(), String> {
+        let (_, answer) = self.stream(1_000);
+        let mut events = Events::new(answer.map_err(|error| error.to_string())?);
+        events.next().map_err(|error| error.to_string())?;
+        Ok(())
+    }
+}
+
+fn compare(value: &Value, wanted: &Value) -> Result<(), String> {
+    if contains(value, wanted) {
+        return Ok(());
+    }
+    Err(format!("got {value}, expected {wanted}"))
+}
+
+fn run(_path: &Path, text: String) -> datatest_stable::Result<()> {
+    let case: Case = serde_json::from_str(&text)?;
+    let mut run = Run::start(&case);
+    for (index, step) in case.steps.iter().enumerate() {
+        run.step(step)
+            .map_err(|detail| format!("step {index} {step:?}: {detail}; {}", case.guards))?;
+    }
+    Ok(())
+}
+
+datatest_stable::harness! {
+    { test = run, root = "tests/data/platform", pattern = r"\.json$" },
+}
