emulator: describe the faults and split the contract tests

Change: the module page lists the control paths and faults; `refuse` answers with 503 unless it says otherwise. The calls of the clients move to tests/platform_support/call.rs.

--- a/src/emulator/fault.rs
+++ b/src/emulator/fault.rs
@@ -22,6 +22,7 @@
     /// The call is answered with the status and has no effect.
     Refuse {
         /// HTTP status.
+        #[serde(default = "unavailable")]
         status: u16,
     },
     /// The connection is closed without an answer and without an effect.
@@ -65,6 +66,10 @@
     HoldTokens,
 }
 
+fn unavailable() -> u16 {
+    503
+}
+
 /// A fault and the calls that it meets.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(super) struct Fault {
--- a/src/emulator/mod.rs
+++ b/src/emulator/mod.rs
@@ -1,4 +1,18 @@
 //! Emulators of the outside systems, one HTTP server each, for tests and for the demo.
+//!
+//! An emulator prints `listening addr=<address>` once it is bound. Beside the interface of the
+//! system that it stands for, each answers:
+//!
+//! - `GET /record`: what really happened, for tests to judge.
+//! - `POST /faults`: adds a fault, such as `{"kind":"drop_after","calls":1,"path":"/streams/"}`.
+//!   The kinds are `refuse` (`status`, 503 by default), `drop_before`, `drop_after`, `delay` and
+//!   `delay_answer` (`ms`), `hold` and `hold_answer` (until the faults are cleared), `duplicate`,
+//!   `slow_transfer` (`factor`), `stuck_unload`, `stall_stream` and `break_stream` (`after`
+//!   events) and `hold_tokens`. `calls`, `method` and `path` (a prefix) limit the calls that meet
+//!   the fault; without `calls` it lasts until it is cleared. An outage is `refuse` or
+//!   `drop_before` without `calls`.
+//! - `GET /faults` and `DELETE /faults`: lists and clears the faults.
+//! - `POST /release {"tokens":n}` (engine): permits events of streams that `hold_tokens` holds.
 
 mod cli;
 mod engine;
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -7,43 +7,27 @@
 
 use std::{
     collections::HashMap,
-    io::{
-        BufRead,
-        BufReader, //
-    },
     mem,
     path::Path,
     thread::{
         self,
         JoinHandle, //
-    },
-    time::Duration, //
+    }, //
 };
 
-use chestnuthub::{
-    emulator, id,
-    platform::{
-        Error,
-        engine::{
-            Answer,
-            Completion,
-            Engine,
-            Order, //
-        },
-        list::List,
-        log::Log,
-        service::{
-            Call,
-            Service, //
-        },
-        store::Store, //
-    },
+use chestnuthub::platform::{
+    Error,
+    engine::Answer, //
 };
 use platform_support::{
+    Chat,
+    ClientCall,
     Emulator,
+    Events,
     answer_raw,
     closed_url,
-    contains, //
+    contains,
+    default_timeout_ms, //
 };
 use serde::Deserialize;
 use serde_json::{
@@ -105,206 +89,6 @@
     Abandon,
 }
 
-/// A call of a platform client.
-#[derive(Debug, Clone, Deserialize)]
-#[serde(rename_all = "snake_case", deny_unknown_fields)]
-enum ClientCall {
-    Append(String, String),
-    Read {
-        stream: String,
-        from: u64,
-        #[serde(default)]
-        wait_ms: u64,
-    },
-    Poll(Option<String>),
-    Describe(String),
-    Inventory,
-    Load,
-    Order {
-        order: Order,
-        #[serde(default = "default_timeout_ms")]
-        timeout_ms: u64,
-    },
-    Complete(Chat),
-    Cancel(String),
-    Service {
-        method: String,
-        path: String,
-        #[serde(default)]
-        body: String,
-        #[serde(default = "default_timeout_ms")]
-        timeout_ms: u64,
-    },
-}
-
-#[derive(Debug, Clone, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct Chat {
-    request: String,
-    model: String,
-    adapter: Option<String>,
-    #[serde(default)]
-    priority: u8,
-    #[serde(default)]
-    resume_from: u64,
-    body: Value,
-    #[serde(default = "default_timeout_ms")]
-    timeout_ms: u64,
-}
-
-fn default_timeout_ms() -> u64 {
-    60_000
-}
-
-impl ClientCall {
-    /// Makes the call and describes its result.
-    fn run(&self, url: &str) -> Value {
-        let described = match self {
-            Self::Append(stream, body) => Log::new(url).append(stream, body).map(|n| json!(n)),
-            Self::Read {
-                stream,
-                from,
-                wait_ms,
-            } => {
-                let wait = Duration::from_millis(*wait_ms);
-                Log::new(url).read(stream, *from, 100, wait).map(|page| {
-                    let records = page.records.iter();
-                    let records: Vec<_> = records.map(|r| json!([r.offset, r.body])).collect();
-                    json!({ "first": page.first, "next": page.next, "records": records })
-                })
-            }
-            Self::Poll(etag) => List::new(url).poll(etag.as_deref()).map(|listing| {
-                listing.map_or(json!("unchanged"), |listing| {
-                    let instances = listing.instances.iter();
-                    let names: Vec<_> = instances.map(|i| i.name.as_str()).collect();
-                    json!({ "etag": listing.etag, "names": names })
-                })
-            }),
-            Self::Describe(model) => {
-                let checkpoint = Store::new(url).describe(&id::Model::from(model.as_str()));
-                checkpoint.map(|checkpoint| json!(checkpoint.bytes))
-            }
-            Self::Inventory => Engine::new(url).inventory().map(|i| json!(i)),
-            Self::Load => Engine::new(url).load().map(|load| json!(load)),
-            Self::Order { order, timeout_ms } => Engine::new(url)
-                .order(order, Duration::from_millis(*timeout_ms))
-                .map(|()| json!("done")),
-            Self::Complete(chat) => chat.start(url).map(|answer| chat.describe(answer)),
-            Self::Cancel(request) => Engine::new(url)
-                .cancel(&id::Request::from(request.as_str()))
-                .map(|()| json!("done")),
-            Self::Service {
-                method,
-                path,
-                body,
-                timeout_ms,
-            } => call_service(url, method, path, body, *timeout_ms),
-        };
-        described.unwrap_or_else(|error| describe_error(&error))
-    }
-}
-
-fn call_service(
-    url: &str,
-    method: &str,
-    path: &str,
-    body: &str,
-    timeout_ms: u64,
-) -> Result<Value, Error> {
-    let answer = Service::new(url).call(&Call {
-        method,
-        path,
-        content_type: Some("application/json"),
-        request: "request-1",
-        body: body.as_bytes(),
-        timeout: Duration::from_millis(timeout_ms),
-    })?;
-    let mut text = String::new();
-    let complete = BufReader::new(answer.body).read_line(&mut text).is_ok();
-    Ok(json!({
-        "status": answer.status,
-        "content_type": answer.content_type,
-        "body": text,
-        "complete": complete,
-    }))
-}
-
-fn describe_error(error: &Error) -> Value {
-    let kind = match error {
-        Error::Unreachable(_) => "unreachable".to_owned(),
-        Error::NoAnswer(_) => "no answer".to_owned(),
-        Error::Malformed(_) => "malformed".to_owned(),
-        Error::Status { status, .. } => format!("status {status}"),
-    };
-    json!({ "error": kind, "had_no_effect": error.had_no_effect() })
-}
-
-impl Chat {
-    fn start(&self, url: &str) -> Result<Answer, Error> {
-        let adapter = self.adapter.as_deref().map(id::Adapter::from);
-        Engine::new(url).complete(&Completion {
-            request: &id::Request::from(self.request.as_str()),
-            model: &id::Model::from(self.model.as_str()),
-            adapter: adapter.as_ref(),
-            priority: self.priority,
-            resume_from: self.resume_from,
-            body: self.body.to_string().as_bytes(),
-            timeout: Duration::from_millis(self.timeout_ms),
-        })
-    }
-
-    /// Describes an answer: the indexes of the tokens of this request and how the body ended.
-    fn describe(&self, answer: Answer) -> Value {
-        let status = answer.status;
-        let mut events = Events::new(answer);
-        let mut tokens = Vec::new();
-        let end = loop {
-            match events.next() {
-                Ok(Some(event)) if event == "[DONE]" => break "done",
-                Ok(Some(event)) => tokens.extend(self.token_indexes(&event)),
-                Ok(None) => break "closed",
-                Err(_) => break "broken",
-            }
-        };
-        json!({ "status": status, "tokens": tokens, "end": end })
-    }
-
-    /// Returns the indexes of the tokens in an event or a whole answer, -1 for a foreign token.
-    fn token_indexes(&self, event: &str) -> Vec<i64> {
-        let event: Value = serde_json::from_str(event).unwrap_or_default();
-        let choice = &event["choices"][0];
-        let content = choice["delta"]["content"].as_str();
-        let content = content.or(choice["message"]["content"].as_str());
-        let tokens = content.unwrap_or_default().split_inclusive(' ');
-        let index = |text: &str| {
-            let own = |index: &i64| emulator::token(&self.body["messages"], *index as u64) == text;
-            (0..100).find(own).unwrap_or(-1)
-        };
-        tokens.map(index).collect()
-    }
-}
-
-/// Events of a stream, or the whole body as one event.
-struct Events(BufReader<Box<dyn std::io::Read + Send>>);
-
-impl Events {
-    fn new(answer: Answer) -> Self {
-        Self(BufReader::new(answer.body))
-    }
-
-    fn next(&mut self) -> std::io::Result<Option<String>> {
-        let mut line = String::new();
-        while line.trim().is_empty() {
-            line.clear();
-            if self.0.read_line(&mut line)? == 0 {
-                return Ok(None);
-            }
-        }
-        let line = line.trim();
-        Ok(Some(line.strip_prefix("data: ").unwrap_or(line).to_owned()))
-    }
-}
-
 /// A test in progress.
 struct Run {
     emulator: Option<Emulator>,
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -1,5 +1,14 @@
 //! Starts the emulators and reads what they record.
 
+mod call;
+
+pub(crate) use call::{
+    Chat,
+    ClientCall,
+    Events,
+    default_timeout_ms, //
+};
+
 use std::{
     io::{
         self,
