platform: add runnable examples to the clients

Cause: the house style asks for an example on public functions.

Change: each client call shows what it returns when nothing listens, and `Error::had_no_effect` shows both answers.

--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -168,6 +168,17 @@
     /// # Errors
     ///
     /// Any error means that the inventory is not known.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::platform::{Error, engine::Engine};
+    ///
+    /// // Nothing listens at this address.
+    /// let engine = Engine::new("http://127.0.0.1:1");
+    /// let result = engine.inventory();
+    /// assert!(matches!(result, Err(Error::Unreachable(_))));
+    /// ```
     pub fn inventory(&self) -> Result<Inventory, Error> {
         http::get(&self.agent, &format!("{}/v1/inventory", self.base))
     }
@@ -178,6 +189,27 @@
     ///
     /// `Status` with 409 means that the fencing number is old, with 507 that the memory does not
     /// suffice. After `NoAnswer` the order may have been carried out or still be in progress.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::{id, platform::{Error, engine::{Engine, Kind, Order}}};
+    /// use std::time::Duration;
+    /// use uuid::Uuid;
+    ///
+    /// // Nothing listens at this address.
+    /// let engine = Engine::new("http://127.0.0.1:1");
+    /// let order = Order {
+    ///     id: Uuid::new_v4(),
+    ///     fence: 7,
+    ///     kind: Kind::Load,
+    ///     model: id::Model::from("gears@3"),
+    ///     adapter: None,
+    ///     memory_mb: 24_000,
+    /// };
+    /// let result = engine.order(&order, Duration::from_secs(60));
+    /// assert!(matches!(result, Err(Error::Unreachable(_))));
+    /// ```
     pub fn order(&self, order: &Order, timeout: Duration) -> Result<(), Error> {
         let agent = http::unpooled_client(timeout);
         let url = format!("{}/v1/orders", self.base);
@@ -190,6 +222,26 @@
     /// # Errors
     ///
     /// After `NoAnswer` the engine may have begun.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::{id, platform::{Error, engine::{Completion, Engine}}};
+    /// use std::time::Duration;
+    ///
+    /// // Nothing listens at this address.
+    /// let engine = Engine::new("http://127.0.0.1:1");
+    /// let result = engine.complete(&Completion {
+    ///     request: &id::Request::from("r1"),
+    ///     model: &id::Model::from("gears@3"),
+    ///     adapter: None,
+    ///     priority: 0,
+    ///     resume_from: 0,
+    ///     body: br#"{"messages":[],"stream":true}"#,
+    ///     timeout: Duration::from_secs(30),
+    /// });
+    /// assert!(matches!(result, Err(Error::Unreachable(_))));
+    /// ```
     pub fn complete(&self, completion: &Completion<'_>) -> Result<Answer, Error> {
         let agent = http::unpooled_client(completion.timeout);
         let mut request = agent
@@ -210,6 +262,17 @@
     /// # Errors
     ///
     /// Any error means that the completion may still run.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::{id, platform::{Error, engine::Engine}};
+    ///
+    /// // Nothing listens at this address.
+    /// let engine = Engine::new("http://127.0.0.1:1");
+    /// let result = engine.cancel(&id::Request::from("r1"));
+    /// assert!(matches!(result, Err(Error::Unreachable(_))));
+    /// ```
     pub fn cancel(&self, request: &id::Request) -> Result<(), Error> {
         let url = format!("{}/v1/cancel", self.base);
         let body = serde_json::json!({ "id": request });
@@ -222,6 +285,17 @@
     /// # Errors
     ///
     /// Any error means that the load is not known.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::platform::{Error, engine::Engine};
+    ///
+    /// // Nothing listens at this address.
+    /// let engine = Engine::new("http://127.0.0.1:1");
+    /// let result = engine.load();
+    /// assert!(matches!(result, Err(Error::Unreachable(_))));
+    /// ```
     pub fn load(&self) -> Result<Load, Error> {
         http::get(&self.agent, &format!("{}/v1/load", self.base))
     }
--- a/src/platform/error.rs
+++ b/src/platform/error.rs
@@ -25,6 +25,18 @@
 
 impl Error {
     /// Returns whether the call certainly had no effect.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::platform::Error;
+    ///
+    /// let refused = Error::Unreachable("connection refused".to_owned());
+    /// assert!(refused.had_no_effect());
+    ///
+    /// let lost = Error::NoAnswer("timeout".to_owned());
+    /// assert!(!lost.had_no_effect());
+    /// ```
     pub fn had_no_effect(&self) -> bool {
         match self {
             Self::Unreachable(_) => true,
--- a/src/platform/list.rs
+++ b/src/platform/list.rs
@@ -91,6 +91,16 @@
     /// # Errors
     ///
     /// Any error means that the list is not known anew.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::platform::{Error, list::List};
+    ///
+    /// // Nothing listens at this address.
+    /// let result = List::new("http://127.0.0.1:1").poll(None);
+    /// assert!(matches!(result, Err(Error::Unreachable(_))));
+    /// ```
     pub fn poll(&self, etag: Option<&str>) -> Result<Option<Listing>, Error> {
         let mut request = self.agent.get(&self.url);
         if let Some(etag) = etag {
--- a/src/platform/log.rs
+++ b/src/platform/log.rs
@@ -63,6 +63,17 @@
     ///
     /// After `NoAnswer` and `Malformed` the record may be in the stream, now or later; look for
     /// its id before appending again.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::platform::{Error, log::Log};
+    ///
+    /// // Nothing listens at this address.
+    /// let log = Log::new("http://127.0.0.1:1");
+    /// let result = log.append("decisions", "{}");
+    /// assert!(matches!(result, Err(Error::Unreachable(_))));
+    /// ```
     pub fn append(&self, stream: &str, body: &str) -> Result<u64, Error> {
         let url = format!("{}/streams/{stream}", self.base);
         let response = self.append.post(&url).send(body)?;
@@ -75,6 +86,18 @@
     /// # Errors
     ///
     /// Any error means that nothing was read.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::platform::{Error, log::Log};
+    /// use std::time::Duration;
+    ///
+    /// // Nothing listens at this address.
+    /// let log = Log::new("http://127.0.0.1:1");
+    /// let result = log.read("decisions", 1, 100, Duration::ZERO);
+    /// assert!(matches!(result, Err(Error::Unreachable(_))));
+    /// ```
     pub fn read(&self, stream: &str, from: u64, limit: u32, wait: Duration) -> Result<Page, Error> {
         let url = format!(
             "{}/streams/{stream}?from={from}&limit={limit}&wait_ms={}",
--- a/src/platform/service.rs
+++ b/src/platform/service.rs
@@ -46,6 +46,24 @@
     /// # Errors
     ///
     /// `Unreachable` means that nothing was sent. After `NoAnswer` the service may have run it.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::platform::{Error, service::{Call, Service}};
+    /// use std::time::Duration;
+    ///
+    /// // Nothing listens at this address.
+    /// let result = Service::new("http://127.0.0.1:1").call(&Call {
+    ///     method: "POST",
+    ///     path: "/bookings",
+    ///     content_type: Some("application/json"),
+    ///     request: "r1",
+    ///     body: b"{}",
+    ///     timeout: Duration::from_secs(1),
+    /// });
+    /// assert!(matches!(result, Err(Error::Unreachable(_))));
+    /// ```
     pub fn call(&self, call: &Call<'_>) -> Result<Answer, Error> {
         let agent = http::unpooled_client(call.timeout);
         let mut request = Request::builder()
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -42,6 +42,17 @@
     /// # Errors
     ///
     /// `Status` with 404 means that the store has no such checkpoint.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::{id, platform::{Error, store::Store}};
+    ///
+    /// // Nothing listens at this address.
+    /// let store = Store::new("http://127.0.0.1:1");
+    /// let result = store.describe(&id::Model::from("gears@3"));
+    /// assert!(matches!(result, Err(Error::Unreachable(_))));
+    /// ```
     pub fn describe(&self, model: &id::Model) -> Result<Checkpoint, Error> {
         http::get(&self.agent, &format!("{}/checkpoints/{model}", self.base))
     }
