--- a/src/bench/error.rs
+++ b/src/bench/error.rs
@@ -5,7 +5,10 @@
     io, //
 };
 
-use crate::platform;
+use crate::{
+    peer,
+    platform, //
+};
 
 /// Why the load tool can't go on.
 #[derive(Debug)]
@@ -44,3 +47,9 @@
         Self::Call(error.to_string())
     }
 }
+
+impl From<peer::Error> for Error {
+    fn from(error: peer::Error) -> Self {
+        Self::Call(error.to_string())
+    }
+}
--- a/src/peer/endpoint.rs
+++ b/src/peer/endpoint.rs
@@ -94,6 +94,18 @@
         self.quic.local_addr()
     }
 
+    /// Returns the bytes of all UDP packets, in both directions, of the connections that this
+    /// side opened and that are still known.
+    pub fn bytes(&self) -> u64 {
+        let connections = self.lock();
+        let stats = connections
+            .values()
+            .map(|(_, connection)| connection.stats());
+        stats
+            .map(|stats| stats.udp_tx.bytes + stats.udp_rx.bytes)
+            .sum()
+    }
+
     /// Closes all connections.
     pub fn close(&self) {
         self.quic.close(VarInt::from_u32(0), b"closing");
