claim: test with fault tables, seeded schedules and exhaustive exploration

Cause: at-most-once and a true "not run" have to hold under every order of messages and faults, and a test that can't fail shows nothing.

--- /dev/null
+++ b/tests/claim_cases.rs
@@ -0,0 +1,134 @@
+//! Fault cases of calls that must not be repeated, one file each under `tests/data/claim`.
+//!
+//! A line is a step or an expectation:
+//!
+//! - `arrive AGENT KEY BODY`: a request arrives; requests are numbered from 0.
+//! - `until MESSAGE`: messages arrive in order until this one is on its way.
+//! - `deliver|fail|lose|delay|duplicate MESSAGE`: what becomes of it. `lose` loses its answer.
+//! - `crash|restart|pause|resume AGENT`, `log down|up|forgets`, `catalogue withdraws|offers`.
+//! - `wait MS`: time passes, `wake`: timers fire. `settle`: all faults end, everything arrives, time passes.
+//! - `answer REQUEST RESULT [not-run]`: `response`, `lost`, `none` or the reason of a refusal.
+//! - `runs COUNT`: how often the service ran calls.
+
+#[path = "claim_world/mod.rs"]
+mod world;
+
+use std::path::Path;
+
+use chestnuthub::claim::Answer;
+use world::{
+    Choice,
+    Pending,
+    World, //
+};
+
+/// Time that the callers allow, in milliseconds.
+const PATIENCE_MS: u64 = 5_000;
+
+fn name(pending: &Pending) -> &'static str {
+    match pending {
+        Pending::Read { .. } => "read",
+        Pending::Page { .. } => "page",
+        Pending::ReadFailed { .. } => "read-failed",
+        Pending::Turn { .. } => "turn",
+        Pending::Append { .. } => "append",
+        Pending::Appended { .. } => "appended",
+        Pending::Landing { .. } => "landing",
+        Pending::Call { .. } => "call",
+        Pending::Ended { .. } => "ended",
+        Pending::NotSent { .. } => "not-sent",
+    }
+}
+
+fn find(world: &World, message: &str) -> Option<usize> {
+    world.pending.iter().position(|p| name(p) == message)
+}
+
+/// Delivers messages other than appends that were delayed, until `message` is on its way.
+fn until(world: &mut World, message: &str) {
+    for _ in 0..100 {
+        if find(world, message).is_some() {
+            return;
+        }
+        let mut choices = world.choices().into_iter();
+        let next = choices.find(|choice| match choice {
+            Choice::Deliver(index) => name(&world.pending[*index]) != "landing",
+            _ => false,
+        });
+        world.apply(next.unwrap_or(Choice::Wake));
+    }
+    panic!("no message {message}");
+}
+
+fn number(word: &str) -> usize {
+    word.parse().expect("a number")
+}
+
+fn choice(world: &World, words: &[&str]) -> Choice {
+    let index = |message| find(world, message).expect("the message is on its way");
+    match words {
+        ["arrive", agent, key, print] => Choice::Arrive {
+            agent: number(agent),
+            key: key.parse().expect("a number"),
+            print: print.parse().expect("a number"),
+        },
+        ["deliver", message] => Choice::Deliver(index(message)),
+        ["fail", message] => Choice::Fail(index(message)),
+        ["lose", message] => Choice::LoseAnswer(index(message)),
+        ["delay", message] => Choice::Delay(index(message)),
+        ["duplicate", message] => Choice::Duplicate(index(message)),
+        ["crash", agent] => Choice::Crash(number(agent)),
+        ["restart", agent] => Choice::Restart(number(agent)),
+        ["pause", agent] => Choice::Pause(number(agent)),
+        ["resume", agent] => Choice::Resume(number(agent)),
+        ["log", "down"] => Choice::LogDown,
+        ["log", "up"] => Choice::LogUp,
+        ["log", "forgets"] => Choice::Forget,
+        ["catalogue", "withdraws"] => Choice::Withdraw,
+        ["catalogue", "offers"] => Choice::Offer,
+        ["wake"] => Choice::Wake,
+        ["wait", millis] => Choice::Wait(millis.parse().expect("milliseconds")),
+        _ => panic!("unknown step {words:?}"),
+    }
+}
+
+fn answer(world: &World, request: &str) -> String {
+    let request = &world.requests[number(request)];
+    match &request.answer {
+        Some(Answer::Response(_)) => "response".to_owned(),
+        Some(Answer::Refused(refusal)) if refusal.not_run => format!("{} not-run", refusal.reason),
+        Some(Answer::Refused(refusal)) => refusal.reason.to_string(),
+        None if request.lost => "lost".to_owned(),
+        None => "none".to_owned(),
+    }
+}
+
+fn run(_: &Path, case: String) -> datatest_stable::Result<()> {
+    let mut world = World::new(2, PATIENCE_MS);
+    for (line, text) in (1..).zip(case.lines()) {
+        let words: Vec<_> = text.split_whitespace().collect();
+        match words.as_slice() {
+            [] | ["#", ..] => (),
+            ["until", message] => until(&mut world, message),
+            ["settle"] => world.settle(),
+            ["answer", request, expected @ ..] => {
+                assert_eq!(answer(&world, request), expected.join(" "), "line {line}");
+            }
+            ["runs", count] => assert_eq!(world.ran.len(), number(count), "line {line}"),
+            words => {
+                let step = choice(&world, words);
+                let any = matches!(step, Choice::Arrive { .. } | Choice::Wait(_));
+                assert!(any || world.choices().contains(&step), "line {line}");
+                world.apply(step);
+            }
+        }
+        world.check();
+    }
+    world.settle();
+    world.check_settled();
+    Ok(())
+}
+
+datatest_stable::harness! {
+    { test = run, root = "tests/data/claim", pattern = r"\.case$" },
+}
--- a/tests/claim_world/check.rs
+++ b/tests/claim_world/check.rs
@@ -33,6 +33,9 @@
                 self.check();
             }
             self.apply(Choice::Wait(1_000));
+            if self.choices().contains(&Choice::Wake) {
+                self.apply(Choice::Wake);
+            }
         }
     }
 
--- a/tests/claim_world/mod.rs
+++ b/tests/claim_world/mod.rs
@@ -5,7 +5,10 @@
 
 mod check;
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use chestnuthub::{
     claim::{
@@ -89,11 +92,13 @@
     Resume(usize),
     LogDown,
     LogUp,
+    /// The log drops all records.
+    Forget,
     Withdraw,
     Offer,
-    /// Time passes to the next moment at which an executor wants to act.
+    /// Time passes to the next moment at which an executor wants to act, and it does.
     Wake,
-    /// Time passes by milliseconds.
+    /// Time passes by milliseconds, as in a pause: timers fire after messages.
     Wait(u64),
     /// A request arrives at an executor.
     Arrive {
@@ -151,9 +156,11 @@
 }
 
 impl World {
+    pub(crate) const START_MS: u64 = 1_000_000;
+
     pub(crate) fn new(agents: u32, patience: u64) -> Self {
         Self {
-            time: Time::from_millis(1_000_000),
+            time: Time::from_millis(Self::START_MS),
             log: Vec::new(),
             first: 1,
             log_up: true,
@@ -208,6 +215,9 @@
         } else {
             Choice::Offer
         });
+        if self.first <= self.log.len() as u64 {
+            choices.push(Choice::Forget);
+        }
         if self.next_wake().is_some() {
             choices.push(Choice::Wake);
         }
@@ -252,12 +262,10 @@
                 self.runs += 1;
             }
             Choice::Pause(agent) => self.agents[agent].paused = true,
-            Choice::Resume(agent) => {
-                self.agents[agent].paused = false;
-                self.tick();
-            }
+            Choice::Resume(agent) => self.agents[agent].paused = false,
             Choice::LogDown => self.log_up = false,
             Choice::LogUp => self.log_up = true,
+            Choice::Forget => self.first = self.log.len() as u64 + 1,
             Choice::Withdraw => self.offered = false,
             Choice::Offer => self.offered = true,
             Choice::Wake => {
@@ -266,10 +274,7 @@
                     .map_or(self.time, |wake| wake.max(self.time));
                 self.tick();
             }
-            Choice::Wait(millis) => {
-                self.time = self.time + std::time::Duration::from_millis(millis);
-                self.tick();
-            }
+            Choice::Wait(millis) => self.time = self.time + Duration::from_millis(millis),
             Choice::Arrive { agent, key, print } => self.arrive(agent, key, print),
         }
         self.pending.sort();
@@ -277,7 +282,11 @@
 
     fn tick(&mut self) {
         for agent in 0..self.agents.len() {
-            if !self.agents[agent].paused {
+            let due = self.agents[agent]
+                .stream
+                .wake()
+                .is_some_and(|wake| wake <= self.time);
+            if due && !self.agents[agent].paused {
                 self.step(agent, Event::Tick);
             }
         }
@@ -288,7 +297,7 @@
             return;
         };
         let ticket = self.requests.len() as u64;
-        let deadline = self.time + std::time::Duration::from_millis(self.patience);
+        let deadline = self.time + Duration::from_millis(self.patience);
         self.requests.push(Request {
             key: index,
             print: body,
@@ -330,6 +339,8 @@
     fn start(&mut self, run: u32, ticket: u64) {
         let request = &self.requests[at(ticket)];
         assert!(request.answer.is_none(), "started for an answered request");
+        assert!(request.deadline > self.time, "started after the deadline");
+        assert!(self.offered, "started for a withdrawn service");
         let (key, print) = (request.key, request.print);
         self.pending.push(Pending::Call {
             run,
