gossip, bench: pass news on at once and test release notes with cut links

Cause: with one neighbour a second, news could take four seconds for each of the five links between 930 daemons, above the 16 s allowed. Change: a daemon with news visits all four neighbours at once; links to the log can be cut for each daemon; three end-to-end cases for release notes.

--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -29,6 +29,8 @@
 };
 use uuid::Uuid;
 
+use crate::catalogue::Note;
+
 use super::{
     Caller,
     Deployment,
@@ -101,8 +103,8 @@
     pub caller_addr: Option<SocketAddr>,
     /// The process.
     pub process: Process,
-    /// Counters of the bytes to and from the log and list, if metered.
-    pub(super) meters: Vec<Meter>,
+    /// Links to the log and to the list, in this order, if metered.
+    pub meters: Vec<Meter>,
     settings: PathBuf,
     directory: PathBuf,
 }
@@ -277,21 +279,13 @@
         self.engines.iter().map(|engine| engine.count(name)).sum()
     }
 
-    /// Runs the command-line tool and returns its standard output.
-    ///
-    /// # Errors
-    ///
-    /// Fails with what the tool printed if its exit code is not 0.
-    pub fn command<const N: usize>(&self, args: [&str; N]) -> Result<String, Error> {
-        run_command(&args)
-    }
-
-    /// Publishes a release note from a file through the command-line tool.
+    /// Publishes a release note from a file through the command-line tool and returns its exit
+    /// code and output.
     ///
     /// # Errors
     ///
-    /// Fails with what the tool printed if the note was not accepted and in force.
-    pub fn publish(&self, file: &Path) -> Result<String, Error> {
+    /// Fails if the tool can't be run.
+    pub fn publish(&self, file: &Path) -> Result<(i32, String), Error> {
         let token = self.directory.join("operator.token");
         run_command(&[
             "release",
@@ -308,6 +302,18 @@
         ])
     }
 
+    /// Writes a release note to a file of the fleet's folder.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file can't be written.
+    pub fn write_note(&self, name: &str, note: &Note) -> Result<PathBuf, Error> {
+        let text = serde_json::to_string(note).map_err(|error| Error::Call(error.to_string()))?;
+        let file = self.directory.join(name);
+        write(&file, &text)?;
+        Ok(file)
+    }
+
     fn start_platform(plan: Plan) -> Result<Self, Error> {
         let directory = std::env::temp_dir().join(format!("chestnuthub-{}", Uuid::new_v4()));
         fs::create_dir_all(&directory)
@@ -343,8 +349,9 @@
         for name in self.names() {
             args.extend(["--name".to_owned(), name]);
         }
-        run_command(&args.iter().map(String::as_str).collect::<Vec<_>>())?;
-        Ok(())
+        succeed(run_command(
+            &args.iter().map(String::as_str).collect::<Vec<_>>(),
+        )?)
     }
 
     fn names(&self) -> Vec<String> {
@@ -481,11 +488,8 @@
     }
 
     fn publish_first_note(&self) -> Result<(), Error> {
-        let note = serde_json::to_string(&self.plan.deployment.first_note())
-            .map_err(|error| Error::Call(error.to_string()))?;
-        let file = self.directory.join("first-release.json");
-        write(&file, &note)?;
-        self.publish(&file)?;
+        let file = self.write_note("first-release.json", &self.plan.deployment.first_note())?;
+        succeed(self.publish(&file)?)?;
         Ok(())
     }
 
@@ -552,17 +556,23 @@
     Process::start("chestnuthubd", name, directory, args)
 }
 
-fn run_command(args: &[&str]) -> Result<String, Error> {
+/// Runs the command-line tool and returns its exit code and output.
+fn run_command(args: &[&str]) -> Result<(i32, String), Error> {
     let output = std::process::Command::new(process::executable("chestnuthub")?)
         .args(args)
         .output()
         .map_err(|error| Error::Io("chestnuthub".to_owned(), error))?;
-    let stdout = String::from_utf8_lossy(&output.stdout).into_owned();
-    if output.status.success() {
-        return Ok(stdout);
-    }
+    let stdout = String::from_utf8_lossy(&output.stdout);
     let stderr = String::from_utf8_lossy(&output.stderr);
-    Err(Error::Call(format!("{args:?}: {stdout}{stderr}")))
+    let code = output.status.code().unwrap_or(-1);
+    Ok((code, format!("{stdout}{stderr}")))
+}
+
+fn succeed((code, output): (i32, String)) -> Result<(), Error> {
+    if code == 0 {
+        return Ok(());
+    }
+    Err(Error::Call(format!("exit code {code}: {output}")))
 }
 
 fn write(path: &Path, text: &str) -> Result<(), Error> {
--- a/src/bench/meter.rs
+++ b/src/bench/meter.rs
@@ -1,4 +1,4 @@
-//! Counts the bytes between a daemon and an outside system or peer.
+//! Counts the bytes between a daemon and an outside system, and cuts the link on demand.
 
 use std::{
     io::{
@@ -14,8 +14,9 @@
         TcpStream, //
     },
     sync::{
-        Arc,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{
+            AtomicBool,
             AtomicU64,
             Ordering, //
         },
@@ -30,9 +31,36 @@
 
 /// Forwards TCP connections to one address and counts the bytes of both directions.
 #[derive(Debug)]
-pub(super) struct Meter {
+pub struct Meter {
     addr: SocketAddr,
-    bytes: Arc<AtomicU64>,
+    link: Arc<Link>,
+}
+
+#[derive(Debug, Default)]
+struct Link {
+    bytes: AtomicU64,
+    cut: AtomicBool,
+    open: Mutex<Vec<TcpStream>>,
+}
+
+impl Link {
+    fn open(&self) -> MutexGuard<'_, Vec<TcpStream>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn forward(self: &Arc<Self>, inbound: TcpStream, target: SocketAddr) -> io::Result<()> {
+        let outbound = TcpStream::connect(target)?;
+        let mut open = self.open();
+        open.retain(|stream| stream.peer_addr().is_ok());
+        open.extend([inbound.try_clone()?, outbound.try_clone()?]);
+        drop(open);
+        let (from, to) = (inbound.try_clone()?, outbound.try_clone()?);
+        let link = self.clone();
+        thread::spawn(move || copy(from, to, &link.bytes));
+        let link = self.clone();
+        thread::spawn(move || copy(outbound, inbound, &link.bytes));
+        Ok(())
+    }
 }
 
 impl Meter {
@@ -41,15 +69,17 @@
         let failed = |error| Error::Io("meter".to_owned(), error);
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).map_err(failed)?;
         let addr = listener.local_addr().map_err(failed)?;
-        let bytes = Arc::new(AtomicU64::new(0));
-        let counter = bytes.clone();
+        let link = Arc::new(Link::default());
+        let forwarding = link.clone();
         thread::spawn(move || {
             for inbound in listener.incoming().flatten() {
-                // A refused connection shows to the daemon as a closed one.
-                let _ = forward(inbound, target, &counter);
+                if !forwarding.cut.load(Ordering::SeqCst) {
+                    // A refused connection shows to the daemon as a closed one.
+                    let _ = forwarding.forward(inbound, target);
+                }
             }
         });
-        Ok(Self { addr, bytes })
+        Ok(Self { addr, link })
     }
 
     /// Returns the base URL by which daemons reach the target.
@@ -59,18 +89,22 @@
 
     /// Returns the bytes forwarded so far.
     pub(super) fn bytes(&self) -> u64 {
-        self.bytes.load(Ordering::Relaxed)
+        self.link.bytes.load(Ordering::Relaxed)
+    }
+
+    /// Closes all connections and refuses new ones until `restore`.
+    pub fn cut(&self) {
+        self.link.cut.store(true, Ordering::SeqCst);
+        for stream in self.link.open().drain(..) {
+            // Fails only if the connection is closed already.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
     }
-}
 
-fn forward(inbound: TcpStream, target: SocketAddr, bytes: &Arc<AtomicU64>) -> io::Result<()> {
-    let outbound = TcpStream::connect(target)?;
-    let (from, to) = (inbound.try_clone()?, outbound.try_clone()?);
-    let counter = bytes.clone();
-    thread::spawn(move || copy(from, to, &counter));
-    let counter = bytes.clone();
-    thread::spawn(move || copy(outbound, inbound, &counter));
-    Ok(())
+    /// Forwards connections again.
+    pub fn restore(&self) {
+        self.link.cut.store(false, Ordering::SeqCst);
+    }
 }
 
 fn copy(mut from: TcpStream, mut to: TcpStream, bytes: &AtomicU64) {
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -34,6 +34,7 @@
     Fleet,
     Plan, //
 };
+pub use meter::Meter;
 pub use process::Process;
 
 #[derive(Debug, Clone, Copy)]
--- a/src/gossip/node.rs
+++ b/src/gossip/node.rs
@@ -10,6 +10,8 @@
     time::Duration,
 };
 
+use tokio::task::JoinSet;
+
 use super::{
     Notices,
     neighbours, //
@@ -98,19 +100,53 @@
         self.with_notices(|notices| notices.add(&notice, Time::now()));
     }
 
-    /// Exchanges positions with one neighbour after the other, for the life of the process.
+    /// Exchanges positions with neighbours for the life of the process: with one after the other
+    /// in turn, and with all at once when this daemon has news.
     pub(crate) async fn run(self: Arc<Self>) {
+        let mut changes = self.view.changes();
+        let mut told = self.positions();
         let mut round = 0;
         loop {
-            tokio::time::sleep(PERIOD).await;
-            let neighbours = neighbours(&self.name, &self.view.instances());
-            if let Some(neighbour) = neighbours.get(round % neighbours.len().max(1)) {
-                self.visit(neighbour).await;
+            tokio::select! {
+                () = tokio::time::sleep(PERIOD) => {
+                    self.visit_next(round).await;
+                    round += 1;
+                }
+                // The sender lives as long as the view, so this does not fail.
+                _ = changes.changed() => {
+                    let news = self.positions();
+                    if news != told {
+                        told = news;
+                        self.visit_all().await;
+                    }
+                }
             }
-            round += 1;
         }
     }
 
+    fn positions(&self) -> (u64, u64) {
+        (self.releases.applied(), self.decisions.applied())
+    }
+
+    async fn visit_next(&self, round: usize) {
+        let neighbours = neighbours(&self.name, &self.view.instances());
+        if let Some(neighbour) = neighbours.get(round % neighbours.len().max(1)) {
+            self.visit(neighbour).await;
+        }
+    }
+
+    /// Passing news on at once takes one exchange a link; waiting for each neighbour's turn
+    /// would take up to four seconds a link.
+    async fn visit_all(self: &Arc<Self>) {
+        let neighbours = neighbours(&self.name, &self.view.instances());
+        let mut visits = JoinSet::new();
+        for neighbour in neighbours {
+            let node = self.clone();
+            visits.spawn(async move { node.visit(&neighbour).await });
+        }
+        visits.join_all().await;
+    }
+
     /// Answers a neighbour's positions.
     pub(crate) async fn answer(&self, heads: Heads, mut exchange: Exchange) {
         self.note(&heads);
--- /dev/null
+++ b/tests/release_fleet.rs
@@ -0,0 +1,148 @@
+//! Release notes in a system of real processes.
+
+mod support;
+
+use std::thread;
+
+use chestnuthub::{
+    bench::{
+        Daemon,
+        Fleet,
+        TENGIS, //
+    },
+    catalogue::{
+        Item,
+        Key,
+        Note, //
+    },
+};
+use serde_json::{
+    Value,
+    json, //
+};
+use support::{
+    TIMEOUT,
+    eventually,
+    model,
+    start, //
+};
+
+/// Exit code of the command-line tool when another note was accepted first.
+const CONFLICT: i32 = 3;
+
+/// Returns a note that withdraws one model and its access.
+fn withdrawal(number: u32) -> Note {
+    let mut note = Note::new("operator", 0);
+    let id = TENGIS.model(number);
+    let name = id.as_str().split('@').next().unwrap_or_default().to_owned();
+    let adapters = TENGIS
+        .first_note()
+        .added
+        .into_iter()
+        .filter_map(|item| match item {
+            Item::Adapter(adapter) if adapter.model == id => Some(Key::Adapter(adapter.name)),
+            _ => None,
+        });
+    note.withdrawn.extend(adapters);
+    note.withdrawn.push(Key::Model(id));
+    note.withdrawn.push(Key::Access {
+        institution: TENGIS.institution.into(),
+        target: name,
+    });
+    note
+}
+
+fn status(fleet: &Fleet, daemon: &Daemon) -> Value {
+    let url = format!("http://{}/status", daemon.operator_addr);
+    let request =
+        ureq::get(url).header("Authorization", format!("Bearer {}", fleet.operator_token));
+    let answer = request.call().ok();
+    answer
+        .and_then(|mut answer| answer.body_mut().read_json().ok())
+        .unwrap_or_default()
+}
+
+fn release(fleet: &Fleet, daemon: &Daemon) -> u64 {
+    status(fleet, daemon)["release"].as_u64().unwrap_or(0)
+}
+
+/// Guards against two operators who both believe that their note is in force.
+#[test]
+fn one_of_two_racing_operators_gets_a_conflict() {
+    let turn = start(|_| ());
+    let fleet = &turn.fleet;
+    let files = [2, 3].map(|number| {
+        let mut note = withdrawal(number);
+        note.replaces = 1;
+        let name = format!("note-{number}.json");
+        fleet.write_note(&name, &note).expect("a file")
+    });
+    let mut codes: Vec<_> = thread::scope(|scope| {
+        let threads = files.iter().map(|file| scope.spawn(|| fleet.publish(file)));
+        let threads: Vec<_> = threads.collect();
+        let joined = threads.into_iter().map(|thread| thread.join());
+        joined
+            .map(|result| result.expect("no panic").expect("the tool runs").0)
+            .collect()
+    });
+    codes.sort_unstable();
+    assert_eq!(codes, [0, CONFLICT]);
+    let in_force: Vec<_> = fleet
+        .entries
+        .iter()
+        .map(|entry| release(fleet, entry))
+        .collect();
+    assert!(
+        in_force[0] > 1 && in_force[0] == in_force[1],
+        "{in_force:?}"
+    );
+}
+
+/// Guards against a note that is published twice, or reported as failed, because the answer to
+/// its append was lost after it took effect.
+#[test]
+fn lost_answer_publishes_once() {
+    let turn = start(|_| ());
+    let fleet = &turn.fleet;
+    let fault = json!({
+        "kind": "drop_after", "calls": 1, "method": "POST", "path": "/streams/releases",
+    });
+    fleet.log.add_fault(&fault).expect("a fault");
+    let file = fleet
+        .write_note("note.json", &withdrawal(2))
+        .expect("a file");
+    // The note in the file replaces offset 0; a note without the field replaces the newest one.
+    let mut note: Value =
+        serde_json::from_slice(&std::fs::read(&file).expect("a file")).expect("JSON");
+    note.as_object_mut().expect("an object").remove("replaces");
+    std::fs::write(&file, note.to_string()).expect("a file");
+    let (code, output) = fleet.publish(&file).expect("the tool runs");
+    assert_eq!(code, 0, "{output}");
+    let entry = &fleet.entries[0];
+    assert_eq!(status(fleet, entry)["releases"], 2);
+    let refused = fleet.caller(0).chat("imaging-2", "check", 2, TIMEOUT);
+    assert_eq!(refused.expect("an answer").status, 404);
+}
+
+/// Guards against a daemon without a link to the log that keeps an old note in force although
+/// its neighbours know a newer one, and against one that reverts when it restarts.
+#[test]
+fn entry_without_the_log_learns_a_note_from_its_neighbours_and_keeps_it() {
+    let mut turn = start(|plan| plan.metered = true);
+    turn.fleet.entries[0].meters[0].cut();
+    let mut note = withdrawal(2);
+    note.replaces = 1;
+    let file = turn.fleet.write_note("note.json", &note).expect("a file");
+    let (code, output) = turn.fleet.publish(&file).expect("the tool runs");
+    assert_eq!(code, 0, "{output}");
+    assert_eq!(release(&turn.fleet, &turn.fleet.entries[0]), 2);
+    turn.fleet.entries[0].restart().expect("a restart");
+    eventually("the entry is ready", || turn.fleet.entries[0].is_ready());
+    assert_eq!(release(&turn.fleet, &turn.fleet.entries[0]), 2);
+    turn.fleet.entries[0].meters[0].restore();
+    let refused = turn.fleet.caller(0).chat("imaging-2", "check", 2, TIMEOUT);
+    assert_eq!(refused.expect("an answer").status, 404);
+    let served = turn.fleet.caller(0).chat(&model(), "check", 2, TIMEOUT);
+    assert!(served.expect("an answer").is_complete());
+    assert_eq!(release(&turn.fleet, &turn.fleet.entries[0]), 2);
+}
