--- a/src/agent/call.rs
+++ b/src/agent/call.rs
@@ -83,7 +83,10 @@
         let result = self.dispatch(request, call, body, deadline).await;
         let outcome = match &result {
             Ok(_) => "answered",
-            Err(refusal) => refusal.reason.as_str(),
+            Err(refusal) => {
+                report_refusal(&request.id, refusal);
+                refusal.reason.as_str()
+            }
         };
         self.context().metrics.count("call", outcome);
         result.map_err(to_wire)
@@ -96,31 +99,15 @@
         body: Bytes,
         deadline: Time,
     ) -> Result<Reply, Refusal> {
-        match self.accept(request, call) {
-            Ok(Some(key)) => {
-                let call = executor::Call {
-                    request: request.id.clone(),
-                    call: call.clone(),
-                    body,
-                    deadline,
-                };
-                match self.executor.run(key, call).await {
-                    Answer::Response(response) => Ok(reply(&response)),
-                    Answer::Refused(refusal) => Err(refusal),
-                }
-            }
-            Ok(None) => self.pass(&request.id, call, body, deadline).await,
-            Err(reason) => {
-                report::info(
-                    "refused",
-                    &[
-                        ("request", &request.id),
-                        ("reason", &reason),
-                        ("not_run", &true),
-                    ],
-                );
-                Err(not_run(reason))
-            }
+        let key = self.accept(request, call).map_err(not_run)?;
+        let admitted = self.executor.admit(&request.id, call, body, deadline);
+        let call = admitted.ok_or(not_run(Reason::Busy))?;
+        let Some(key) = key else {
+            return self.pass(call).await;
+        };
+        match self.executor.run(key, call).await {
+            Answer::Response(response) => Ok(reply(&response)),
+            Answer::Refused(refusal) => Err(refusal),
         }
     }
 
@@ -149,6 +136,10 @@
 
     /// Returns whether the catalogue lists the call as not idempotent.
     fn is_listed(&self, call: &wire::Call) -> Result<bool, Reason> {
+        // The path is appended to the service's address, whose host it must not extend.
+        if !call.path.starts_with('/') {
+            return Err(Reason::Unknown);
+        }
         let catalogue = self.context().view.catalogue();
         let key = catalogue::Key::Service(call.service.clone());
         let Some(catalogue::Item::Service(service)) = catalogue.get(&key) else {
@@ -174,21 +165,9 @@
     }
 
     /// Sends a call that may be repeated.
-    async fn pass(
-        &self,
-        request: &id::Request,
-        call: &wire::Call,
-        body: Bytes,
-        deadline: Time,
-    ) -> Result<Reply, Refusal> {
+    async fn pass(&self, call: executor::Call) -> Result<Reply, Refusal> {
         let service = self.executor.service().clone();
-        let call = executor::Call {
-            request: request.clone(),
-            call: call.clone(),
-            body,
-            deadline,
-        };
-        let timeout = deadline.remaining(Time::now());
+        let timeout = call.remaining();
         let send = move || executor::send(&service, &call, timeout);
         let sent = self.context().runtime.spawn_blocking(send).await;
         match sent.unwrap_or(Ending::Unknown) {
@@ -198,6 +177,11 @@
         }
     }
 
+    /// Waits until no call waits or runs and all results are written.
+    pub(crate) async fn drained(&self) {
+        self.executor.drained().await;
+    }
+
     fn context(&self) -> &Context {
         self.executor.context()
     }
@@ -224,6 +208,17 @@
     }
 }
 
+fn report_refusal(request: &id::Request, refusal: &Refusal) {
+    report::info(
+        "refused",
+        &[
+            ("request", request),
+            ("reason", &refusal.reason),
+            ("not_run", &refusal.not_run),
+        ],
+    );
+}
+
 fn not_run(reason: Reason) -> Refusal {
     let not_run = true;
     Refusal { reason, not_run }
@@ -236,9 +231,11 @@
 
 fn to_wire(refusal: Refusal) -> wire::Refusal {
     let retry = match refusal.reason {
-        Reason::LogDown | Reason::Deadline | Reason::OutcomeUnknown | Reason::Backend => {
-            RETRY_AFTER
-        }
+        Reason::LogDown
+        | Reason::Busy
+        | Reason::Deadline
+        | Reason::OutcomeUnknown
+        | Reason::Backend => RETRY_AFTER,
         _ => Duration::ZERO,
     };
     wire::Refusal {
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -83,6 +83,9 @@
     /// Waits until no request is in flight.
     pub(crate) async fn drained(&self) {
         let _ = (&self.context.runtime, &self.context.stopping);
+        if let Some(calls) = &self.calls {
+            calls.drained().await;
+        }
     }
 }
 
--- a/src/claim/executor.rs
+++ b/src/claim/executor.rs
@@ -17,7 +17,11 @@
 };
 
 use bytes::Bytes;
-use tokio::sync::oneshot;
+use tokio::sync::{
+    OwnedSemaphorePermit,
+    Semaphore,
+    oneshot, //
+};
 use uuid::Uuid;
 
 use super::{
@@ -55,19 +59,32 @@
 /// Most records in one read; with the largest appends a page stays below the log client's limit.
 const READ_LIMIT: u32 = 64;
 
+/// Most calls at one agent that wait or run. Below the runtime's 512 blocking threads, so that
+/// slow calls leave some for the log.
+const MAX_CALLS: u32 = 256;
+
+/// Time between checks whether all records are written at shutdown.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+
 /// Streams that are kept in memory. A stream that is needed again is read anew.
 const MAX_STREAMS: usize = 128;
 
-/// A call to run at most once.
+/// A call that takes up one of the agent's places for calls until it neither waits nor runs.
 #[derive(Debug)]
 pub(crate) struct Call {
-    pub(crate) request: id::Request,
-    pub(crate) call: wire::Call,
-    pub(crate) body: Bytes,
-    pub(crate) deadline: Time,
+    request: id::Request,
+    call: wire::Call,
+    body: Bytes,
+    deadline: Time,
+    _place: OwnedSemaphorePermit,
 }
 
 impl Call {
+    /// Returns the time left until the deadline.
+    pub(crate) fn remaining(&self) -> Duration {
+        self.deadline.remaining(Time::now())
+    }
+
     fn fingerprint(&self) -> Digest {
         let (method, path) = (&self.call.method, &self.call.path);
         Digest::of(&[method.as_bytes(), path.as_bytes(), &self.body])
@@ -85,6 +102,7 @@
     pace: Mutex<Pace>,
     desks: Mutex<BTreeMap<String, Arc<Desk>>>,
     tickets: AtomicU64,
+    places: Arc<Semaphore>,
 }
 
 /// One claim stream with the requests that wait for it.
@@ -121,6 +139,7 @@
             pace: Mutex::default(),
             desks: Mutex::default(),
             tickets: AtomicU64::new(0),
+            places: Arc::new(Semaphore::new(MAX_CALLS as usize)),
         }))
     }
 
@@ -134,6 +153,33 @@
         &self.0.service
     }
 
+    /// Takes a place for a call; nothing if all are taken.
+    pub(crate) fn admit(
+        &self,
+        request: &id::Request,
+        call: &wire::Call,
+        body: Bytes,
+        deadline: Time,
+    ) -> Option<Call> {
+        let place = self.0.places.clone().try_acquire_owned().ok()?;
+        Some(Call {
+            request: request.clone(),
+            call: call.clone(),
+            body,
+            deadline,
+            _place: place,
+        })
+    }
+
+    /// Waits until no call waits or runs and all results are written.
+    pub(crate) async fn drained(&self) {
+        // Fails only for a closed semaphore; this one is never closed.
+        let _ = self.0.places.acquire_many(MAX_CALLS).await;
+        while !self.0.is_written() {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+    }
+
     /// Runs a call unless the key's call has run, and returns the answer by the deadline.
     pub(crate) async fn run(&self, key: Key, call: Call) -> Answer {
         let desk = self.0.desk(key, &call.call.service);
@@ -156,6 +202,12 @@
 }
 
 impl Inner {
+    fn is_written(&self) -> bool {
+        let desks = lock(&self.desks);
+        let mut desks = desks.values();
+        desks.all(|desk| lock(&desk.state).stream.is_written())
+    }
+
     /// Returns the stream's desk, after dropping those that are not needed any more.
     fn desk(&self, key: Key, service: &id::Service) -> Arc<Desk> {
         let mut desks = lock(&self.desks);
@@ -205,7 +257,6 @@
             }
             Action::Answer(ticket, answer) => {
                 if let Some(waiting) = state.waiting.remove(&ticket) {
-                    report_answer(&waiting.call.request, &answer);
                     // The receiver is gone if the caller has disconnected.
                     let _ = waiting.answer.send(answer);
                 }
@@ -372,19 +423,6 @@
     );
 }
 
-fn report_answer(request: &id::Request, answer: &Answer) {
-    if let Answer::Refused(refusal) = answer {
-        report::info(
-            "refused",
-            &[
-                ("request", request),
-                ("reason", &refusal.reason),
-                ("not_run", &refusal.not_run),
-            ],
-        );
-    }
-}
-
 fn report_failure(event: &str, stream: &str, error: &Error) {
     report::warn(event, &[("stream", &stream), ("error", error)]);
 }
--- a/src/claim/stream.rs
+++ b/src/claim/stream.rs
@@ -187,6 +187,11 @@
         !busy && self.lookups.is_empty() && self.writer.idle() && self.reading.is_none()
     }
 
+    /// Returns whether every result and every abandonment was read back from the stream.
+    pub fn is_written(&self) -> bool {
+        !self.writer.owes()
+    }
+
     fn expire(&mut self, now: Now, actions: &mut Vec<Action>) {
         let late = |lookup: &mut Lookup| lookup.waiter.deadline <= now.time;
         for lookup in self.lookups.extract_if(.., late) {
--- a/src/claim/writer.rs
+++ b/src/claim/writer.rs
@@ -169,6 +169,13 @@
         })
     }
 
+    /// Returns whether a record other than a claim has not been read back.
+    pub fn owes(&self) -> bool {
+        let queue = self.queue.iter().map(|waiting| &waiting.record);
+        let mut records = queue.chain(self.sent.iter().map(|sent| &sent.record));
+        records.any(|record| !matches!(record, Record::Claim { .. }))
+    }
+
     /// Returns whether no record waits and no append is in flight.
     pub fn idle(&self) -> bool {
         self.queue.is_empty() && self.flight.is_none()
