--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -291,6 +291,10 @@
     /// Waits until no request is in flight.
     pub(crate) async fn drained(&self) {
         self.inner.flights.ended().await;
+        // Calls go on after their callers have been refused or are gone.
+        if let Part::Service(calls) = &self.inner.part {
+            calls.drained().await;
+        }
     }
 }
 
