--- /dev/null
+++ b/src/daemon/streams.rs
@@ -0,0 +1,87 @@
+//! What a daemon follows: two streams of the log and the instance list.
+
+use std::{
+    io,
+    sync::Arc,
+    time::Duration, //
+};
+
+use crate::{
+    catalogue::Catalogue,
+    context::Context,
+    decision::Table,
+    follow::{
+        self,
+        Fold,
+        Stream, //
+    },
+    id,
+    platform::list::{
+        self,
+        List, //
+    },
+    rank,
+    timer,
+    view::View, //
+};
+
+/// Period of checks whether a snapshot is due.
+const SNAPSHOT_PERIOD: Duration = Duration::from_secs(5);
+
+const SECONDS_PER_HOUR: u64 = 3_600;
+
+/// The streams that every daemon follows.
+#[derive(Debug, Clone)]
+pub(super) struct Streams {
+    pub(super) releases: Arc<Stream<Catalogue>>,
+    pub(super) decisions: Arc<Stream<Table>>,
+}
+
+impl Streams {
+    /// Follows the log and the instance list into the view.
+    pub(super) fn follow(context: &Context) -> io::Result<Self> {
+        let (log, view) = (&context.log, &context.view);
+        let streams = Self {
+            releases: Arc::new(Stream::new(log.clone(), view.clone(), View::set_catalogue)),
+            decisions: Arc::new(Stream::new(log.clone(), view.clone(), View::set_table)),
+        };
+        streams.releases.follow()?;
+        streams.decisions.follow()?;
+        let list = List::new(&context.settings.platform.list);
+        let view = view.clone();
+        let mut etag = None;
+        timer::subscribe("list", follow::LIST_PERIOD, move |_| {
+            follow::instances(&list, &view, &mut etag);
+            true
+        })?;
+        Ok(streams)
+    }
+
+    /// Appends snapshots when they are due from this agent.
+    pub(super) fn write_snapshots(&self, context: &Context) -> io::Result<()> {
+        let view = context.view.clone();
+        let name = context.settings.instance.clone();
+        let hours = context.settings.platform.log_retention_h;
+        let retention = Duration::from_secs(hours.saturating_mul(SECONDS_PER_HOUR));
+        let streams = self.clone();
+        timer::subscribe("snapshots", SNAPSHOT_PERIOD, move |now| {
+            if let Some(rank) = agent_rank(&view, Catalogue::STREAM, &name) {
+                streams.releases.write_snapshot(now, retention, rank);
+            }
+            if let Some(rank) = agent_rank(&view, Table::STREAM, &name) {
+                streams.decisions.write_snapshot(now, retention, rank);
+            }
+            true
+        })
+    }
+}
+
+/// Returns the rank of the agent `name` among the live agents for the stream.
+fn agent_rank(view: &View, stream: &str, name: &id::Instance) -> Option<usize> {
+    let instances = view.instances();
+    let agents = instances.iter().filter(|instance| {
+        instance.role == list::Role::Agent && instance.state == list::State::Live
+    });
+    let ranked = rank::order(stream, agents.map(|instance| instance.name.as_str()));
+    ranked.iter().position(|agent| *agent == name.as_str())
+}
--- a/src/gossip/node.rs
+++ b/src/gossip/node.rs
@@ -29,7 +29,11 @@
         Endpoint,
         Exchange, //
     },
-    platform::list::Instance,
+    platform::list::{
+        Instance,
+        Role,
+        State, //
+    },
     report,
     timer::Time,
     view::View,
@@ -128,7 +132,20 @@
         (self.releases.applied(), self.decisions.applied())
     }
 
+    /// Tells neighbours that the list says that this backend server is leaving.
+    fn announce_if_listed(&self) {
+        let listed = {
+            let instances = self.view.instances();
+            let mut own = instances.iter().filter(|one| one.name == self.name);
+            own.any(|own| own.role == Role::Agent && own.state == State::Leaving)
+        };
+        if listed {
+            self.announce_leaving();
+        }
+    }
+
     async fn visit_next(&self, round: usize) {
+        self.announce_if_listed();
         let neighbours = neighbours(&self.name, &self.view.instances());
         if let Some(neighbour) = neighbours.get(round % neighbours.len().max(1)) {
             self.visit(neighbour).await;
