--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -121,16 +121,42 @@
         Ok(())
     }
 
+    /// Starts a second process with the same settings beside this one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process can't be started.
+    pub fn start_another(&self) -> Result<Process, Error> {
+        start_daemon(&self.name, &self.settings, &self.directory)
+    }
+
     /// Returns the number of slots that the daemon knows.
     ///
     /// # Errors
     ///
     /// Fails if the daemon does not answer.
     pub fn slots(&self, operator_token: &str) -> Result<usize, Error> {
+        Ok(self.slot_models(operator_token)?.len())
+    }
+
+    /// Returns the number of slots of a model version that the daemon knows.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the daemon does not answer.
+    pub fn slots_of(&self, operator_token: &str, model: &str) -> Result<usize, Error> {
+        let models = self.slot_models(operator_token)?;
+        Ok(models.iter().filter(|one| *one == model).count())
+    }
+
+    /// Returns the model version of each slot.
+    fn slot_models(&self, operator_token: &str) -> Result<Vec<String>, Error> {
         let url = format!("http://{}/status", self.operator_addr);
         let request = ureq::get(url).header("Authorization", format!("Bearer {operator_token}"));
         let status: Value = request.call()?.body_mut().read_json()?;
-        Ok(status["slots"].as_array().map_or(0, Vec::len))
+        let slots = status["slots"].as_array().cloned().unwrap_or_default();
+        let models = slots.iter().filter_map(|slot| slot["model"].as_str());
+        Ok(models.map(str::to_owned).collect())
     }
 
     /// Returns whether the daemon says that it is ready.
