--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -8,6 +8,7 @@
         TcpListener,
         UdpSocket, //
     },
+    ops::Range,
     path::{
         Path,
         PathBuf, //
@@ -46,6 +47,12 @@
 /// Slots that each model of the first release note has ahead of need.
 const HOME_SLOTS: usize = 2;
 
+/// Ports of daemons.
+const PORTS: Range<u16> = 10_000..32_000;
+
+/// Ports that are tried for one address.
+const PORT_ATTEMPTS: u32 = 100;
+
 /// Pause between checks of readiness.
 const READY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -426,7 +433,7 @@
 
     fn start_entry(&mut self, number: usize) -> Result<(), Error> {
         let institution = self.plan.deployment.institution;
-        let caller_addr = free_tcp_addr()?;
+        let caller_addr = free_addr()?;
         let role = json!({ "entry": {
             "caller_addr": caller_addr,
             "institutions": { institution: [digest(&self.caller_token)] },
@@ -440,8 +447,8 @@
     fn start_daemon(&self, name: &str, number: usize, role: &Value) -> Result<Daemon, Error> {
         let domains = self.plan.deployment.failure_domains;
         let (region, failure_domain) = domains[number % domains.len()];
-        let operator_addr = free_tcp_addr()?;
-        let peer_addr = free_udp_addr()?;
+        let operator_addr = free_addr()?;
+        let peer_addr = free_addr()?;
         let file = |suffix: &str| self.directory.join(format!("{name}{suffix}"));
         let (log, list, meters) = self.platform_urls()?;
         let settings = json!({
@@ -609,14 +616,14 @@
     format!("{:x}", Sha256::digest(token))
 }
 
-fn free_tcp_addr() -> Result<SocketAddr, Error> {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
-        .and_then(|listener| listener.local_addr())
-        .map_err(|error| Error::Io("free TCP port".to_owned(), error))
-}
-
-fn free_udp_addr() -> Result<SocketAddr, Error> {
-    UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))
-        .and_then(|socket| socket.local_addr())
-        .map_err(|error| Error::Io("free UDP port".to_owned(), error))
+/// Returns an address whose TCP and UDP ports are free. The ports lie below those that the
+/// kernel gives to outgoing connections, which could otherwise take one before it is bound.
+fn free_addr() -> Result<SocketAddr, Error> {
+    for _ in 0..PORT_ATTEMPTS {
+        let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, fastrand::u16(PORTS)));
+        if TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok() {
+            return Ok(addr);
+        }
+    }
+    Err(Error::NotReady("a free port".to_owned()))
 }
--- a/src/gossip/node.rs
+++ b/src/gossip/node.rs
@@ -113,6 +113,7 @@
         loop {
             tokio::select! {
                 () = tokio::time::sleep(PERIOD) => {
+                    self.endpoint.close_unused(Time::now());
                     self.visit_next(round).await;
                     round += 1;
                 }
--- a/src/peer/exchange.rs
+++ b/src/peer/exchange.rs
@@ -1,5 +1,7 @@
 //! One exchange between two daemons: frames on a QUIC stream.
 
+use std::sync::Arc;
+
 use quinn::{
     ReadExactError,
     RecvStream,
@@ -21,12 +23,24 @@
 pub struct Exchange {
     send: SendStream,
     receive: RecvStream,
+    /// Shows the endpoint that the connection is in use.
+    guard: Option<Arc<()>>,
 }
 
 impl Exchange {
     /// Makes an exchange of the two halves of a QUIC stream.
     pub fn new(send: SendStream, receive: RecvStream) -> Self {
-        Self { send, receive }
+        Self {
+            send,
+            receive,
+            guard: None,
+        }
+    }
+
+    /// Keeps `guard` for the life of the exchange.
+    pub(super) fn with_guard(mut self, guard: Arc<()>) -> Self {
+        self.guard = Some(guard);
+        self
     }
 
     /// Sends a frame.
--- a/src/peer/identity.rs
+++ b/src/peer/identity.rs
@@ -9,6 +9,7 @@
     QuicClientConfig,
     QuicServerConfig, //
 };
+use ring::hmac;
 use rustls::{
     RootCertStore,
     pki_types::{
@@ -19,12 +20,20 @@
     server::WebPkiClientVerifier,
 };
 
+use sha2::{
+    Digest,
+    Sha256, //
+};
+
 use super::Error;
 use crate::settings::Tls;
 
 /// Protocol name in the TLS handshake; changes when the frames change incompatibly.
 const ALPN: &[u8] = b"chestnuthub/1";
 
+/// Separates the reset key from other uses of the private key.
+const RESET_KEY_CONTEXT: &[u8] = b"chestnuthub stateless reset";
+
 /// A daemon's certificate and key, and the authority that signs its peers' certificates.
 #[derive(Debug)]
 pub struct Identity {
@@ -69,6 +78,15 @@
         QuicServerConfig::try_from(tls).map_err(config)
     }
 
+    /// Returns the key for stateless resets. It follows from the private key, so that a restarted
+    /// daemon can tell peers at once that connections of its predecessor are gone.
+    pub(super) fn reset_key(&self) -> hmac::Key {
+        let mut digest = Sha256::new();
+        digest.update(RESET_KEY_CONTEXT);
+        digest.update(self.key.secret_der());
+        hmac::Key::new(hmac::HMAC_SHA256, &digest.finalize())
+    }
+
     fn roots(&self) -> Result<RootCertStore, Error> {
         let mut roots = RootCertStore::empty();
         roots.add(self.authority.clone()).map_err(config)?;
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -198,3 +198,21 @@
         })
     });
 }
+
+/// Guards against a cold start that outlasts the connections' idle time and is taken for a dead
+/// agent.
+#[test]
+fn long_cold_start_is_waited_for() {
+    let turn = start(|plan| {
+        plan.engines = 1;
+        // The emulated checkpoint has 64 MiB, so that the load takes 16 s.
+        plan.store_bytes_per_s = 4 << 20;
+    });
+    let fleet = &turn.fleet;
+    let timeout = Duration::from_secs(55);
+    let answer = fleet.caller(0).chat(&model(), "wake", 3, timeout);
+    let answer = answer.expect("an answer");
+    assert!(answer.is_complete(), "{answer:?}");
+    assert_eq!(fleet.count_engines("loads_started").expect("a record"), 1);
+    assert_eq!(fleet.count_engines("began").expect("a record"), 1);
+}
