--- a/src/agent/dispatch.rs
+++ b/src/agent/dispatch.rs
@@ -234,8 +234,12 @@
         if matches!(event, Event::Inventory(..)) {
             self.suspended = false;
         }
+        // The ticks come often enough, and a look at all waiting requests takes time.
+        let looks = matches!(event, Event::Tick | Event::Authority(_) | Event::Slots(_));
         let mut effects = self.apply(event, now);
-        effects.extend(self.refuse(now));
+        if looks {
+            effects.extend(self.refuse(now));
+        }
         effects.extend(self.start(now));
         effects
     }
@@ -270,10 +274,17 @@
 
     /// Refuses the waiting requests that can't be served by their deadline any more.
     fn refuse(&mut self, now: Time) -> Vec<Effect> {
+        let models = self.queue.models().into_iter();
+        let waits: BTreeMap<_, _> = models
+            .map(|model| (model.clone(), self.policy.wait(&model, now)))
+            .collect();
         let denied: Vec<_> = self
             .queue
             .iter()
-            .filter_map(|(key, ticket)| Some((key, self.denial(ticket, now)?)))
+            .filter_map(|(key, ticket)| {
+                let wait = waits.get(&ticket.model).copied().flatten();
+                Some((key, self.denial(ticket, wait, now)?))
+            })
             .collect();
         let mut effects = Vec::new();
         for (key, denial) in denied {
@@ -285,14 +296,13 @@
         effects
     }
 
-    fn denial(&self, ticket: &Ticket, now: Time) -> Option<Denial> {
+    fn denial(&self, ticket: &Ticket, wait: Option<Duration>, now: Time) -> Option<Denial> {
         if !self.policy.is_granted(&ticket.model) {
             return Some(Denial {
                 reason: Reason::NoSlot,
                 retry_after_ms: 0,
             });
         }
-        let wait = self.policy.wait(&ticket.model, now);
         let retry_after_ms = self.retry_after(wait.unwrap_or_default());
         let reason = if now + ANSWER_MARGIN >= ticket.deadline {
             Reason::Deadline
