--- a/src/agent/authority.rs
+++ b/src/agent/authority.rs
@@ -24,6 +24,8 @@
         epoch: u64,
         /// Fencing number of orders.
         fence: u64,
+        /// Whether it followed the epoch of another process, which may still run.
+        succeeds: bool,
     },
     /// A newer process is the server's agent, with this epoch.
     Superseded(u64),
@@ -32,12 +34,25 @@
 }
 
 impl Standing {
+    /// Returns whether the process may begin to give orders; `held` is when its registration was
+    /// seen in the stream.
+    ///
+    /// An earlier process that has not read the registration gives orders for as long as its last
+    /// read counts as fresh, and not every engine refuses them.
+    pub fn may_begin(self, held: Option<Time>, checks_fence: bool, now: Time) -> bool {
+        let Self::Held { succeeds, .. } = self else {
+            return false;
+        };
+        checks_fence || !succeeds || held.is_some_and(|held| now - held > ORDER_FRESHNESS)
+    }
+
     /// Returns the standing of a process; `seen` says whether its registration was in the stream.
     pub fn new(table: &Table, server: &id::Instance, incarnation: Uuid, seen: bool) -> Self {
         match table.epoch(server) {
             Some(epoch) if epoch.incarnation == incarnation => Self::Held {
                 epoch: epoch.offset,
                 fence: epoch.fence,
+                succeeds: epoch.succeeds,
             },
             _ if !seen => Self::Unseen,
             Some(epoch) => Self::Superseded(epoch.offset),
--- a/src/agent/coordination.rs
+++ b/src/agent/coordination.rs
@@ -29,7 +29,10 @@
     id,
     platform::{
         Error,
-        list::Instance, //
+        list::{
+            Instance,
+            List, //
+        },
     },
     report,
     timer::{
@@ -49,6 +52,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct Coordination {
     context: Context,
+    list: List,
     soft: Arc<Mutex<Soft>>,
 }
 
@@ -59,6 +63,7 @@
         registration: Arc<Registration>,
     ) -> std::io::Result<Self> {
         let coordination = Self {
+            list: List::new(&context.settings.platform.list),
             context,
             soft: Arc::default(),
         };
@@ -143,15 +148,23 @@
     }
 
     fn plan(&self, now: Time) -> Vec<Proposal> {
+        if self.with_fleet(|fleet| coordinator::suspects(fleet, &self.lock(), now)) {
+            let listing = self.list.poll(None).ok().flatten();
+            let instances = listing.as_ref().map(|listing| listing.instances.as_slice());
+            self.lock().polled(instances, now);
+        }
+        self.with_fleet(|fleet| coordinator::plan(fleet, &mut self.lock(), now))
+    }
+
+    fn with_fleet<T>(&self, work: impl FnOnce(&Fleet<'_>) -> T) -> T {
         let view = &self.context.view;
         let (catalogue, table, instances) = (view.catalogue(), view.table(), view.instances());
-        let fleet = Fleet {
+        work(&Fleet {
             table: &table,
             catalogue: &catalogue,
             instances: &instances,
             own: &self.context.settings.instance,
-        };
-        coordinator::plan(&fleet, &mut self.lock(), now)
+        })
     }
 
     /// Appends a record and returns whether the log answered.
--- a/src/agent/driver.rs
+++ b/src/agent/driver.rs
@@ -237,7 +237,7 @@
     }
 
     fn tick(&self, changed: bool) {
-        let held = self.shared.registration.epoch().is_some();
+        let held = self.shared.registration.has_authority(Time::now());
         let slots = changed.then(|| self.slots());
         let mut state = self.lock();
         let now = Time::now();
--- a/src/agent/registration.rs
+++ b/src/agent/registration.rs
@@ -46,8 +46,8 @@
     record: Record,
     incarnation: Uuid,
     appended: Option<Time>,
-    /// Offset of the registration once it was seen in the stream.
-    epoch: Option<u64>,
+    /// Offset of the registration, and when it was first seen in the stream.
+    held: Option<(u64, Time)>,
 }
 
 /// The agent's own registration.
@@ -55,6 +55,7 @@
 pub(crate) struct Registration {
     context: Context,
     backend: settings::Agent,
+    checks_fence: bool,
     current: Mutex<Current>,
 }
 
@@ -65,20 +66,33 @@
         Self {
             context,
             backend: backend.clone(),
+            checks_fence: matches!(
+                backend.backend,
+                Backend::Engine {
+                    checks_fence: true,
+                    ..
+                }
+            ),
             current,
         }
     }
 
     /// Returns the offset of the registration while it holds.
     pub(crate) fn epoch(&self) -> Option<u64> {
-        self.lock().epoch
+        self.lock().held.map(|(epoch, _)| epoch)
+    }
+
+    /// Returns whether this process may give its engine orders, as far as the stream was read.
+    pub(crate) fn has_authority(&self, now: Time) -> bool {
+        let held = self.lock().held.map(|(_, at)| at);
+        self.standing().may_begin(held, self.checks_fence, now)
     }
 
     /// Appends the registration until it is in the stream, and ends the process when a newer one
     /// follows it.
     pub(crate) fn tick(&self, now: Time) {
         match self.standing() {
-            Standing::Held { epoch, .. } => self.hold(epoch),
+            Standing::Held { epoch, .. } => self.hold(epoch, now),
             Standing::Superseded(epoch) => {
                 report::warn("superseded", &[("offset", &epoch)]);
                 std::process::exit(EXIT_SUPERSEDED);
@@ -94,14 +108,15 @@
     fn standing(&self) -> Standing {
         let current = self.lock();
         let table = self.context.view.table();
-        let seen = current.epoch.is_some() || table.has_seen(current.record.id);
+        let seen = current.held.is_some() || table.has_seen(current.record.id);
         let server = &self.context.settings.instance;
         Standing::new(&table, server, current.incarnation, seen)
     }
 
-    fn hold(&self, epoch: u64) {
+    fn hold(&self, epoch: u64, now: Time) {
         let mut current = self.lock();
-        if current.epoch.replace(epoch).is_none() {
+        if current.held.is_none() {
+            current.held = Some((epoch, now));
             report::info(
                 "registered",
                 &[("offset", &epoch), ("incarnation", &current.incarnation)],
@@ -193,6 +208,6 @@
         record,
         incarnation,
         appended: None,
-        epoch: None,
+        held: None,
     }
 }
--- a/src/decision/coordinator.rs
+++ b/src/decision/coordinator.rs
@@ -1,21 +1,22 @@
 //! Decides which records the coordinator of a model version appends. Pure.
 
-use std::collections::{
-    BTreeMap,
-    BTreeSet, //
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    time::Duration,
 };
 
-use std::time::Duration;
-
-use uuid::Uuid;
-
+pub use super::soft::Soft;
 use super::{
     Body,
     Epoch,
     Record,
     Slot,
     State,
-    Table, //
+    Table,
+    soft::Subject, //
 };
 use crate::{
     catalogue::{
@@ -33,9 +34,6 @@
     timer::Time,
 };
 
-/// Time for which a server must be missing from the list before it counts as gone.
-pub const GONE_AFTER: Duration = Duration::from_secs(30);
-
 /// Time for which slots beyond the home slots are kept after the last `Widen`.
 pub const SURPLUS_FOR: Duration = Duration::from_secs(600);
 
@@ -44,14 +42,6 @@
 /// A daemon that starts reads the streams side by side, so a slot may be known before its model.
 pub const WITHDRAWN_AFTER: Duration = Duration::from_secs(10);
 
-/// Time after which a record that was never seen in the stream is given up.
-///
-/// The next record for the model has the same `replaces`, so at most one of the two holds.
-pub const PENDING_FOR: Duration = Duration::from_secs(10);
-
-/// Time for which a `Widen` that could not be granted is remembered.
-const WIDEN_FOR: Duration = Duration::from_secs(5);
-
 /// What the coordinator knows of the fleet.
 #[derive(Debug, Clone, Copy)]
 pub struct Fleet<'a> {
@@ -74,70 +64,6 @@
     pub reason: &'static str,
 }
 
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-enum Subject {
-    Model(id::Model),
-    Server(id::Instance),
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Pending {
-    record: Uuid,
-    head: u64,
-    since: Time,
-}
-
-/// What a coordinator remembers between ticks; it may be lost at any time.
-#[derive(Debug, Clone, Default)]
-pub struct Soft {
-    seen: BTreeMap<id::Instance, Time>,
-    absent: BTreeMap<id::Model, Time>,
-    surplus: BTreeMap<id::Model, Time>,
-    widen: BTreeMap<id::Model, Time>,
-    pending: BTreeMap<Subject, Pending>,
-}
-
-impl Soft {
-    /// Notes that a replica of the model version is saturated.
-    pub fn widen(&mut self, model: &id::Model, now: Time) {
-        self.widen.insert(model.clone(), now);
-    }
-
-    /// Notes that a record was certainly not appended, so that its subject need not wait for it.
-    pub fn dropped(&mut self, record: Uuid) {
-        self.pending.retain(|_, pending| pending.record != record);
-    }
-
-    fn observe(&mut self, fleet: &Fleet<'_>, now: Time) {
-        let listed: BTreeSet<_> = fleet.instances.iter().map(|i| &i.name).collect();
-        for (server, _) in fleet.table.servers() {
-            if listed.contains(server) || !self.seen.contains_key(server) {
-                self.seen.insert(server.clone(), now);
-            }
-        }
-        self.seen
-            .retain(|server, _| fleet.table.epoch(server).is_some());
-        self.widen.retain(|_, asked| now - *asked <= WIDEN_FOR);
-        self.pending.retain(|subject, pending| {
-            let head = match subject {
-                Subject::Model(model) => fleet.table.head(model),
-                Subject::Server(server) => fleet.table.epoch(server).map_or(0, |e| e.offset),
-            };
-            let settled = head != pending.head || fleet.table.has_seen(pending.record);
-            !settled && now - pending.since < PENDING_FOR
-        });
-    }
-
-    fn propose(&mut self, subject: Subject, head: u64, proposal: &Proposal, now: Time) {
-        let pending = Pending {
-            record: proposal.record.id,
-            head,
-            since: now,
-        };
-        self.pending.insert(subject, pending);
-    }
-}
-
 /// Returns the agent that decides about a model version: the live agent of the pool that ranks
 /// first.
 pub fn coordinator<'a>(
@@ -177,6 +103,13 @@
     proposals
 }
 
+/// Returns whether this agent suspects that a server which it reports is gone, so that it has to
+/// poll the list itself; see [`Soft::polled`].
+pub fn suspects(fleet: &Fleet<'_>, soft: &Soft, now: Time) -> bool {
+    let mut servers = fleet.table.servers();
+    servers.any(|(server, epoch)| soft.suspects(server, now) && reports_gone(fleet, server, epoch))
+}
+
 fn is_live(instance: &Instance) -> bool {
     instance.role == Role::Agent && instance.state == list::State::Live
 }
@@ -185,8 +118,10 @@
     let mut proposals = Vec::new();
     for (server, epoch) in fleet.table.servers() {
         let subject = Subject::Server(server.clone());
-        let missing = soft.seen.get(server).is_some_and(|t| now - *t > GONE_AFTER);
-        if !missing || soft.pending.contains_key(&subject) || !reports_gone(fleet, server, epoch) {
+        if !soft.is_gone(server, now)
+            || soft.pending.contains_key(&subject)
+            || !reports_gone(fleet, server, epoch)
+        {
             continue;
         }
         let proposal = Proposal {
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod coordinator;
 mod record;
+mod soft;
 mod table;
 
 pub use record::{
--- a/src/decision/table.rs
+++ b/src/decision/table.rs
@@ -39,6 +39,8 @@
     pub failure_domain: String,
     /// Highest offset of any valid record about this backend server.
     pub fence: u64,
+    /// Whether it followed the epoch of another process, which may still run.
+    pub succeeds: bool,
 }
 
 /// State of a slot.
@@ -194,6 +196,7 @@
                     region: region.clone(),
                     failure_domain: failure_domain.clone(),
                     fence: offset,
+                    succeeds: self.servers.contains_key(server),
                 };
                 self.register(server, epoch)
             }
