agent: log orders when they are given and count the start of a log read

Cause: an order that hangs left no log line until its time limit, and a read whose answer waited in a buffer while the process was paused counted as fresh. Change: an order is logged with reason, grant offset and fencing number before it is sent and once more with its answer; `follow` dates a read by its start; requests that are refused while they wait count as signs of saturation too.

--- a/src/agent/dispatch.rs
+++ b/src/agent/dispatch.rs
@@ -141,11 +141,8 @@
     ) -> (Result<Key, Denial>, Vec<Effect>) {
         let model = ticket.model.clone();
         if let Err(denial) = self.admit(&ticket, now) {
-            let mut effects = Vec::new();
-            if denial.reason == Reason::Busy && self.saturation.refused(&model, now) {
-                effects.push(Effect::Widen(model));
-            }
-            return (Err(denial), effects);
+            let widen = self.widen(&model, denial, now);
+            return (Err(denial), widen.into_iter().collect());
         }
         let retry = self.retry_after(self.queue_time(&model, self.queue.len(&model)));
         let Some(key) = self.queue.push(ticket) else {
@@ -158,6 +155,11 @@
         (Ok(key), self.step(Event::Arrived(model, weights), now))
     }
 
+    fn widen(&mut self, model: &id::Model, denial: Denial, now: Time) -> Option<Effect> {
+        let saturated = denial.reason == Reason::Busy && self.saturation.refused(model, now);
+        saturated.then(|| Effect::Widen(model.clone()))
+    }
+
     fn admit(&self, ticket: &Ticket, now: Time) -> Result<(), Denial> {
         let deny = |reason, retry_after_ms| {
             Err(Denial {
@@ -289,8 +291,10 @@
         let mut effects = Vec::new();
         for (key, denial) in denied {
             if let Some(ticket) = self.queue.remove(key) {
-                effects.extend(self.apply(Event::Left(ticket.model), now));
+                let model = ticket.model;
+                effects.extend(self.apply(Event::Left(model.clone()), now));
                 effects.push(Effect::Refuse(key, denial));
+                effects.extend(self.widen(&model, denial, now));
             }
         }
         effects
--- a/src/agent/driver.rs
+++ b/src/agent/driver.rs
@@ -314,17 +314,29 @@
 
     fn order(&self, order: &Order, reason: &'static str) -> Answer {
         let began = Time::now();
-        let (answer, fence, detail) = match self.shared.registration.permit() {
-            Ok(fence) => {
-                let result = self
-                    .shared
-                    .engine
-                    .order(&order::message(order, fence), order::limit(order.kind));
-                let detail = result.as_ref().err().map(Error::to_string);
-                (order::answer(&result), fence, detail.unwrap_or_default())
-            }
-            Err(reason) => (Answer::Rejected, 0, reason.to_owned()),
+        let permit = self.shared.registration.permit();
+        self.log_order(order, reason, permit);
+        let Ok(fence) = permit else {
+            return Answer::Rejected;
         };
+        let message = order::message(order, fence);
+        let result = self.shared.engine.order(&message, order::limit(order.kind));
+        let detail = result.as_ref().err().map(Error::to_string);
+        report::info(
+            "order_answered",
+            &[
+                ("order", &message.id),
+                ("kind", &order::name(order.kind)),
+                ("model", &order.subject.model),
+                ("answer", &format!("{:?}", order::answer(&result))),
+                ("detail", &detail.unwrap_or_default()),
+                ("took_ms", &(Time::now() - began).as_millis()),
+            ],
+        );
+        order::answer(&result)
+    }
+
+    fn log_order(&self, order: &Order, reason: &str, permit: Result<u64, &'static str>) {
         let adapter = order.subject.adapter.as_ref().map(id::Adapter::as_str);
         report::info(
             order::name(order.kind),
@@ -333,13 +345,10 @@
                 ("adapter", &adapter.unwrap_or_default()),
                 ("reason", &reason),
                 ("offset", &self.grant(&order.subject.model)),
-                ("fence", &fence),
-                ("answer", &format!("{answer:?}")),
-                ("detail", &detail),
-                ("took_ms", &(Time::now() - began).as_millis()),
+                ("fence", &permit.unwrap_or_default()),
+                ("not_given", &permit.err().unwrap_or_default()),
             ],
         );
-        answer
     }
 
     fn grant(&self, model: &id::Model) -> u64 {
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -43,9 +43,11 @@
     thread::spawn(move || {
         let mut from = 1;
         loop {
+            // An answer may wait in a buffer while the process is paused.
+            let began = Time::now();
             match log.read(name, from, READ_LIMIT, LONG_POLL) {
                 Ok(page) => {
-                    view.note_news(Time::now());
+                    view.note_news(began);
                     from = apply(&view, &page) + 1;
                 }
                 Err(error) => {
