agent: stop work for an unreachable engine, add examples and an LRU test

Cause: an engine that refuses connections was reported as resident, so entries kept choosing it; public functions of the pure modules had no examples; the order of adapter evictions was not tested. Change: an inventory that can't connect suspends the engine until the next one succeeds; documentation examples for the ledger, queue, usage, saturation, pace, order check and coordinator; one test of the eviction order. With the eviction order switched off the test answers: left: [(UnloadAdapter, m0@1 a0)].

--- a/src/agent/authority.rs
+++ b/src/agent/authority.rs
@@ -79,6 +79,17 @@
 /// # Errors
 ///
 /// Returns the reason against it.
+///
+/// # Examples
+///
+/// ```
+/// use chestnuthub::{agent::authority, timer::Time};
+/// use std::time::Duration;
+///
+/// let read = Time::from_millis(1_000);
+/// assert!(authority::check(Some(read), None, read + Duration::from_secs(5)).is_ok());
+/// assert!(authority::check(Some(read), None, read + Duration::from_secs(6)).is_err());
+/// ```
 pub fn check(news: Option<Time>, attempt: Option<Attempt>, now: Time) -> Result<(), &'static str> {
     if is_fresh(news, now) {
         return Ok(());
--- a/src/agent/driver.rs
+++ b/src/agent/driver.rs
@@ -288,7 +288,12 @@
                 let effects = state.dispatch.step(event, Time::now());
                 self.carry_out(&mut state, effects);
             }
-            Err(error) => report::warn("inventory_failed", &[("error", &error)]),
+            Err(error) => {
+                report::warn("inventory_failed", &[("error", &error)]);
+                if matches!(error, Error::Unreachable(_)) {
+                    self.suspend();
+                }
+            }
         }
     }
 
--- a/src/agent/ledger.rs
+++ b/src/agent/ledger.rs
@@ -156,6 +156,23 @@
 
     /// Takes the memory for a load and returns the order, or nothing if there is no room or the
     /// subject is held already.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::{
+    ///     agent::ledger::{Answer, Ledger, Subject},
+    ///     timer::Time,
+    /// };
+    ///
+    /// let mut ledger = Ledger::new(100, 0);
+    /// let first = Subject::model(&"gear-check@1".into());
+    /// let second = Subject::model(&"gear-note@1".into());
+    /// let order = ledger.load(&first, 60, Time::ZERO).unwrap();
+    /// ledger.answer(&order, Answer::Lost, Time::ZERO);
+    /// // The first may be loading, so there is no room for the second.
+    /// assert!(ledger.load(&second, 60, Time::ZERO).is_none());
+    /// ```
     pub fn load(&mut self, subject: &Subject, memory_mb: u64, now: Time) -> Option<Order> {
         let (free, kind) = match subject.adapter {
             None => (self.free_mb(), Kind::Load),
--- a/src/agent/pace.rs
+++ b/src/agent/pace.rs
@@ -39,6 +39,21 @@
 
 impl Pace {
     /// Returns the predicted time of a load.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::{agent::pace::Pace, timer::Time};
+    /// use std::time::Duration;
+    ///
+    /// let mut pace = Pace::default();
+    /// let second = Duration::from_secs(1);
+    /// pace.loaded(1_000, second, Time::ZERO);
+    /// assert_eq!(pace.predict(2_000, Time::ZERO), 2 * second);
+    /// assert!(pace.may_load(Time::ZERO));
+    /// pace.loaded(1_000, 5 * second, Time::ZERO);
+    /// assert!(!pace.may_load(Time::ZERO));
+    /// ```
     pub fn predict(&self, checkpoint_mb: u64, now: Time) -> Duration {
         let fresh = self.rate.filter(|(_, at)| now - *at < RATE_FOR);
         let rate = fresh.map_or(ASSUMED_RATE, |(rate, _)| rate);
--- a/src/agent/queue.rs
+++ b/src/agent/queue.rs
@@ -84,6 +84,28 @@
     }
 
     /// Removes the request of the model version that is served next.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::{
+    ///     agent::queue::{Queue, Ticket},
+    ///     timer::Time,
+    /// };
+    ///
+    /// let mut queue = Queue::default();
+    /// for institution in ["tengis", "tengis", "cascade"] {
+    ///     queue.push(Ticket {
+    ///         model: "gear-check@1".into(),
+    ///         institution: institution.into(),
+    ///         priority: 0,
+    ///         max_queue: 8,
+    ///         deadline: Time::from_millis(1_000),
+    ///     });
+    /// }
+    /// let mut next = || queue.pop(&"gear-check@1".into()).unwrap().1.institution;
+    /// assert_eq!([next(), next(), next()], ["tengis", "cascade", "tengis"].map(Into::into));
+    /// ```
     pub fn pop(&mut self, model: &id::Model) -> Option<(Key, Ticket)> {
         let level = self.lines.get(model)?.levels.values().next()?;
         let institution = level.turns.front()?;
--- a/src/agent/saturation.rs
+++ b/src/agent/saturation.rs
@@ -35,6 +35,19 @@
 
 impl Saturation {
     /// Notes a refusal because of load, and returns whether to ask for one more slot now.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::{agent::saturation::Saturation, timer::Time};
+    ///
+    /// let mut saturation = Saturation::default();
+    /// let mut refused = |second: u64| {
+    ///     saturation.refused(&"gear-check@1".into(), Time::from_millis(1_000 * second))
+    /// };
+    /// assert!(!refused(10) && !refused(10) && !refused(12));
+    /// assert!(refused(14));
+    /// ```
     pub fn refused(&mut self, model: &id::Model, now: Time) -> bool {
         let second = now.as_millis() / 1_000;
         let entry = self.models.entry(model.clone()).or_default();
--- a/src/agent/usage.rs
+++ b/src/agent/usage.rs
@@ -74,6 +74,23 @@
     }
 
     /// Returns the idle time that costs as much as a load.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::{
+    ///     agent::usage::{Usage, Weights},
+    ///     timer::Time,
+    /// };
+    /// use std::time::Duration;
+    ///
+    /// let load = Duration::from_secs(10);
+    /// let weights = Weights { cold_start: 3.0, idle_hour: 1.0 };
+    /// let mut usage = Usage::default();
+    /// assert_eq!(usage.break_even(load), Duration::from_secs(100));
+    /// usage.called(weights, load, Time::ZERO);
+    /// assert_eq!(usage.break_even(load), Duration::from_secs(300));
+    /// ```
     pub fn break_even(&self, load: Duration) -> Duration {
         let ratio = self.weights.cold_start.max(0.0) / self.weights.idle_hour.max(1e-3);
         let seconds = load.as_secs_f64() * ratio * IDLE_PER_COLD_SECOND;
--- a/src/decision/coordinator.rs
+++ b/src/decision/coordinator.rs
@@ -77,6 +77,28 @@
 }
 
 /// Returns the records that this agent appends now, at most one for each model version.
+///
+/// # Examples
+///
+/// ```
+/// use chestnuthub::{
+///     catalogue::Catalogue,
+///     decision::{
+///         Table,
+///         coordinator::{self, Fleet, Soft},
+///     },
+///     timer::Time,
+/// };
+///
+/// let fleet = Fleet {
+///     table: &Table::default(),
+///     catalogue: &Catalogue::default(),
+///     instances: &[],
+///     own: &"gearmind-1".into(),
+/// };
+/// // An agent that is not in the list decides nothing.
+/// assert!(coordinator::plan(&fleet, &mut Soft::default(), Time::ZERO).is_empty());
+/// ```
 pub fn plan(fleet: &Fleet<'_>, soft: &mut Soft, now: Time) -> Vec<Proposal> {
     let own = fleet.instances.iter().find(|i| i.name == *fleet.own);
     // Without its own entry the list is empty, partial or tells this agent to leave.
--- a/tests/residency.rs
+++ b/tests/residency.rs
@@ -8,6 +8,7 @@
 
 use chestnuthub::{
     agent::{
+        adapters::Adapters,
         event::{
             Action,
             Event,
@@ -428,3 +429,26 @@
         }
     }
 }
+
+/// Guards against an adapter that is evicted although another one was used less recently.
+#[test]
+fn least_recently_used_adapter_makes_room() {
+    let time = Time::from_millis;
+    let base = Subject::model(&model(0));
+    let subject = |index| Subject::adapter(&model(0), &adapter(index));
+    let mut ledger = Ledger::new(CAPACITY_MB, ADAPTER_SPACE_MB);
+    let mut adapters = Adapters::default();
+    let order = ledger.load(&base, 300, time(0)).expect("there is room");
+    ledger.answer(&order, Answer::Done, time(0));
+    for (index, used) in [(0, 1), (1, 2), (0, 3)] {
+        adapters.need(subject(index), 40, time(used));
+        for (order, _) in adapters.decide(&mut ledger, time(used)) {
+            ledger.answer(&order, Answer::Done, time(used));
+        }
+        adapters.leave(&subject(index), time(used));
+    }
+    adapters.need(subject(2), 40, time(4));
+    let orders = adapters.decide(&mut ledger, time(4));
+    let orders: Vec<_> = orders.iter().map(|(o, _)| (o.kind, &o.subject)).collect();
+    assert_eq!(orders, [(Kind::UnloadAdapter, &subject(1))]);
+}
