--- a/src/agent/dispatch.rs
+++ b/src/agent/dispatch.rs
@@ -141,11 +141,8 @@
     ) -> (Result<Key, Denial>, Vec<Effect>) {
         let model = ticket.model.clone();
         if let Err(denial) = self.admit(&ticket, now) {
-            let mut effects = Vec::new();
-            if denial.reason == Reason::Busy && self.saturation.refused(&model, now) {
-                effects.push(Effect::Widen(model));
-            }
-            return (Err(denial), effects);
+            let widen = self.widen(&model, denial, now);
+            return (Err(denial), widen.into_iter().collect());
         }
         let retry = self.retry_after(self.queue_time(&model, self.queue.len(&model)));
         let Some(key) = self.queue.push(ticket) else {
@@ -158,6 +155,11 @@
         (Ok(key), self.step(Event::Arrived(model, weights), now))
     }
 
+    fn widen(&mut self, model: &id::Model, denial: Denial, now: Time) -> Option<Effect> {
+        let saturated = denial.reason == Reason::Busy && self.saturation.refused(model, now);
+        saturated.then(|| Effect::Widen(model.clone()))
+    }
+
     fn admit(&self, ticket: &Ticket, now: Time) -> Result<(), Denial> {
         let deny = |reason, retry_after_ms| {
             Err(Denial {
@@ -234,8 +236,12 @@
         if matches!(event, Event::Inventory(..)) {
             self.suspended = false;
         }
+        // The ticks come often enough, and a look at all waiting requests takes time.
+        let looks = matches!(event, Event::Tick | Event::Authority(_) | Event::Slots(_));
         let mut effects = self.apply(event, now);
-        effects.extend(self.refuse(now));
+        if looks {
+            effects.extend(self.refuse(now));
+        }
         effects.extend(self.start(now));
         effects
     }
@@ -270,29 +276,37 @@
 
     /// Refuses the waiting requests that can't be served by their deadline any more.
     fn refuse(&mut self, now: Time) -> Vec<Effect> {
+        let models = self.queue.models().into_iter();
+        let waits: BTreeMap<_, _> = models
+            .map(|model| (model.clone(), self.policy.wait(&model, now)))
+            .collect();
         let denied: Vec<_> = self
             .queue
             .iter()
-            .filter_map(|(key, ticket)| Some((key, self.denial(ticket, now)?)))
+            .filter_map(|(key, ticket)| {
+                let wait = waits.get(&ticket.model).copied().flatten();
+                Some((key, self.denial(ticket, wait, now)?))
+            })
             .collect();
         let mut effects = Vec::new();
         for (key, denial) in denied {
             if let Some(ticket) = self.queue.remove(key) {
-                effects.extend(self.apply(Event::Left(ticket.model), now));
+                let model = ticket.model;
+                effects.extend(self.apply(Event::Left(model.clone()), now));
                 effects.push(Effect::Refuse(key, denial));
+                effects.extend(self.widen(&model, denial, now));
             }
         }
         effects
     }
 
-    fn denial(&self, ticket: &Ticket, now: Time) -> Option<Denial> {
+    fn denial(&self, ticket: &Ticket, wait: Option<Duration>, now: Time) -> Option<Denial> {
         if !self.policy.is_granted(&ticket.model) {
             return Some(Denial {
                 reason: Reason::NoSlot,
                 retry_after_ms: 0,
             });
         }
-        let wait = self.policy.wait(&ticket.model, now);
         let retry_after_ms = self.retry_after(wait.unwrap_or_default());
         let reason = if now + ANSWER_MARGIN >= ticket.deadline {
             Reason::Deadline
--- a/src/follow/stream.rs
+++ b/src/follow/stream.rs
@@ -172,9 +172,11 @@
 
     fn read_page(&self) {
         let from = self.lock().reader.next();
+        // An answer may wait in a buffer while the process is paused.
+        let began = Time::now();
         match self.log.read(F::STREAM, from, READ_LIMIT, LONG_POLL) {
             Ok(page) => {
-                self.view.note_news(Time::now());
+                self.view.note_news(began);
                 self.accept_page(&page);
             }
             Err(error) => {
