view, gossip: note how far each stream is known

Cause: the last news of the log was one time for both streams, noted at any page and from any peer that was not behind on releases; an agent resumed from a pause could take an older table for fresh and give an order on it. Change: a time for each stream, counted from the start of the read and only when the read reached the end; a peer's time counts only with all that the peer knew. Freshness is the older of the two.

--- a/src/follow/stream.rs
+++ b/src/follow/stream.rs
@@ -176,8 +176,10 @@
         let began = Time::now();
         match self.log.read(F::STREAM, from, READ_LIMIT, LONG_POLL) {
             Ok(page) => {
-                self.view.note_news(began);
                 self.accept_page(&page);
+                if self.applied() + 1 >= page.next {
+                    self.view.note_news(F::STREAM, began);
+                }
             }
             Err(error) => {
                 report::warn(
--- a/src/gossip/node.rs
+++ b/src/gossip/node.rs
@@ -249,9 +249,13 @@
 
     fn note(&self, heads: &Heads) {
         let now = Time::now();
-        let behind = heads.releases < self.releases.applied();
-        if !behind && let Some(time) = now.as_millis().checked_sub(heads.news_age_ms) {
-            self.view.note_news(Time::from_millis(time));
+        // A newer time counts only with all that the peer knew at that time.
+        let complete = heads.releases <= self.releases.applied()
+            && heads.decisions <= self.decisions.applied();
+        if complete && let Some(time) = now.as_millis().checked_sub(heads.news_age_ms) {
+            let time = Time::from_millis(time);
+            self.view.note_news(Catalogue::STREAM, time);
+            self.view.note_news(Table::STREAM, time);
         }
         for notice in &heads.leaving {
             if self.with_notices(|notices| notices.add(notice, now)) {
--- a/src/view.rs
+++ b/src/view.rs
@@ -12,6 +12,7 @@
 use crate::{
     catalogue::Catalogue,
     decision::Table,
+    follow::Fold,
     platform::list::Instance,
     timer::Time, //
 };
@@ -22,10 +23,17 @@
     catalogue: RwLock<Catalogue>,
     table: RwLock<Table>,
     instances: RwLock<Vec<Instance>>,
-    news: RwLock<Option<Time>>,
+    news: RwLock<News>,
     changed: watch::Sender<u64>,
 }
 
+/// Times up to which the streams are known.
+#[derive(Debug, Default)]
+struct News {
+    releases: Option<Time>,
+    decisions: Option<Time>,
+}
+
 impl Default for View {
     fn default() -> Self {
         Self {
@@ -54,9 +62,10 @@
         read(&self.instances)
     }
 
-    /// Returns when the log was last heard of, directly or through peers.
+    /// Returns the time up to which both streams are known, by the log or through peers.
     pub fn news(&self) -> Option<Time> {
-        *read(&self.news)
+        let news = read(&self.news);
+        news.releases.zip(news.decisions).map(|(a, b)| a.min(b))
     }
 
     /// Returns a receiver that wakes at each change of the catalogue, the table or the list.
@@ -100,10 +109,15 @@
         self.notify();
     }
 
-    /// Notes that the log was heard of at `time`; never goes back.
-    pub fn note_news(&self, time: Time) {
+    /// Notes that a stream is known up to `time`; never goes back.
+    pub fn note_news(&self, stream: &str, time: Time) {
         let mut news = write(&self.news);
-        *news = Some(news.map_or(time, |known| known.max(time)));
+        let known = if stream == Table::STREAM {
+            &mut news.decisions
+        } else {
+            &mut news.releases
+        };
+        *known = Some(known.map_or(time, |known| known.max(time)));
     }
 
     fn notify(&self) {
