entry: add examples to the public functions

Cause: Most public functions of the entry had no runnable example.

Change: Add examples to the parsing of headers, admission, retry steps, problems and the declared calls of a service. Move the caller port's tests into one directory and share more of their set-up.

--- a/src/catalogue/lookup.rs
+++ b/src/catalogue/lookup.rs
@@ -171,6 +171,24 @@
     /// Returns whether a call may be repeated, as far as this service declares.
     ///
     /// A declared path is a prefix; the query does not count.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::catalogue::{Call, Service};
+    ///
+    /// let service = Service {
+    ///     name: "shopdesk".into(),
+    ///     pool: "shopdesk".into(),
+    ///     non_idempotent: vec![Call {
+    ///         method: "POST".to_owned(),
+    ///         path: "/orders".to_owned(),
+    ///     }],
+    ///     stale_limit_s: None,
+    /// };
+    /// assert!(!service.is_idempotent("POST", "/orders/17?urgent=1"));
+    /// assert!(service.is_idempotent("GET", "/orders/17"));
+    /// ```
     pub fn is_idempotent(&self, method: &str, path: &str) -> bool {
         let path = path.split('?').next().unwrap_or(path);
         !self
--- a/src/entry/admission.rs
+++ b/src/entry/admission.rs
@@ -78,6 +78,23 @@
     /// # Errors
     ///
     /// `Excess` if the share of the institution and target is used up.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::{
+    ///     entry::admission::{Admission, Excess, Share},
+    ///     timer::Time,
+    /// };
+    /// use std::time::Duration;
+    ///
+    /// let share = Share { requests_per_s: 0.5, max_in_flight: 9 };
+    /// let key = ("cascade".into(), "gear-check".to_owned());
+    /// let mut admission = Admission::default();
+    /// assert_eq!(admission.admit(&key, share, Time::ZERO), Ok(()));
+    /// let refused = admission.admit(&key, share, Time::ZERO);
+    /// assert_eq!(refused, Err(Excess::Rate(Duration::from_secs(2))));
+    /// ```
     pub fn admit(&mut self, key: &Key, share: Share, now: Time) -> Result<(), Excess> {
         let burst = share.burst();
         let account = self.accounts.entry(key.clone()).or_insert(Account {
--- a/src/entry/credential.rs
+++ b/src/entry/credential.rs
@@ -58,6 +58,15 @@
 }
 
 /// Returns the token of an `Authorization` header of the scheme `Bearer`.
+///
+/// # Examples
+///
+/// ```
+/// use chestnuthub::entry::credential::bearer;
+///
+/// assert_eq!(bearer("Bearer abc"), Some("abc"));
+/// assert_eq!(bearer("Basic abc"), None);
+/// ```
 pub fn bearer(header: &str) -> Option<&str> {
     let (scheme, token) = header.split_once(' ')?;
     let token = token.trim();
--- a/src/entry/header.rs
+++ b/src/entry/header.rs
@@ -35,11 +35,35 @@
 const MAX_ID_BYTES: usize = 100;
 
 /// Returns the token of the request's credential.
+///
+/// # Examples
+///
+/// ```
+/// use chestnuthub::entry::header;
+/// use hyper::HeaderMap;
+///
+/// let mut headers = HeaderMap::new();
+/// headers.insert("authorization", "Bearer abc".parse().unwrap());
+/// assert_eq!(header::token(&headers), Some("abc"));
+/// ```
 pub fn token(headers: &HeaderMap) -> Option<&str> {
     credential::bearer(single(headers, &AUTHORIZATION).ok()??)
 }
 
 /// Returns the caller's request id, or a new one if there is none or it can't be logged as it is.
+///
+/// # Examples
+///
+/// ```
+/// use chestnuthub::entry::header;
+/// use hyper::HeaderMap;
+///
+/// let mut headers = HeaderMap::new();
+/// headers.insert(header::REQUEST_ID, "order-17".parse().unwrap());
+/// assert_eq!(header::request_id(&headers), "order-17");
+/// headers.insert(header::REQUEST_ID, "two words".parse().unwrap());
+/// assert_ne!(header::request_id(&headers), "two words");
+/// ```
 pub fn request_id(headers: &HeaderMap) -> String {
     match single(headers, &REQUEST_ID) {
         Ok(Some(id)) if is_plain(id) => id.to_owned(),
@@ -52,6 +76,19 @@
 /// # Errors
 ///
 /// A problem with status 400 if the header is not a positive number of milliseconds.
+///
+/// # Examples
+///
+/// ```
+/// use chestnuthub::entry::header;
+/// use hyper::HeaderMap;
+/// use std::time::Duration;
+///
+/// let mut headers = HeaderMap::new();
+/// assert_eq!(header::timeout(&headers), Ok(Duration::from_secs(30)));
+/// headers.insert(header::TIMEOUT, "1500".parse().unwrap());
+/// assert_eq!(header::timeout(&headers), Ok(Duration::from_millis(1_500)));
+/// ```
 pub fn timeout(headers: &HeaderMap) -> Result<Duration, Problem> {
     let malformed = || {
         let detail = "Request-Timeout-Ms must be one positive whole number";
@@ -72,6 +109,18 @@
 /// # Errors
 ///
 /// A problem with status 400 if the header is not one UUID.
+///
+/// # Examples
+///
+/// ```
+/// use chestnuthub::entry::header;
+/// use hyper::HeaderMap;
+///
+/// let mut headers = HeaderMap::new();
+/// assert_eq!(header::idempotency_key(&headers), Ok(None));
+/// headers.insert(header::IDEMPOTENCY_KEY, "17".parse().unwrap());
+/// assert_eq!(header::idempotency_key(&headers).unwrap_err().status, 400);
+/// ```
 pub fn idempotency_key(headers: &HeaderMap) -> Result<Option<Uuid>, Problem> {
     let malformed = || {
         let detail = "Idempotency-Key must be one UUID version 7";
--- a/src/entry/problem.rs
+++ b/src/entry/problem.rs
@@ -97,6 +97,18 @@
     }
 
     /// Returns the problem data.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::entry::problem::Problem;
+    ///
+    /// let problem = Problem::not_run(503, "busy", "the deadline can't be met");
+    /// let data = problem.json("order-17");
+    /// assert_eq!(data["type"], "urn:chestnuthub:problem:busy");
+    /// assert_eq!(data["title"], "Service Unavailable");
+    /// assert_eq!(data["not_run"], true);
+    /// ```
     pub fn json(&self, request: &str) -> Value {
         let title = StatusCode::from_u16(self.status)
             .ok()
--- a/src/entry/retry.rs
+++ b/src/entry/retry.rs
@@ -59,6 +59,27 @@
 }
 
 /// Decides what to do after an attempt that ended with `end`.
+///
+/// # Examples
+///
+/// ```
+/// use chestnuthub::entry::{
+///     relay::End,
+///     retry::{Kind, Progress, Step, step},
+/// };
+///
+/// let progress = |kind| Progress {
+///     kind,
+///     begun: false,
+///     pieces: 0,
+///     events: None,
+///     retries: 0,
+///     resumes: 0,
+/// };
+/// let lost = End::Lost("the connection was lost".to_owned());
+/// assert_eq!(step(&lost, &progress(Kind::Chat)), Step::Retry);
+/// assert_eq!(step(&lost, &progress(Kind::Once)), Step::Stop);
+/// ```
 pub fn step(end: &End, progress: &Progress) -> Step {
     match end {
         End::NotSent(_) => Step::Next,
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -32,6 +32,8 @@
 
 /// Binds the operator port, serves it for the life of the process and returns its address.
 ///
+/// All but `/healthz` and `/readyz` needs the bearer token of an operator.
+///
 /// # Errors
 ///
 /// `InvalidInput` if a token's digest is malformed, otherwise why the port can't be bound.
--- a/tests/caller_port/failure.rs
+++ b/tests/caller_port/failure.rs
@@ -11,14 +11,7 @@
     },
 };
 
-use super::harness::{
-    EVENTS,
-    System,
-    refuse,
-    send_end,
-    send_head,
-    send_piece, //
-};
+use super::harness::*;
 
 /// Guards against handing one caller the answer of another.
 #[tokio::test]
@@ -101,12 +94,7 @@
     let mut caller = system.chat(false).await;
     let (exchange, _, _) = system.request(0).await;
     refuse(exchange, Reason::Busy, true).await;
-    let (mut exchange, request, _) = system.request(1).await;
-    send_head(&mut exchange, &request, "application/json").await;
-    send_piece(&mut exchange, "{}").await;
-    send_end(&mut exchange).await;
-    assert_eq!(caller.head().await.status, 200);
-    assert_eq!(caller.chunks().await.as_deref(), Some("{}"));
+    system.answer(1, &mut caller).await;
 }
 
 /// Guards against a refusal without a time to come back, and against an endless search.
@@ -166,10 +154,7 @@
     let mut caller = system.chat(false).await;
     let (exchange, _, _) = system.request(0).await;
     refuse(exchange, Reason::NoSlot, true).await;
-    let (mut exchange, request, _) = system.request(0).await;
-    send_head(&mut exchange, &request, "application/json").await;
-    send_end(&mut exchange).await;
-    assert_eq!(caller.head().await.status, 200);
+    system.answer(0, &mut caller).await;
 }
 
 /// Guards against a refusal that is lost because the agent stopped reading a large body.
@@ -178,7 +163,7 @@
     let mut system = System::start(1);
     let text = "x".repeat(4 << 20);
     let body = format!(r#"{{"model":"gear-check","messages":[{{"content":"{text}"}}]}}"#);
-    let head = super::post_chat(super::TOKEN);
+    let head = post_chat(TOKEN);
     let mut caller = system.call(&head, &body).await;
     let mut exchange = system.agents[0].recv().await.unwrap();
     let Some(Frame::Open(_)) = exchange.next().await.unwrap() else {
@@ -205,8 +190,5 @@
     system.endpoints[0].close();
     system.agents.remove(0).close();
     let mut caller = system.chat(false).await;
-    let (mut exchange, request, _) = system.request(0).await;
-    send_head(&mut exchange, &request, "application/json").await;
-    send_end(&mut exchange).await;
-    assert_eq!(caller.head().await.status, 200);
+    system.answer(0, &mut caller).await;
 }
--- a/tests/caller_port/harness.rs
+++ b/tests/caller_port/harness.rs
@@ -125,6 +125,16 @@
         }
     }
 
+    /// Answers the next request at a fake agent and checks that `caller` gets the answer.
+    pub(crate) async fn answer(&mut self, agent: usize, caller: &mut Caller) {
+        let (mut exchange, request, _) = self.request(agent).await;
+        send_head(&mut exchange, &request, "application/json").await;
+        send_piece(&mut exchange, "{}").await;
+        send_end(&mut exchange).await;
+        assert_eq!(caller.head().await.status, 200);
+        assert_eq!(caller.chunks().await.as_deref(), Some("{}"));
+    }
+
     /// Waits for the next request at any fake agent.
     pub(crate) async fn any_request(&mut self) -> (usize, Exchange) {
         loop {
@@ -162,6 +172,11 @@
     format!("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {token}\r\n")
 }
 
+/// Head of a request for the list of models, without the lines about the body.
+pub(crate) fn get_models() -> String {
+    format!("GET /v1/models HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TOKEN}\r\n")
+}
+
 /// Refuses a request.
 pub(crate) async fn refuse(mut exchange: Exchange, reason: Reason, not_run: bool) {
     let refusal = Refusal {
--- a/tests/caller_port/limit.rs
+++ b/tests/caller_port/limit.rs
@@ -8,13 +8,7 @@
 };
 use tokio::time::Instant;
 
-use super::harness::{
-    EVENTS,
-    System,
-    TOKEN,
-    post_chat,
-    send_head, //
-};
+use super::harness::*;
 
 /// Guards against heads that fill the memory.
 #[tokio::test]
@@ -71,11 +65,10 @@
 async fn an_idle_connection_is_closed_after_a_minute() {
     let system = System::start(0);
     let mut caller = system.connect().await;
-    let head = format!("GET /v1/models HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TOKEN}\r\n");
-    caller.send(&head, "").await;
+    caller.send(&get_models(), "").await;
     assert_eq!(caller.json().await.0.status, 200);
     tokio::time::sleep(Duration::from_secs(50)).await;
-    caller.send(&head, "").await;
+    caller.send(&get_models(), "").await;
     assert_eq!(caller.json().await.0.status, 200);
     let started = Instant::now();
     assert!(caller.is_closed().await);
@@ -87,8 +80,7 @@
 async fn a_slow_later_head_ends_the_connection() {
     let system = System::start(0);
     let mut caller = system.connect().await;
-    let head = format!("GET /v1/models HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TOKEN}\r\n");
-    caller.send(&head, "").await;
+    caller.send(&get_models(), "").await;
     assert_eq!(caller.json().await.0.status, 200);
     tokio::time::sleep(Duration::from_secs(30)).await;
     let started = Instant::now();
@@ -134,7 +126,10 @@
         let head = format!("{}Request-Timeout-Ms: {value}\r\n", post_chat(TOKEN));
         let (answer, problem) = system.call(&head, "{}").await.problem().await;
         assert_eq!(answer.status, 400, "{value}");
-        assert_eq!(problem["type"], "urn:chestnuthub:problem:bad_timeout", "{value}");
+        assert_eq!(
+            problem["type"], "urn:chestnuthub:problem:bad_timeout",
+            "{value}"
+        );
     }
 }
 
--- a/tests/caller_port.rs
+++ b/tests/caller_port/main.rs
@@ -1,45 +1,24 @@
 //! The caller port of an entry, with fake agents that the tests play.
 
 #[cfg(test)]
-#[path = "caller_port/caller.rs"]
 mod caller;
-#[cfg(test)]
-#[path = "caller_port/failure.rs"]
 mod failure;
 #[cfg(test)]
-#[path = "caller_port/fixture.rs"]
 mod fixture;
 #[cfg(test)]
-#[path = "caller_port/harness.rs"]
 mod harness;
-#[cfg(test)]
-#[path = "caller_port/limit.rs"]
 mod limit;
 #[cfg(test)]
-#[path = "caller_port/operator.rs"]
 mod operator;
 #[cfg(test)]
-#[path = "caller_port/parse.rs"]
 mod parse;
-#[cfg(test)]
-#[path = "caller_port/service.rs"]
 mod service;
 
 use chestnuthub::{
     timer::Time,
     wire::Work, //
 };
-use harness::{
-    EVENTS,
-    OTHER_TOKEN,
-    System,
-    TOKEN,
-    grant,
-    post_chat,
-    send_end,
-    send_head,
-    send_piece, //
-};
+use harness::*;
 use tokio::time::Instant;
 
 /// Guards against buffering: each event must reach the caller before the next one is produced.
@@ -109,8 +88,7 @@
 #[tokio::test]
 async fn the_list_holds_the_models_of_the_institution() {
     let system = System::start(0);
-    let head = format!("GET /v1/models HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TOKEN}\r\n");
-    let mut caller = system.call(&head, "").await;
+    let mut caller = system.call(&get_models(), "").await;
     let (answer, list) = caller.json().await;
     assert_eq!(answer.status, 200);
     assert_eq!(list["data"].as_array().unwrap().len(), 1);
@@ -147,12 +125,7 @@
         tokio::task::yield_now().await;
     }
     grant(&system.context.view, "gearmind-1");
-    let (mut exchange, request, _) = system.request(0).await;
-    send_head(&mut exchange, &request, "application/json").await;
-    send_piece(&mut exchange, "{}").await;
-    send_end(&mut exchange).await;
-    assert_eq!(caller.head().await.status, 200);
-    assert_eq!(caller.chunks().await.as_deref(), Some("{}"));
+    system.answer(0, &mut caller).await;
 }
 
 /// Guards against holding a request for a slot that can't be granted while the log is down.
--- a/tests/caller_port/operator.rs
+++ b/tests/caller_port/operator.rs
@@ -2,12 +2,7 @@
 
 use chestnuthub::operator;
 
-use super::harness::{
-    Caller,
-    OPERATOR_TOKEN,
-    System,
-    TOKEN, //
-};
+use super::harness::*;
 
 async fn get(system: &System, path: &str, token: Option<&str>) -> (u16, String) {
     let addr = operator::start(&system.context).unwrap();
--- a/tests/caller_port/service.rs
+++ b/tests/caller_port/service.rs
@@ -6,14 +6,7 @@
 };
 use uuid::Uuid;
 
-use super::harness::{
-    System,
-    TOKEN,
-    refuse,
-    send_end,
-    send_head,
-    send_piece, //
-};
+use super::harness::*;
 
 fn head(method: &str, path: &str, more: &str) -> String {
     format!("{method} {path} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TOKEN}\r\n{more}")
