entry: answer 503 until the first catalogue was read

Cause: A run of the daemon without its platform showed that an entry that has just started answers 404 to every target.

Treat a continuation that is no event stream as a wrong answer.

--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -111,6 +111,7 @@
     call: &mut Call,
     request: Request<Incoming>,
 ) -> Result<Asked, Problem> {
+    shared.check_started()?;
     let (parts, body) = request.into_parts();
     let (job, ticket) = match (parts.method.clone(), parts.uri.path()) {
         (Method::GET, "/v1/models") => return Ok(Asked::Models),
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -184,10 +184,10 @@
             return Err(End::Wrong("the answer is for another request".to_owned()));
         }
         self.observer.load(head.load);
-        if self.reply.has_begun() && head.status != 200 {
+        let is_stream = head.content_type.starts_with(EVENT_STREAM);
+        if self.reply.has_begun() && (head.status != 200 || !is_stream) {
             return Err(End::Wrong(format!("resumed with status {}", head.status)));
         }
-        let is_stream = head.content_type.starts_with(EVENT_STREAM);
         self.held = Some(head);
         if is_stream {
             self.send_head()?;
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -33,6 +33,9 @@
     timer::Time, //
 };
 
+/// Time after which to come back when the entry has just started.
+const STARTING_PAUSE: Duration = Duration::from_secs(2);
+
 /// Time after which to come back when the log was not heard of for too long.
 const STALE_PAUSE: Duration = Duration::from_secs(5);
 
@@ -81,6 +84,15 @@
         Ok(Ticket { shared, key })
     }
 
+    /// Checks that a catalogue was read; before, no target can be said not to exist.
+    pub(super) fn check_started(&self) -> Result<(), Problem> {
+        if self.context.view.catalogue().applied() > 0 {
+            return Ok(());
+        }
+        let detail = "the entry has not read the catalogue yet";
+        Err(Problem::not_run(503, "starting", detail).retry_after(STARTING_PAUSE))
+    }
+
     /// Checks that the log was heard of recently enough for a target with this limit.
     pub(super) fn check_fresh(&self, stale_limit_s: Option<u64>) -> Result<(), Problem> {
         let Some(limit) = stale_limit_s.map(Duration::from_secs) else {
--- a/tests/caller_port/main.rs
+++ b/tests/caller_port/main.rs
@@ -15,6 +15,7 @@
 mod service;
 
 use chestnuthub::{
+    catalogue::Catalogue,
     timer::Time,
     wire::Work, //
 };
@@ -141,6 +142,20 @@
     assert!(started.elapsed().is_zero());
 }
 
+/// Guards against an entry that has just started and says that a target does not exist.
+#[tokio::test]
+async fn without_a_catalogue_no_target_is_missing() {
+    let system = System::start(1);
+    let empty = Catalogue::default();
+    system
+        .context
+        .view
+        .update_catalogue(|catalogue| *catalogue = empty);
+    let (answer, problem) = system.chat(false).await.problem().await;
+    assert_eq!(answer.status, 503);
+    assert_eq!(problem["not_run"], true);
+}
+
 /// Guards against cutting requests at a graceful stop, and against taking new ones.
 #[tokio::test]
 async fn a_stop_finishes_requests_in_flight() {
