entry: test that answers in another order reach their callers

Cause: No test answered several callers in another order than they asked.

Change: Ten callers are answered in a shuffled order with the id of the request.

--- a/tests/caller_port/main.rs
+++ b/tests/caller_port/main.rs
@@ -113,6 +113,35 @@
     assert_eq!(first.head().await.headers["x-request-id"], "same");
 }
 
+/// Guards against handing callers each other's answers when these come in another order.
+#[tokio::test]
+async fn answers_in_another_order_reach_their_callers() {
+    let mut system = System::start(1);
+    let mut callers = Vec::new();
+    for index in 0..10 {
+        let head = format!("{}X-Request-Id: {index}\r\n", post_chat(TOKEN));
+        callers.push(system.call(&head, BODY).await);
+    }
+    let mut requests = Vec::new();
+    for _ in 0..10 {
+        requests.push(system.request(0).await);
+    }
+    fastrand::Rng::with_seed(3).shuffle(&mut requests);
+    for (mut exchange, request, _) in requests {
+        send_head(&mut exchange, &request, "text/plain").await;
+        send_piece(&mut exchange, request.id.as_str()).await;
+        send_end(&mut exchange).await;
+    }
+    for (index, caller) in callers.iter_mut().enumerate() {
+        caller.head().await;
+        let answer = caller.chunks().await.unwrap();
+        assert!(
+            answer.starts_with(&format!("{index}~")),
+            "{index}: {answer}"
+        );
+    }
+}
+
 /// Guards against refusing a model that was just released, before its first slot is granted.
 #[tokio::test]
 async fn a_request_waits_for_the_first_slot() {
