entry: keep the tests' settings and records in data files

Change: Read the settings, the release note and the templates of servers from tests/data, share set-up between tests, and add examples to two more public functions. No test is removed or relaxed.

--- a/src/catalogue/lookup.rs
+++ b/src/catalogue/lookup.rs
@@ -94,6 +94,16 @@
     /// # Errors
     ///
     /// `Unknown` if there is no such service or the institution may not call it.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::catalogue::{Catalogue, Unknown};
+    ///
+    /// let catalogue = Catalogue::default();
+    /// let found = catalogue.resolve_service(&"cascade".into(), "shopdesk");
+    /// assert_eq!(found, Err(Unknown));
+    /// ```
     pub fn resolve_service(
         &self,
         institution: &id::Institution,
--- a/src/entry/admission.rs
+++ b/src/entry/admission.rs
@@ -31,6 +31,23 @@
     ///
     /// Every entry may have one request in flight, since the balancer may send a caller's only
     /// request to any of them.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::{catalogue::Access, entry::admission::Share};
+    ///
+    /// let access = Access {
+    ///     institution: "cascade".into(),
+    ///     target: "gear-check".to_owned(),
+    ///     max_in_flight: 12,
+    ///     max_queue: 4,
+    ///     requests_per_s: 3.0,
+    ///     priority: 0,
+    /// };
+    /// assert_eq!(Share::of(&access, 3).max_in_flight, 4);
+    /// assert_eq!(Share::of(&access, 330).max_in_flight, 1);
+    /// ```
     pub fn of(access: &Access, entries: usize) -> Self {
         let entries = u32::try_from(entries).unwrap_or(u32::MAX).max(1);
         Self {
--- a/tests/caller_port/failure.rs
+++ b/tests/caller_port/failure.rs
@@ -4,9 +4,7 @@
     timer::Time,
     wire::{
         Frame,
-        Load,
         Reason,
-        Refusal,
         Work, //
     },
 };
@@ -169,15 +167,7 @@
     let Some(Frame::Open(_)) = exchange.next().await.unwrap() else {
         panic!("the exchange does not begin with a request");
     };
-    let refusal = Refusal {
-        reason: Reason::QueueFull,
-        not_run: true,
-        retry_after_ms: 1_000,
-        load: Load::default(),
-    };
-    exchange.send(&Frame::Refused(refusal)).await.unwrap();
-    exchange.finish();
-    drop(exchange);
+    refuse(exchange, Reason::QueueFull, true).await;
     let (answer, problem) = caller.problem().await;
     assert_eq!(answer.status, 429);
     assert_eq!(problem["not_run"], true);
--- a/tests/caller_port/fixture.rs
+++ b/tests/caller_port/fixture.rs
@@ -9,7 +9,6 @@
 
 use chestnuthub::{
     context::Context,
-    decision::Record,
     metrics::Metrics,
     peer::{
         Endpoint,
@@ -34,22 +33,9 @@
     Value,
     json, //
 };
-use sha2::{
-    Digest,
-    Sha256, //
-};
 use tokio::sync::watch;
 use uuid::Uuid;
 
-use super::harness::{
-    OPERATOR_TOKEN,
-    OTHER_TOKEN,
-    TOKEN, //
-};
-
-/// Any free port of the loopback address.
-const LOOPBACK: &str = "127.0.0.1:0";
-
 /// Writes the keys of an authority and of the named instances.
 pub(crate) fn write_keys<'a>(folder: &Path, names: impl Iterator<Item = &'a str>) {
     let mut params = CertificateParams::default();
@@ -73,33 +59,13 @@
         key: folder.join(format!("{name}.key")),
     };
     let identity = Identity::load(&tls).unwrap();
-    Endpoint::bind(LOOPBACK.parse().unwrap(), &identity).unwrap()
+    Endpoint::bind(SocketAddr::from(([127, 0, 0, 1], 0)), &identity).unwrap()
 }
 
 /// Makes what the parts of the entry `entry-1` share.
 pub(crate) fn context(folder: &Path, stopping: watch::Receiver<bool>) -> Context {
-    let settings: Settings = decode(json!({
-        "instance": "entry-1",
-        "region": "puget",
-        "failure_domain": "puget-a",
-        "peer_addr": LOOPBACK,
-        "operator_addr": LOOPBACK,
-        "platform": {
-            "log": "http://127.0.0.1:9",
-            "log_retention_h": 24,
-            "list": "http://127.0.0.1:9",
-            "store": "http://127.0.0.1:9",
-        },
-        "tls": { "authority": "", "certificate": "", "key": "" },
-        "operators": { "operator": digest(OPERATOR_TOKEN) },
-        "role": { "entry": {
-            "caller_addr": LOOPBACK,
-            "institutions": {
-                "cascade": [digest(TOKEN)],
-                "tengis": [digest(OTHER_TOKEN)],
-            },
-        } },
-    }));
+    let text = include_str!("../data/caller_port/settings.json");
+    let settings: Settings = serde_json::from_str(text).unwrap();
     Context {
         log: Log::new(&settings.platform.log),
         settings: Arc::new(settings),
@@ -113,89 +79,31 @@
 
 /// Fills the catalogue and the instance list.
 pub(crate) fn fill(view: &View, names: &[String], addrs: Vec<SocketAddr>) {
-    let note = decode(json!({ "added": [
-        { "institution": { "name": "cascade" } },
-        { "institution": { "name": "tengis" } },
-        model("gear-check"),
-        model("laptop-check"),
-        { "service": {
-            "name": "shopdesk",
-            "pool": "gearmind",
-            "non_idempotent": [{ "method": "POST", "path": "/orders" }],
-        } },
-        access("cascade", "gear-check"),
-        access("cascade", "shopdesk"),
-        access("tengis", "laptop-check"),
-    ] }));
+    let note = serde_json::from_str(include_str!("../data/caller_port/note.json")).unwrap();
     view.update_catalogue(|catalogue| catalogue.apply(1, &note));
-    let instance = |(name, addr): (&String, SocketAddr)| {
-        decode(json!({
-            "name": name,
-            "role": "agent",
-            "addr": addr,
-            "operator_addr": LOOPBACK,
-            "pool": "gearmind",
-            "region": "puget",
-            "failure_domain": "puget-a",
-            "state": "live",
-        }))
-    };
-    view.set_instances(names.iter().zip(addrs).map(instance).collect());
+    let instances = names.iter().zip(addrs);
+    let instances =
+        instances.map(|(name, addr)| template("instance", json!({ "name": name, "addr": addr })));
+    view.set_instances(instances.collect());
 }
 
 /// Registers a server and grants it a slot for `gear-check@1`.
 pub(crate) fn grant(view: &View, server: &str) {
     view.update_table(|table| {
-        let register = json!({
-            "id": Uuid::new_v4(),
-            "kind": "register",
-            "server": server,
-            "incarnation": Uuid::new_v4(),
-            "memory_mb": 80_000,
-            "pool": "gearmind",
-            "region": "puget",
-            "failure_domain": "puget-a",
-        });
-        table.apply(table.applied() + 1, &decode::<Record>(register));
-        let grant = json!({
-            "id": Uuid::new_v4(),
-            "kind": "grant",
-            "model": "gear-check@1",
-            "server": server,
-            "replaces": table.head(&"gear-check@1".into()),
-            "limit": 10,
-        });
-        table.apply(table.applied() + 1, &decode::<Record>(grant));
+        let (id, incarnation) = (Uuid::new_v4(), Uuid::new_v4());
+        let more = json!({ "id": id, "server": server, "incarnation": incarnation });
+        table.apply(table.applied() + 1, &template("register", more));
+        let (id, replaces) = (Uuid::new_v4(), table.head(&"gear-check@1".into()));
+        let more = json!({ "id": id, "server": server, "replaces": replaces });
+        table.apply(table.applied() + 1, &template("grant", more));
     });
 }
 
-fn model(name: &str) -> Value {
-    json!({ "model": {
-        "name": name,
-        "version": 1,
-        "pool": "gearmind",
-        "memory_mb": 1_000,
-        "checkpoint_mb": 1_000,
-        "max_replicas": 2,
-    } })
-}
-
-fn access(institution: &str, target: &str) -> Value {
-    json!({ "access": {
-        "institution": institution,
-        "target": target,
-        "max_in_flight": 10,
-        "max_queue": 10,
-        "requests_per_s": 100.0,
-        "priority": 1,
-    } })
-}
-
-fn digest(token: &str) -> String {
-    let digest = Sha256::digest(token.as_bytes());
-    digest.iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
-fn decode<T: DeserializeOwned>(value: Value) -> T {
-    serde_json::from_value(value).unwrap()
+/// Makes a value of the named template and the fields of `more`.
+fn template<T: DeserializeOwned>(name: &str, mut more: Value) -> T {
+    let text = include_str!("../data/caller_port/server.json");
+    let mut templates: Value = serde_json::from_str(text).unwrap();
+    let template = templates[name].as_object_mut().unwrap();
+    template.append(more.as_object_mut().unwrap());
+    serde_json::from_value(templates[name].take()).unwrap()
 }
--- a/tests/entry_table.rs
+++ b/tests/entry_table.rs
@@ -12,8 +12,7 @@
         retry::{
             self,
             Kind,
-            Progress,
-            Step, //
+            Progress, //
         },
         route::{
             self,
@@ -103,12 +102,7 @@
             retries: case.retries,
             resumes: case.resumes,
         };
-        let step = match retry::step(&end, &progress) {
-            Step::Next => "next".to_owned(),
-            Step::Retry => "retry".to_owned(),
-            Step::Resume(events) => format!("resume {events}"),
-            Step::Stop => "stop".to_owned(),
-        };
+        let step = format!("{:?}", retry::step(&end, &progress));
         let problem = retry::problem(&end, kind);
         assert_eq!(step, case.step, "{}", case.name);
         assert_eq!(problem.status, case.status, "{}", case.name);
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -35,6 +35,11 @@
     names.map(|name| name.as_str().into()).collect()
 }
 
+fn candidates(state: &State, servers: &[id::Instance]) -> Vec<Candidate> {
+    let candidate = |server| state.candidate(server, 1, MODEL, Time::ZERO);
+    servers.iter().map(candidate).collect()
+}
+
 fn resident(queued: u32) -> Load {
     Load {
         resident: true,
@@ -57,10 +62,7 @@
     let mut counts = vec![0; servers.len()];
     for request in 0..requests {
         let entry = &mut entries[request % 40];
-        let candidates: Vec<Candidate> = servers
-            .iter()
-            .map(|server| entry.candidate(server, 1, MODEL, Time::ZERO))
-            .collect();
+        let candidates = candidates(entry, &servers);
         let choice = choose(&candidates, locality, &mut rng).expect("a server is usable");
         entry.begin(&servers[choice.index]);
         counts[choice.index] += 1;
@@ -104,10 +106,7 @@
     for server in &servers {
         state.report(server, 1, MODEL, resident(0), Time::ZERO);
     }
-    let candidates: Vec<Candidate> = servers
-        .iter()
-        .map(|server| state.candidate(server, 1, MODEL, Time::ZERO))
-        .collect();
+    let candidates = candidates(&state, &servers);
     let favourite = |prompt, seed| {
         let choice = choose(&candidates, Some(prompt), &mut Rng::with_seed(seed));
         choice.unwrap().index
