--- a/tests/caller_port/parse.rs
+++ b/tests/caller_port/parse.rs
@@ -39,7 +39,7 @@
 
 /// Returns the catalogue of the table of targets.
 fn catalogue() -> Catalogue {
-    let table = include_str!("../data/target/targets.json");
+    let table = include_str!("../data/resolve/targets.json");
     let mut table: serde_json::Value = serde_json::from_str(table).unwrap();
     let note: Note = serde_json::from_value(table["note"].take()).unwrap();
     let mut catalogue = Catalogue::default();
--- a/tests/entry_table.rs
+++ b/tests/entry_table.rs
@@ -145,7 +145,7 @@
 }
 
 /// Guards against a target that resolves to another version, adapter or institution.
-fn target(path: &Path) -> datatest_stable::Result<()> {
+fn resolve(path: &Path) -> datatest_stable::Result<()> {
     let targets: Targets = read(path)?;
     let mut catalogue = Catalogue::default();
     catalogue.apply(1, &targets.note);
@@ -169,5 +169,5 @@
 datatest_stable::harness! {
     { test = choose, root = "tests/data/choose", pattern = r".*\.json$" },
     { test = step, root = "tests/data/step", pattern = r".*\.json$" },
-    { test = target, root = "tests/data/target", pattern = r".*\.json$" },
+    { test = resolve, root = "tests/data/resolve", pattern = r".*\.json$" },
 }
