entry: test stalled streams and answers that begin late

Cause: No test covered a stream that stalls, or an answer that begins after the peer connection's idle time of 10 s.

Change: Add both on a virtual clock.

Without the keep-alive of peer connections an_answer_may_begin_late fails: the request is lost after 10 s.

--- a/tests/caller_port/failure.rs
+++ b/tests/caller_port/failure.rs
@@ -1,5 +1,7 @@
 //! Agents that die, refuse, stay silent or answer for another request.
 
+use std::time::Duration;
+
 use chestnuthub::{
     timer::Time,
     wire::{
@@ -44,6 +46,33 @@
     assert!(!rest.contains("[DONE]") && !rest.contains("half"), "{rest}");
 }
 
+/// Guards against a stream that stalls until the deadline. The clock is virtual.
+#[tokio::test(start_paused = true)]
+async fn a_stream_that_stalls_ends_with_an_error_event() {
+    let mut system = System::start(1);
+    let mut caller = system.chat(true).await;
+    let (mut exchange, request, _) = system.request(0).await;
+    send_head(&mut exchange, &request, EVENTS).await;
+    send_piece(&mut exchange, "data: 1\n\n").await;
+    exchange.cancelled().await;
+    caller.head().await;
+    let events = caller.chunks().await.unwrap();
+    assert!(events.starts_with("data: 1\n\nevent: error\n"), "{events}");
+    assert!(events.contains("problem:agent_lost"), "{events}");
+}
+
+/// Guards against a cold start that is taken for a lost connection. The clock is virtual.
+#[tokio::test(start_paused = true)]
+async fn an_answer_may_begin_late() {
+    let mut system = System::start(1);
+    let mut caller = system.chat(true).await;
+    let (mut exchange, request, _) = system.request(0).await;
+    tokio::time::sleep(Duration::from_secs(25)).await;
+    send_head(&mut exchange, &request, EVENTS).await;
+    send_end(&mut exchange).await;
+    assert_eq!(caller.head().await.status, 200);
+}
+
 /// Guards against losing or repeating events when a stream moves to another server.
 #[tokio::test]
 async fn a_stream_that_breaks_is_resumed_on_another_server() {
