--- a/src/entry/admission.rs
+++ b/src/entry/admission.rs
@@ -31,6 +31,23 @@
     ///
     /// Every entry may have one request in flight, since the balancer may send a caller's only
     /// request to any of them.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::{catalogue::Access, entry::admission::Share};
+    ///
+    /// let access = Access {
+    ///     institution: "cascade".into(),
+    ///     target: "gear-check".to_owned(),
+    ///     max_in_flight: 12,
+    ///     max_queue: 4,
+    ///     requests_per_s: 3.0,
+    ///     priority: 0,
+    /// };
+    /// assert_eq!(Share::of(&access, 3).max_in_flight, 4);
+    /// assert_eq!(Share::of(&access, 330).max_in_flight, 1);
+    /// ```
     pub fn of(access: &Access, entries: usize) -> Self {
         let entries = u32::try_from(entries).unwrap_or(u32::MAX).max(1);
         Self {
@@ -78,6 +95,23 @@
     /// # Errors
     ///
     /// `Excess` if the share of the institution and target is used up.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::{
+    ///     entry::admission::{Admission, Excess, Share},
+    ///     timer::Time,
+    /// };
+    /// use std::time::Duration;
+    ///
+    /// let share = Share { requests_per_s: 0.5, max_in_flight: 9 };
+    /// let key = ("cascade".into(), "gear-check".to_owned());
+    /// let mut admission = Admission::default();
+    /// assert_eq!(admission.admit(&key, share, Time::ZERO), Ok(()));
+    /// let refused = admission.admit(&key, share, Time::ZERO);
+    /// assert_eq!(refused, Err(Excess::Rate(Duration::from_secs(2))));
+    /// ```
     pub fn admit(&mut self, key: &Key, share: Share, now: Time) -> Result<(), Excess> {
         let burst = share.burst();
         let account = self.accounts.entry(key.clone()).or_insert(Account {
--- a/src/entry/problem.rs
+++ b/src/entry/problem.rs
@@ -74,6 +74,15 @@
         }
     }
 
+    /// Takes over the time to come back of an earlier problem of the same request if it is sooner.
+    pub fn or_sooner(self, earlier: Option<&Self>) -> Self {
+        let earlier = earlier.and_then(|earlier| earlier.retry_after);
+        Self {
+            retry_after: self.retry_after.into_iter().chain(earlier).min(),
+            ..self
+        }
+    }
+
     /// Makes a problem of an agent's refusal.
     pub fn refused(refusal: &Refusal) -> Self {
         let detail = format!("refused by the agent: {}", refusal.reason);
@@ -88,6 +97,18 @@
     }
 
     /// Returns the problem data.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::entry::problem::Problem;
+    ///
+    /// let problem = Problem::not_run(503, "busy", "the deadline can't be met");
+    /// let data = problem.json("order-17");
+    /// assert_eq!(data["type"], "urn:chestnuthub:problem:busy");
+    /// assert_eq!(data["title"], "Service Unavailable");
+    /// assert_eq!(data["not_run"], true);
+    /// ```
     pub fn json(&self, request: &str) -> Value {
         let title = StatusCode::from_u16(self.status)
             .ok()
--- a/tests/caller_port/failure.rs
+++ b/tests/caller_port/failure.rs
@@ -1,24 +1,17 @@
 //! Agents that die, refuse, stay silent or answer for another request.
 
+use std::time::Duration;
+
 use chestnuthub::{
     timer::Time,
     wire::{
         Frame,
-        Load,
         Reason,
-        Refusal,
         Work, //
     },
 };
 
-use super::harness::{
-    EVENTS,
-    System,
-    refuse,
-    send_end,
-    send_head,
-    send_piece, //
-};
+use super::harness::*;
 
 /// Guards against handing one caller the answer of another.
 #[tokio::test]
@@ -53,6 +46,33 @@
     assert!(!rest.contains("[DONE]") && !rest.contains("half"), "{rest}");
 }
 
+/// Guards against a stream that stalls until the deadline. The clock is virtual.
+#[tokio::test(start_paused = true)]
+async fn a_stream_that_stalls_ends_with_an_error_event() {
+    let mut system = System::start(1);
+    let mut caller = system.chat(true).await;
+    let (mut exchange, request, _) = system.request(0).await;
+    send_head(&mut exchange, &request, EVENTS).await;
+    send_piece(&mut exchange, "data: 1\n\n").await;
+    exchange.cancelled().await;
+    caller.head().await;
+    let events = caller.chunks().await.unwrap();
+    assert!(events.starts_with("data: 1\n\nevent: error\n"), "{events}");
+    assert!(events.contains("problem:agent_lost"), "{events}");
+}
+
+/// Guards against a cold start that is taken for a lost connection. The clock is virtual.
+#[tokio::test(start_paused = true)]
+async fn an_answer_may_begin_late() {
+    let mut system = System::start(1);
+    let mut caller = system.chat(true).await;
+    let (mut exchange, request, _) = system.request(0).await;
+    tokio::time::sleep(Duration::from_secs(25)).await;
+    send_head(&mut exchange, &request, EVENTS).await;
+    send_end(&mut exchange).await;
+    assert_eq!(caller.head().await.status, 200);
+}
+
 /// Guards against losing or repeating events when a stream moves to another server.
 #[tokio::test]
 async fn a_stream_that_breaks_is_resumed_on_another_server() {
@@ -101,12 +121,7 @@
     let mut caller = system.chat(false).await;
     let (exchange, _, _) = system.request(0).await;
     refuse(exchange, Reason::Busy, true).await;
-    let (mut exchange, request, _) = system.request(1).await;
-    send_head(&mut exchange, &request, "application/json").await;
-    send_piece(&mut exchange, "{}").await;
-    send_end(&mut exchange).await;
-    assert_eq!(caller.head().await.status, 200);
-    assert_eq!(caller.chunks().await.as_deref(), Some("{}"));
+    system.answer(1, &mut caller).await;
 }
 
 /// Guards against a refusal without a time to come back, and against an endless search.
@@ -166,10 +181,7 @@
     let mut caller = system.chat(false).await;
     let (exchange, _, _) = system.request(0).await;
     refuse(exchange, Reason::NoSlot, true).await;
-    let (mut exchange, request, _) = system.request(0).await;
-    send_head(&mut exchange, &request, "application/json").await;
-    send_end(&mut exchange).await;
-    assert_eq!(caller.head().await.status, 200);
+    system.answer(0, &mut caller).await;
 }
 
 /// Guards against a refusal that is lost because the agent stopped reading a large body.
@@ -178,21 +190,13 @@
     let mut system = System::start(1);
     let text = "x".repeat(4 << 20);
     let body = format!(r#"{{"model":"gear-check","messages":[{{"content":"{text}"}}]}}"#);
-    let head = super::post_chat(super::TOKEN);
+    let head = post_chat(TOKEN);
     let mut caller = system.call(&head, &body).await;
     let mut exchange = system.agents[0].recv().await.unwrap();
     let Some(Frame::Open(_)) = exchange.next().await.unwrap() else {
         panic!("the exchange does not begin with a request");
     };
-    let refusal = Refusal {
-        reason: Reason::QueueFull,
-        not_run: true,
-        retry_after_ms: 1_000,
-        load: Load::default(),
-    };
-    exchange.send(&Frame::Refused(refusal)).await.unwrap();
-    exchange.finish();
-    drop(exchange);
+    refuse(exchange, Reason::QueueFull, true).await;
     let (answer, problem) = caller.problem().await;
     assert_eq!(answer.status, 429);
     assert_eq!(problem["not_run"], true);
@@ -205,8 +209,5 @@
     system.endpoints[0].close();
     system.agents.remove(0).close();
     let mut caller = system.chat(false).await;
-    let (mut exchange, request, _) = system.request(0).await;
-    send_head(&mut exchange, &request, "application/json").await;
-    send_end(&mut exchange).await;
-    assert_eq!(caller.head().await.status, 200);
+    system.answer(0, &mut caller).await;
 }
--- a/tests/caller_port.rs
+++ b/tests/caller_port/main.rs
@@ -1,45 +1,26 @@
 //! The caller port of an entry, with fake agents that the tests play.
 
 #[cfg(test)]
-#[path = "caller_port/caller.rs"]
 mod caller;
-#[cfg(test)]
-#[path = "caller_port/failure.rs"]
 mod failure;
 #[cfg(test)]
-#[path = "caller_port/fixture.rs"]
 mod fixture;
 #[cfg(test)]
-#[path = "caller_port/harness.rs"]
 mod harness;
-#[cfg(test)]
-#[path = "caller_port/limit.rs"]
 mod limit;
 #[cfg(test)]
-#[path = "caller_port/operator.rs"]
 mod operator;
 #[cfg(test)]
-#[path = "caller_port/parse.rs"]
 mod parse;
-#[cfg(test)]
-#[path = "caller_port/service.rs"]
 mod service;
 
 use chestnuthub::{
+    catalogue::Catalogue,
     timer::Time,
     wire::Work, //
 };
-use harness::{
-    EVENTS,
-    OTHER_TOKEN,
-    System,
-    TOKEN,
-    grant,
-    post_chat,
-    send_end,
-    send_head,
-    send_piece, //
-};
+use harness::*;
+use tokio::time::Instant;
 
 /// Guards against buffering: each event must reach the caller before the next one is produced.
 #[tokio::test]
@@ -108,8 +89,7 @@
 #[tokio::test]
 async fn the_list_holds_the_models_of_the_institution() {
     let system = System::start(0);
-    let head = format!("GET /v1/models HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TOKEN}\r\n");
-    let mut caller = system.call(&head, "").await;
+    let mut caller = system.call(&get_models(), "").await;
     let (answer, list) = caller.json().await;
     assert_eq!(answer.status, 200);
     assert_eq!(list["data"].as_array().unwrap().len(), 1);
@@ -133,33 +113,76 @@
     assert_eq!(first.head().await.headers["x-request-id"], "same");
 }
 
+/// Guards against handing callers each other's answers when these come in another order.
+#[tokio::test]
+async fn answers_in_another_order_reach_their_callers() {
+    let mut system = System::start(1);
+    let mut callers = Vec::new();
+    for index in 0..10 {
+        let head = format!("{}X-Request-Id: {index}\r\n", post_chat(TOKEN));
+        callers.push(system.call(&head, BODY).await);
+    }
+    let mut requests = Vec::new();
+    for _ in 0..10 {
+        requests.push(system.request(0).await);
+    }
+    fastrand::Rng::with_seed(3).shuffle(&mut requests);
+    for (mut exchange, request, _) in requests {
+        send_head(&mut exchange, &request, "text/plain").await;
+        send_piece(&mut exchange, request.id.as_str()).await;
+        send_end(&mut exchange).await;
+    }
+    for (index, caller) in callers.iter_mut().enumerate() {
+        caller.head().await;
+        let answer = caller.chunks().await.unwrap();
+        assert!(
+            answer.starts_with(&format!("{index}~")),
+            "{index}: {answer}"
+        );
+    }
+}
+
 /// Guards against refusing a model that was just released, before its first slot is granted.
 #[tokio::test]
 async fn a_request_waits_for_the_first_slot() {
     let mut system = System::start_without_slots(1);
     system.context.view.note_news(Time::now());
-    let mut caller = system.chat(false).await;
+    // By the end of the longest wait for a slot the deadline would have passed.
+    let head = format!("{}Request-Timeout-Ms: 9000\r\n", post_chat(TOKEN));
+    let mut caller = system.call(&head, BODY).await;
     // The request is taken in before the slot exists.
     while system.context.metrics.in_flight.get() == 0 {
         tokio::task::yield_now().await;
     }
     grant(&system.context.view, "gearmind-1");
-    let (mut exchange, request, _) = system.request(0).await;
-    send_head(&mut exchange, &request, "application/json").await;
-    send_piece(&mut exchange, "{}").await;
-    send_end(&mut exchange).await;
-    assert_eq!(caller.head().await.status, 200);
-    assert_eq!(caller.chunks().await.as_deref(), Some("{}"));
+    system.answer(0, &mut caller).await;
 }
 
 /// Guards against holding a request for a slot that can't be granted while the log is down.
-#[tokio::test]
+/// The clock is virtual.
+#[tokio::test(start_paused = true)]
 async fn without_the_log_a_request_does_not_wait_for_a_slot() {
     let system = System::start_without_slots(1);
+    let started = Instant::now();
     let (answer, problem) = system.chat(false).await.problem().await;
     assert_eq!(answer.status, 503);
     assert_eq!(problem["not_run"], true);
     assert!(answer.headers.contains_key("retry-after"));
+    assert!(started.elapsed().is_zero());
+}
+
+/// Guards against an entry that has just started and says that a target does not exist.
+#[tokio::test]
+async fn without_a_catalogue_no_target_is_missing() {
+    let system = System::start(1);
+    let empty = Catalogue::default();
+    system
+        .context
+        .view
+        .update_catalogue(|catalogue| *catalogue = empty);
+    let (answer, problem) = system.chat(false).await.problem().await;
+    assert_eq!(answer.status, 503);
+    assert_eq!(problem["not_run"], true);
 }
 
 /// Guards against cutting requests at a graceful stop, and against taking new ones.
@@ -201,6 +224,11 @@
         drop(caller);
         exchange.cancelled().await;
     }
+    while system.context.metrics.in_flight.get() > 0 {
+        tokio::task::yield_now().await;
+    }
+    let gone = r#"requests_total{kind="chat",outcome="caller_gone"} 2"#;
+    assert!(system.context.metrics.text().contains(gone));
 }
 
 /// Guards against losing limits or the body on the way to the agent.
--- a/tests/entry_table.rs
+++ b/tests/entry_table.rs
@@ -12,8 +12,7 @@
         retry::{
             self,
             Kind,
-            Progress,
-            Step, //
+            Progress, //
         },
         route::{
             self,
@@ -103,12 +102,7 @@
             retries: case.retries,
             resumes: case.resumes,
         };
-        let step = match retry::step(&end, &progress) {
-            Step::Next => "next".to_owned(),
-            Step::Retry => "retry".to_owned(),
-            Step::Resume(events) => format!("resume {events}"),
-            Step::Stop => "stop".to_owned(),
-        };
+        let step = format!("{:?}", retry::step(&end, &progress));
         let problem = retry::problem(&end, kind);
         assert_eq!(step, case.step, "{}", case.name);
         assert_eq!(problem.status, case.status, "{}", case.name);
@@ -151,7 +145,7 @@
 }
 
 /// Guards against a target that resolves to another version, adapter or institution.
-fn target(path: &Path) -> datatest_stable::Result<()> {
+fn resolve(path: &Path) -> datatest_stable::Result<()> {
     let targets: Targets = read(path)?;
     let mut catalogue = Catalogue::default();
     catalogue.apply(1, &targets.note);
@@ -175,5 +169,5 @@
 datatest_stable::harness! {
     { test = choose, root = "tests/data/choose", pattern = r".*\.json$" },
     { test = step, root = "tests/data/step", pattern = r".*\.json$" },
-    { test = target, root = "tests/data/target", pattern = r".*\.json$" },
+    { test = resolve, root = "tests/data/resolve", pattern = r".*\.json$" },
 }
