--- a/tests/caller_port/failure.rs
+++ b/tests/caller_port/failure.rs
@@ -2,13 +2,10 @@
 
 use std::time::Duration;
 
-use chestnuthub::{
-    timer::Time,
-    wire::{
-        Frame,
-        Reason,
-        Work, //
-    },
+use chestnuthub::wire::{
+    Frame,
+    Reason,
+    Work, //
 };
 
 use super::harness::*;
@@ -177,7 +174,7 @@
 #[tokio::test]
 async fn an_agent_that_is_behind_is_asked_again() {
     let mut system = System::start(1);
-    system.context.view.note_news(Time::now());
+    system.note_news();
     let mut caller = system.chat(false).await;
     let (exchange, _, _) = system.request(0).await;
     refuse(exchange, Reason::NoSlot, true).await;
--- a/tests/caller_port/fixture.rs
+++ b/tests/caller_port/fixture.rs
@@ -8,7 +8,10 @@
 };
 
 use chestnuthub::{
+    catalogue::Catalogue,
     context::Context,
+    decision::Table,
+    follow::Fold,
     metrics::Metrics,
     peer::{
         Endpoint,
@@ -19,7 +22,8 @@
         Settings,
         Tls, //
     },
-    view::View,
+    timer::Time,
+    view::View, //
 };
 use rcgen::{
     BasicConstraints,
@@ -107,3 +111,10 @@
     template.append(more.as_object_mut().unwrap());
     serde_json::from_value(templates[name].take()).unwrap()
 }
+
+/// Marks both streams of the log as read just now.
+pub(crate) fn note_news(view: &View) {
+    for stream in [Catalogue::STREAM, Table::STREAM] {
+        view.note_news(stream, Time::now());
+    }
+}
--- a/tests/caller_port/harness.rs
+++ b/tests/caller_port/harness.rs
@@ -62,6 +62,11 @@
 }
 
 impl System {
+    /// Marks both streams of the log as read just now.
+    pub(crate) fn note_news(&self) {
+        super::fixture::note_news(&self.context.view);
+    }
+
     /// Starts an entry with `agents` fake agents, each with a slot for `gear-check@1` and a
     /// server of `shopdesk`.
     pub(crate) fn start(agents: usize) -> Self {
--- a/tests/caller_port/main.rs
+++ b/tests/caller_port/main.rs
@@ -16,7 +16,6 @@
 
 use chestnuthub::{
     catalogue::Catalogue,
-    timer::Time,
     wire::Work, //
 };
 use harness::*;
@@ -146,7 +145,7 @@
 #[tokio::test]
 async fn a_request_waits_for_the_first_slot() {
     let mut system = System::start_without_slots(1);
-    system.context.view.note_news(Time::now());
+    system.note_news();
     // By the end of the longest wait for a slot the deadline would have passed.
     let head = format!("{}Request-Timeout-Ms: 9000\r\n", post_chat(TOKEN));
     let mut caller = system.call(&head, BODY).await;
