bench: replay seeded traces through the residency policy

Cause: nothing measured whether the residency policy beats a fixed keep-alive.

Policy::with_keep_alive and Policy::next_unload serve the replay.

--- a/src/agent/residency.rs
+++ b/src/agent/residency.rs
@@ -49,6 +49,7 @@
     pace: Pace,
     authority: bool,
     inventoried: bool,
+    keep_alive: Option<Duration>,
 }
 
 impl Policy {
@@ -61,9 +62,35 @@
             pace: Pace::default(),
             authority: false,
             inventoried: false,
+            keep_alive: None,
         }
     }
 
+    /// Makes a policy that keeps every idle model for a fixed time, to compare against.
+    pub fn with_keep_alive(ledger: Ledger, keep_alive: Duration) -> Self {
+        Self {
+            keep_alive: Some(keep_alive),
+            ..Self::new(ledger)
+        }
+    }
+
+    /// Returns when the next idle model is due to be unloaded, if none is called before.
+    pub fn next_unload(&self) -> Option<Time> {
+        let loaded = self.loaded().into_iter().filter_map(|model| {
+            let replica = self.replicas.get(&model)?;
+            let since = self.idle_since(&model, replica);
+            replica
+                .is_idle()
+                .then(|| since + self.hold(&model, replica))
+        });
+        loaded.min()
+    }
+
+    fn hold(&self, model: &id::Model, replica: &Replica) -> Duration {
+        self.keep_alive
+            .unwrap_or_else(|| replica.usage.hold(self.load_cost(model)))
+    }
+
     /// Returns the memory as accounted for.
     pub fn ledger(&self) -> &Ledger {
         &self.ledger
@@ -253,7 +280,7 @@
         let mut actions = Vec::new();
         for model in self.loaded() {
             let replica = self.replicas.get(&model).cloned().unwrap_or_default();
-            let hold = replica.usage.hold(self.load_cost(&model));
+            let hold = self.hold(&model, &replica);
             let reason = if !replica.is_idle() || replica.retry_at.is_some_and(|at| now < at) {
                 continue;
             } else if replica.slot.is_none() {
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod footprint;
 mod meter;
+pub mod policy;
 mod process;
 mod usage;
 
@@ -36,10 +37,11 @@
 };
 pub use process::Process;
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 enum Command {
     Capacity { json: bool },
     Demo,
+    Policy(policy::Options),
 }
 
 /// Runs `chestnuthub-load` and returns its exit code.
@@ -47,6 +49,7 @@
     let result = match options().run() {
         Command::Capacity { json } => capacity::run(json),
         Command::Demo => demo::run(),
+        Command::Policy(options) => policy::run(&options),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -69,7 +72,23 @@
         .to_options()
         .descr("Measures the slopes behind the capacity page")
         .command("capacity");
-    bpaf::construct!([demo, capacity])
+    let policy = policy_options()
+        .map(Command::Policy)
+        .to_options()
+        .descr("Replays seeded traces through the residency policy and its baselines")
+        .command("policy");
+    bpaf::construct!([demo, capacity, policy])
         .to_options()
         .descr("Starts small systems on loopback and measures them")
 }
+
+fn policy_options() -> impl Parser<policy::Options> {
+    let json = bpaf::long("json")
+        .help("Prints a line of JSON for each trace in place of tables")
+        .switch();
+    let seed = bpaf::long("seed")
+        .help("Seed of the traces")
+        .argument::<u64>("N")
+        .fallback(1);
+    bpaf::construct!(policy::Options { json, seed })
+}
--- /dev/null
+++ b/src/bench/policy/curve.rs
@@ -0,0 +1,168 @@
+//! The curve of the fixed keep-alive, and where a policy lies against it.
+
+use std::{
+    sync::{
+        Mutex, PoisonError,
+        atomic::{
+            AtomicUsize,
+            Ordering, //
+        },
+    },
+    thread,
+    time::Duration,
+};
+
+use serde::Serialize;
+
+use super::{
+    super::Deployment,
+    measure::Outcome,
+    placement::Placement,
+    replay::{
+        self,
+        Keep,
+        Setup, //
+    },
+    server,
+    trace::Trace,
+};
+use crate::agent::usage::Weights;
+
+/// Keep-alive times of the sweep in seconds, between unloading at once and never.
+const SWEEP_S: [u64; 23] = [
+    2, 4, 7, 10, 15, 20, 30, 45, 60, 90, 120, 180, 240, 360, 480, 720, 1_000, 1_800, 3_600, 7_200,
+    14_400, 43_200, 86_400,
+];
+
+/// Factors on the ratio of the weights, by which the policy's own curve is drawn.
+const POLICY_FACTORS: [f64; 7] = [0.1, 0.25, 0.5, 2.0, 4.0, 10.0, 30.0];
+
+/// Replays that run at once.
+const THREADS: usize = 4;
+
+/// A point of a curve.
+#[derive(Debug, Clone, Serialize)]
+pub struct Point {
+    /// What was replayed.
+    pub name: String,
+    /// What it measured.
+    pub outcome: Outcome,
+}
+
+/// The policy and its baselines on one trace.
+#[derive(Debug, Clone, Serialize)]
+pub struct Comparison {
+    /// The policy with the institution's weights.
+    pub policy: Point,
+    /// The policy with other ratios of the weights.
+    pub policy_curve: Vec<Point>,
+    /// Fixed keep-alive from unloading at once to always loaded, by rising time.
+    pub fixed: Vec<Point>,
+}
+
+/// Returns the weights of a deployment's institution.
+pub fn weights(deployment: &Deployment) -> Weights {
+    let (cold_start, idle_hour) = deployment.weights;
+    Weights {
+        cold_start,
+        idle_hour,
+    }
+}
+
+impl Comparison {
+    /// Replays the trace with the policy and with each baseline.
+    pub fn run(deployment: &Deployment, trace: &Trace, warm_up: Duration) -> Self {
+        let own = weights(deployment);
+        let mut keeps = vec![("policy".to_owned(), Keep::Policy(own))];
+        keeps.extend(POLICY_FACTORS.map(|factor| {
+            let weights = Weights {
+                cold_start: own.cold_start * factor,
+                ..own
+            };
+            (format!("policy x{factor}"), Keep::Policy(weights))
+        }));
+        keeps.push(("unload at once".to_owned(), Keep::Fixed(Duration::ZERO)));
+        keeps.extend(SWEEP_S.map(|time| {
+            let keep = Keep::Fixed(Duration::from_secs(time));
+            (format!("fixed {time} s"), keep)
+        }));
+        keeps.push(("always loaded".to_owned(), Keep::Fixed(server::forever())));
+        let mut points = replay_all(deployment, trace, warm_up, &keeps);
+        let fixed = points.split_off(1 + POLICY_FACTORS.len());
+        let policy_curve = points.split_off(1);
+        Self {
+            policy: points.remove(0),
+            policy_curve,
+            fixed,
+        }
+    }
+
+    /// Returns the p99 in seconds of the best fixed keep-alive with the policy's idle hours or
+    /// fewer, between neighbouring points by interpolation.
+    pub fn fixed_p99_s(&self) -> f64 {
+        let idle = self.policy.outcome.idle_hours;
+        self.best(|o| o.idle_hours, |o| o.p99_s, idle)
+    }
+
+    /// Returns the idle hours of the best fixed keep-alive with the policy's p99 or less, between
+    /// neighbouring points by interpolation.
+    pub fn fixed_idle_hours(&self) -> f64 {
+        let p99 = self.policy.outcome.p99_s;
+        self.best(|o| o.p99_s, |o| o.idle_hours, p99)
+    }
+
+    /// Returns the least `y` on the curve where `x` is at most `limit`.
+    fn best(&self, x: fn(&Outcome) -> f64, y: fn(&Outcome) -> f64, limit: f64) -> f64 {
+        let points: Vec<_> = self
+            .fixed
+            .iter()
+            .map(|point| (x(&point.outcome), y(&point.outcome)))
+            .collect();
+        let within = points.iter().filter(|(x, _)| *x <= limit).map(|(_, y)| *y);
+        let crossings = points.windows(2).filter_map(|pair| {
+            let ((x0, y0), (x1, y1)) = (pair[0], pair[1]);
+            let crosses = (x0 - limit) * (x1 - limit) < 0.0;
+            crosses.then(|| y0 + (y1 - y0) * (limit - x0) / (x1 - x0))
+        });
+        within.chain(crossings).fold(f64::INFINITY, f64::min)
+    }
+
+    /// Returns whether the policy is not above the curve of the fixed keep-alive.
+    pub fn is_not_above(&self) -> bool {
+        let own = &self.policy.outcome;
+        own.p99_s <= self.fixed_p99_s() && own.idle_hours <= self.fixed_idle_hours()
+    }
+}
+
+fn replay_all(
+    deployment: &Deployment,
+    trace: &Trace,
+    warm_up: Duration,
+    keeps: &[(String, Keep)],
+) -> Vec<Point> {
+    let next = AtomicUsize::new(0);
+    let points = Mutex::new(Vec::new());
+    thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| {
+                while let Some((name, keep)) = keeps.get(next.fetch_add(1, Ordering::Relaxed)) {
+                    let setup = Setup {
+                        keep: *keep,
+                        placement: Placement::Home,
+                        remote_factor: 1.0,
+                        warm_up,
+                    };
+                    let point = Point {
+                        name: name.clone(),
+                        outcome: replay::run(deployment, trace, setup),
+                    };
+                    let mut points = points.lock().unwrap_or_else(PoisonError::into_inner);
+                    points.push(point);
+                }
+            });
+        }
+    });
+    let mut points = points.into_inner().unwrap_or_else(PoisonError::into_inner);
+    points.sort_by_key(|point| keeps.iter().position(|(name, _)| *name == point.name));
+    points
+}
