bench: measure the path, bursts and retries

Cause: the load tool has no command for the speed of the request path, for bursts of first requests or for retries during a fault. Change: add the commands path, burst and retries.

--- a/src/bench/caller.rs
+++ b/src/bench/caller.rs
@@ -15,6 +15,7 @@
 
 use serde_json::json;
 use ureq::Agent;
+use uuid::Uuid;
 
 use super::Error;
 
@@ -66,20 +67,32 @@
 pub struct Caller {
     base: String,
     token: String,
+    /// Set for a caller that goes to an engine, past entry and agent.
+    direct: bool,
     agent: Agent,
 }
 
 impl Caller {
     /// Makes a caller of the entry at `addr`.
     pub fn new(addr: SocketAddr, token: &str) -> Self {
+        Self::with(format!("http://{addr}"), token, false)
+    }
+
+    /// Makes a caller that goes to an engine, past entry and agent.
+    pub(super) fn direct(url: &str) -> Self {
+        Self::with(url.to_owned(), "", true)
+    }
+
+    fn with(base: String, token: &str, direct: bool) -> Self {
         let config = Agent::config_builder()
             .timeout_global(Some(TIMEOUT))
             .http_status_as_error(false)
             .max_idle_connections(0)
             .build();
         Self {
-            base: format!("http://{addr}"),
+            base,
             token: token.to_owned(),
+            direct,
             agent: config.into(),
         }
     }
@@ -120,6 +133,27 @@
             .map_err(|error| Error::Call(error.to_string()))
     }
 
+    /// Starts a streamed completion and reads its events while `wanted` returns true.
+    pub(super) fn chat_while(
+        &self,
+        model: &str,
+        prompt: &str,
+        max_tokens: u32,
+        mut wanted: impl FnMut() -> bool,
+    ) -> Result<(), Error> {
+        let response = self.send_chat(model, prompt, max_tokens, TIMEOUT)?;
+        if response.status() != 200 {
+            return Err(Error::Call(format!("status {}", response.status())));
+        }
+        for line in BufReader::new(response.into_body().into_reader()).lines() {
+            let line = line.map_err(|error| Error::Call(error.to_string()))?;
+            if line.starts_with("data: ") && !wanted() {
+                return Ok(());
+            }
+        }
+        Err(Error::Call("the stream ended early".to_owned()))
+    }
+
     fn send_chat(
         &self,
         model: &str,
@@ -135,9 +169,15 @@
         });
         let request = self
             .agent
-            .post(format!("{}/v1/chat/completions", self.base))
-            .header("Authorization", format!("Bearer {}", self.token))
-            .header("Request-Timeout-Ms", timeout.as_millis().to_string());
+            .post(format!("{}/v1/chat/completions", self.base));
+        let request = if self.direct {
+            let id = Uuid::new_v4().to_string();
+            request.header("X-Model", model).header("X-Request-Id", id)
+        } else {
+            request
+                .header("Authorization", format!("Bearer {}", self.token))
+                .header("Request-Timeout-Ms", timeout.as_millis().to_string())
+        };
         Ok(request.send_json(body)?)
     }
 
--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -62,6 +62,8 @@
     pub memory_mb: u64,
     /// Time between tokens of an engine in milliseconds.
     pub token_interval_ms: u64,
+    /// Completions that an engine runs at once.
+    pub max_running: u32,
     /// Whether the engines refuse orders with an old fencing number.
     pub checks_fence: bool,
     /// Bytes a second that the weight store sends at full speed.
@@ -82,6 +84,7 @@
             services: 1,
             memory_mb: 40_000,
             token_interval_ms: 20,
+            max_running: 8,
             checks_fence: true,
             store_bytes_per_s: 20 << 30,
             log_retention_s: 86_400,
@@ -360,8 +363,10 @@
         let pool = self.plan.deployment.model_pool;
         let memory = self.plan.memory_mb.to_string();
         let interval = self.plan.token_interval_ms.to_string();
+        let max_running = self.plan.max_running.to_string();
         let mut args = vec!["--store", &self.store.url, "--memory-mb", &memory];
         args.extend(["--token-interval-ms", &interval]);
+        args.extend(["--max-running", &max_running]);
         if self.plan.checks_fence {
             args.push("--checks-fence");
         }
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -1,5 +1,6 @@
 //! The load tool: starts small systems on loopback and measures them.
 
+mod burst;
 mod caller;
 mod capacity;
 mod demo;
@@ -8,7 +9,10 @@
 mod fleet;
 mod footprint;
 mod meter;
+mod path;
 mod process;
+mod report;
+mod retries;
 mod usage;
 
 use std::process::ExitCode;
@@ -36,17 +40,23 @@
 };
 pub use process::Process;
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 enum Command {
+    Burst(burst::Settings, report::Output),
     Capacity { json: bool },
     Demo,
+    Path(path::Settings, report::Output),
+    Retries(retries::Settings, report::Output),
 }
 
 /// Runs `chestnuthub-load` and returns its exit code.
 pub fn run() -> ExitCode {
     let result = match options().run() {
+        Command::Burst(settings, output) => burst::run(&settings, &output),
         Command::Capacity { json } => capacity::run(json),
         Command::Demo => demo::run(),
+        Command::Path(settings, output) => path::run(&settings, &output),
+        Command::Retries(settings, output) => retries::run(&settings, &output),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -69,7 +79,22 @@
         .to_options()
         .descr("Measures the slopes behind the capacity page")
         .command("capacity");
-    bpaf::construct!([demo, capacity])
+    let (settings, output) = (path::settings(), report::output());
+    let path = bpaf::construct!(Command::Path(settings, output))
+        .to_options()
+        .descr("Measures what entry and agent add to a stream")
+        .command("path");
+    let (settings, output) = (burst::settings(), report::output());
+    let burst = bpaf::construct!(Command::Burst(settings, output))
+        .to_options()
+        .descr("Sends a burst of first requests for an idle model")
+        .command("burst");
+    let (settings, output) = (retries::settings(), report::output());
+    let retries = bpaf::construct!(Command::Retries(settings, output))
+        .to_options()
+        .descr("Counts attempts while an agent is dead")
+        .command("retries");
+    bpaf::construct!([demo, capacity, path, burst, retries])
         .to_options()
         .descr("Starts small systems on loopback and measures them")
 }
