claim: split the executor and the stream, keep unwritten results in memory

With many full appends a page could exceed the log client's limit.

Change: move events and the call of the service to files of their own; drop a stream only once its results were read back; limit an append to 128 KiB.

--- a/src/agent/call.rs
+++ b/src/agent/call.rs
@@ -13,10 +13,11 @@
     catalogue,
     claim::{
         Answer, Ending, Key, Refusal, Response,
-        executor::{
+        call::{
             self,
-            Executor, //
+            Call, //
         },
+        executor::Executor,
         key::{
             self,
             MIN_RETENTION, //
@@ -165,10 +166,10 @@
     }
 
     /// Sends a call that may be repeated.
-    async fn pass(&self, call: executor::Call) -> Result<Reply, Refusal> {
+    async fn pass(&self, call: Call) -> Result<Reply, Refusal> {
         let service = self.executor.service().clone();
         let timeout = call.remaining();
-        let send = move || executor::send(&service, &call, timeout);
+        let send = move || call::send(&service, &call, timeout);
         let sent = self.context().runtime.spawn_blocking(send).await;
         match sent.unwrap_or(Ending::Unknown) {
             Ending::Response(response) if response.body.is_some() => Ok(reply(&response)),
--- a/src/claim/attempt.rs
+++ b/src/claim/attempt.rs
@@ -247,7 +247,7 @@
         match self.phase {
             Phase::Claiming if own => self.start(),
             Phase::GivenUp if own => self.abandon(),
-            Phase::Claiming | Phase::GivenUp if !open => self.lose(),
+            Phase::Claiming | Phase::GivenUp if !open => self.supersede(),
             Phase::Abandoning if !own => vec![Action::Retire],
             Phase::Completed(_) if !own => vec![Action::Retire],
             _ => Vec::new(),
@@ -270,7 +270,7 @@
     }
 
     /// Ends the attempt: the key went on without it, so its claim is void wherever it lands.
-    fn lose(&mut self) -> Vec<Action> {
+    fn supersede(&mut self) -> Vec<Action> {
         let deferred = self.waiters.drain(..).map(Action::Defer);
         deferred.chain([Action::Retire]).collect()
     }
--- /dev/null
+++ b/src/claim/call.rs
@@ -0,0 +1,83 @@
+//! One call of the plain service.
+
+use std::{
+    io::Read,
+    sync::Arc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use tokio::sync::OwnedSemaphorePermit;
+
+use super::{
+    Body,
+    Digest,
+    Ending,
+    Response, //
+};
+use crate::{
+    id,
+    platform::{
+        Error,
+        service::{
+            self,
+            Service, //
+        },
+    },
+    timer::Time,
+    wire::{
+        self,
+        MAX_BODY_BYTES, //
+    },
+};
+
+/// A call that takes up one of the agent's permits for calls until it neither waits nor runs.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(super) request: id::Request,
+    pub(super) call: wire::Call,
+    pub(super) body: Bytes,
+    pub(super) deadline: Time,
+    pub(super) _permit: OwnedSemaphorePermit,
+}
+
+impl Call {
+    /// Returns the time left until the deadline.
+    pub(crate) fn remaining(&self) -> Duration {
+        self.deadline.remaining(Time::now())
+    }
+
+    /// Returns the digest by which a retry is told from another call.
+    pub(super) fn fingerprint(&self) -> Digest {
+        let (method, path) = (&self.call.method, &self.call.path);
+        Digest::of(&[method.as_bytes(), path.as_bytes(), &self.body])
+    }
+}
+
+/// Sends the call once and reads its response.
+pub(crate) fn send(service: &Service, call: &Call, timeout: Duration) -> Ending {
+    let outcome = service.call(&service::Call {
+        method: &call.call.method,
+        path: &call.call.path,
+        content_type: call.call.content_type.as_deref(),
+        request: call.request.as_str(),
+        body: &call.body,
+        timeout,
+    });
+    let answer = match outcome {
+        Ok(answer) => answer,
+        Err(Error::Unreachable(_)) => return Ending::NotSent,
+        Err(_) => return Ending::Unknown,
+    };
+    let mut body = Vec::new();
+    let limit = MAX_BODY_BYTES as u64 + 1;
+    if answer.body.take(limit).read_to_end(&mut body).is_err() {
+        return Ending::Unknown;
+    }
+    let body = (body.len() <= MAX_BODY_BYTES).then_some(Body(body));
+    Ending::Response(Arc::new(Response {
+        status: answer.status,
+        content_type: answer.content_type,
+        body,
+    }))
+}
--- a/src/claim/executor.rs
+++ b/src/claim/executor.rs
@@ -5,7 +5,6 @@
         BTreeMap,
         HashMap, //
     },
-    io::Read,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{
@@ -18,14 +17,17 @@
 
 use bytes::Bytes;
 use tokio::sync::{
-    OwnedSemaphorePermit,
     Semaphore,
     oneshot, //
 };
 use uuid::Uuid;
 
 use super::{
-    Action, Answer, Body, Digest, Ending, Event, Key, Now, Pace, Response, Stream, Waiter,
+    Action, Answer, Digest, Ending, Event, Key, Now, Pace, Stream, Waiter,
+    call::{
+        self,
+        Call, //
+    },
     key::{
         BUCKET_SPAN,
         KEY_LEAD,
@@ -38,16 +40,12 @@
     id,
     platform::{
         Error,
-        service::{
-            self,
-            Service, //
-        },
+        service::Service, //
     },
     report,
     timer::Time,
     wire::{
         self,
-        MAX_BODY_BYTES,
         Reason, //
     },
 };
@@ -56,7 +54,8 @@
 /// late response is still recorded for retries.
 const CALL_LIMIT: Duration = Duration::from_secs(600);
 
-/// Most records in one read; with the largest appends a page stays below the log client's limit.
+/// Most appends in one read: with the largest appends, escaped once more, a page takes 16 MiB,
+/// half of what the log client accepts.
 const READ_LIMIT: u32 = 64;
 
 /// Most calls at one agent that wait or run. Below the runtime's 512 blocking threads, so that
@@ -69,28 +68,6 @@
 /// Streams that are kept in memory. A stream that is needed again is read anew.
 const MAX_STREAMS: usize = 128;
 
-/// A call that takes up one of the agent's places for calls until it neither waits nor runs.
-#[derive(Debug)]
-pub(crate) struct Call {
-    request: id::Request,
-    call: wire::Call,
-    body: Bytes,
-    deadline: Time,
-    _place: OwnedSemaphorePermit,
-}
-
-impl Call {
-    /// Returns the time left until the deadline.
-    pub(crate) fn remaining(&self) -> Duration {
-        self.deadline.remaining(Time::now())
-    }
-
-    fn fingerprint(&self) -> Digest {
-        let (method, path) = (&self.call.method, &self.call.path);
-        Digest::of(&[method.as_bytes(), path.as_bytes(), &self.body])
-    }
-}
-
 /// Runs calls at most once.
 #[derive(Debug, Clone)]
 pub(crate) struct Executor(Arc<Inner>);
@@ -100,14 +77,14 @@
     context: Context,
     service: Service,
     pace: Mutex<Pace>,
-    desks: Mutex<BTreeMap<String, Arc<Desk>>>,
+    partitions: Mutex<BTreeMap<String, Arc<Partition>>>,
     tickets: AtomicU64,
-    places: Arc<Semaphore>,
+    permits: Arc<Semaphore>,
 }
 
 /// One claim stream with the requests that wait for it.
 #[derive(Debug)]
-struct Desk {
+struct Partition {
     name: String,
     bucket: u64,
     service: catalogue::Key,
@@ -137,9 +114,9 @@
             context,
             service,
             pace: Mutex::default(),
-            desks: Mutex::default(),
+            partitions: Mutex::default(),
             tickets: AtomicU64::new(0),
-            places: Arc::new(Semaphore::new(MAX_CALLS as usize)),
+            permits: Arc::new(Semaphore::new(MAX_CALLS as usize)),
         }))
     }
 
@@ -153,7 +130,7 @@
         &self.0.service
     }
 
-    /// Takes a place for a call; nothing if all are taken.
+    /// Takes a permit for a call; nothing if all are taken.
     pub(crate) fn admit(
         &self,
         request: &id::Request,
@@ -161,20 +138,20 @@
         body: Bytes,
         deadline: Time,
     ) -> Option<Call> {
-        let place = self.0.places.clone().try_acquire_owned().ok()?;
+        let permit = self.0.permits.clone().try_acquire_owned().ok()?;
         Some(Call {
             request: request.clone(),
             call: call.clone(),
             body,
             deadline,
-            _place: place,
+            _permit: permit,
         })
     }
 
     /// Waits until no call waits or runs and all results are written.
     pub(crate) async fn drained(&self) {
         // Fails only for a closed semaphore; this one is never closed.
-        let _ = self.0.places.acquire_many(MAX_CALLS).await;
+        let _ = self.0.permits.acquire_many(MAX_CALLS).await;
         while !self.0.is_written() {
             tokio::time::sleep(DRAIN_POLL).await;
         }
@@ -182,7 +159,7 @@
 
     /// Runs a call unless the key's call has run, and returns the answer by the deadline.
     pub(crate) async fn run(&self, key: Key, call: Call) -> Answer {
-        let desk = self.0.desk(key, &call.call.service);
+        let partition = self.0.partition(key, &call.call.service);
         let waiter = Waiter {
             ticket: self.0.tickets.fetch_add(1, Ordering::Relaxed),
             attempt: Uuid::new_v4(),
@@ -192,9 +169,11 @@
         let (answer, answered) = oneshot::channel();
         let call = Arc::new(call);
         let waiting = Waiting { call, answer };
-        lock(&desk.state).waiting.insert(waiter.ticket, waiting);
+        lock(&partition.state)
+            .waiting
+            .insert(waiter.ticket, waiting);
         let key = key.digest();
-        self.0.step(&desk, Event::Arrived { key, waiter });
+        self.0.step(&partition, Event::Arrived { key, waiter });
         // The sender is dropped without an answer only when the process ends.
         let unknown = Answer::unknown(Reason::OutcomeUnknown);
         answered.await.unwrap_or(unknown)
@@ -203,56 +182,61 @@
 
 impl Inner {
     fn is_written(&self) -> bool {
-        let desks = lock(&self.desks);
-        let mut desks = desks.values();
-        desks.all(|desk| lock(&desk.state).stream.is_written())
+        let partitions = lock(&self.partitions);
+        let mut partitions = partitions.values();
+        partitions.all(|partition| lock(&partition.state).stream.is_written())
     }
 
-    /// Returns the stream's desk, after dropping those that are not needed any more.
-    fn desk(&self, key: Key, service: &id::Service) -> Arc<Desk> {
-        let mut desks = lock(&self.desks);
+    /// Returns the stream's partition, after dropping those that are not needed any more.
+    fn partition(&self, key: Key, service: &id::Service) -> Arc<Partition> {
+        let mut partitions = lock(&self.partitions);
         let name = key.stream(service);
-        if !desks.contains_key(&name) {
-            evict(&mut desks, key.bucket());
+        if !partitions.contains_key(&name) {
+            evict(&mut partitions, key.bucket());
         }
-        let desk = desks.entry(name).or_insert_with_key(|name| {
-            Arc::new(Desk {
+        let partition = partitions.entry(name).or_insert_with_key(|name| {
+            Arc::new(Partition {
                 name: name.clone(),
                 bucket: key.bucket(),
                 service: catalogue::Key::Service(service.clone()),
                 state: Mutex::default(),
             })
         });
-        desk.clone()
+        partition.clone()
     }
 
     /// Takes an event and carries out what the stream asks for. The lock decides between start
     /// and refusal; the time is taken under it.
-    fn step(self: &Arc<Self>, desk: &Arc<Desk>, event: Event<'_>) {
-        let mut state = lock(&desk.state);
-        let offered = self.context.view.catalogue().get(&desk.service).is_some();
+    fn step(self: &Arc<Self>, partition: &Arc<Partition>, event: Event<'_>) {
+        let mut state = lock(&partition.state);
+        let offered = self
+            .context
+            .view
+            .catalogue()
+            .get(&partition.service)
+            .is_some();
         let time = Time::now();
         let actions = state.stream.step(Now { time, offered }, event);
         state.used = Some(time);
         for action in actions {
-            self.perform(desk, &mut state, action);
+            self.perform(partition, &mut state, action);
         }
-        self.schedule(desk, &mut state);
+        self.schedule(partition, &mut state);
     }
 
     /// Carries out an action; nothing here waits.
-    fn perform(self: &Arc<Self>, desk: &Arc<Desk>, state: &mut State, action: Action) {
+    fn perform(self: &Arc<Self>, partition: &Arc<Partition>, state: &mut State, action: Action) {
         match action {
-            Action::Read(from) => self.read(desk, from),
-            Action::Reserve => self.reserve(desk),
-            Action::Append(body) => self.append(desk, body),
+            Action::Read(from) => self.read(partition, from),
+            Action::Reserve => self.reserve(partition),
+            Action::Append(body) => self.append(partition, body),
             Action::Start {
                 key,
                 attempt,
                 ticket,
             } => {
                 if let Some(waiting) = state.waiting.get(&ticket) {
-                    self.start(desk, (key, attempt), waiting.call.clone());
+                    self.start(partition, (key, attempt), waiting.call.clone());
                 }
             }
             Action::Answer(ticket, answer) => {
@@ -265,18 +249,18 @@
                 if let Some(waiting) = state.waiting.get(&ticket) {
                     let request = &waiting.call.request;
                     state.requests.insert(attempt, request.clone());
-                    report_attempt("claimed", request, attempt, &desk.name);
+                    report_attempt("claimed", request, attempt, &partition.name);
                 }
             }
             Action::Abandoned(attempt) => {
                 if let Some(request) = state.requests.remove(&attempt) {
-                    report_attempt("abandoned", &request, attempt, &desk.name);
+                    report_attempt("abandoned", &request, attempt, &partition.name);
                 }
             }
         }
     }
 
-    fn schedule(self: &Arc<Self>, desk: &Arc<Desk>, state: &mut State) {
+    fn schedule(self: &Arc<Self>, partition: &Arc<Partition>, state: &mut State) {
         let Some(wake) = state.stream.wake() else {
             return;
         };
@@ -284,21 +268,21 @@
             return;
         }
         state.wake = Some(wake);
-        let (inner, desk) = (self.clone(), desk.clone());
+        let (inner, partition) = (self.clone(), partition.clone());
         self.context.runtime.spawn(async move {
             tokio::time::sleep(wake.remaining(Time::now())).await;
-            lock(&desk.state)
+            lock(&partition.state)
                 .wake
                 .take_if(|scheduled| *scheduled == wake);
-            inner.step(&desk, Event::Tick);
+            inner.step(&partition, Event::Tick);
         });
     }
 
-    fn read(self: &Arc<Self>, desk: &Arc<Desk>, from: u64) {
-        let (inner, desk) = (self.clone(), desk.clone());
+    fn read(self: &Arc<Self>, partition: &Arc<Partition>, from: u64) {
+        let (inner, partition) = (self.clone(), partition.clone());
         self.context.runtime.spawn_blocking(move || {
             let log = &inner.context.log;
-            match log.read(&desk.name, from, READ_LIMIT, Duration::ZERO) {
+            match log.read(&partition.name, from, READ_LIMIT, Duration::ZERO) {
                 Ok(page) => {
                     let records = page.records.into_iter();
                     let records: Vec<_> = records.map(|r| (r.offset, r.body)).collect();
@@ -308,92 +292,66 @@
                         next,
                         records: &records,
                     };
-                    inner.step(&desk, event);
+                    inner.step(&partition, event);
                 }
                 Err(error) => {
-                    report_failure("claim_read_failed", &desk.name, &error);
-                    inner.step(&desk, Event::ReadFailed);
+                    report_failure("claim_read_failed", &partition.name, &error);
+                    inner.step(&partition, Event::ReadFailed);
                 }
             }
         });
     }
 
-    fn reserve(self: &Arc<Self>, desk: &Arc<Desk>) {
+    fn reserve(self: &Arc<Self>, partition: &Arc<Partition>) {
         let turn = lock(&self.pace).reserve(Time::now());
-        let (inner, desk) = (self.clone(), desk.clone());
+        let (inner, partition) = (self.clone(), partition.clone());
         self.context.runtime.spawn(async move {
             tokio::time::sleep(turn.remaining(Time::now())).await;
-            inner.step(&desk, Event::Turn);
+            inner.step(&partition, Event::Turn);
         });
     }
 
-    fn append(self: &Arc<Self>, desk: &Arc<Desk>, body: String) {
-        let (inner, desk) = (self.clone(), desk.clone());
+    fn append(self: &Arc<Self>, partition: &Arc<Partition>, body: String) {
+        let (inner, partition) = (self.clone(), partition.clone());
         self.context.runtime.spawn_blocking(move || {
-            if let Err(error) = inner.context.log.append(&desk.name, &body) {
-                report_failure("claim_append_failed", &desk.name, &error);
+            if let Err(error) = inner.context.log.append(&partition.name, &body) {
+                report_failure("claim_append_failed", &partition.name, &error);
             }
-            inner.step(&desk, Event::Appended);
+            inner.step(&partition, Event::Appended);
         });
     }
 
-    fn start(self: &Arc<Self>, desk: &Arc<Desk>, of: (Digest, Uuid), call: Arc<Call>) {
+    fn start(self: &Arc<Self>, partition: &Arc<Partition>, of: (Digest, Uuid), call: Arc<Call>) {
         let (key, attempt) = of;
-        report_attempt("started", &call.request, attempt, &desk.name);
-        let (inner, desk) = (self.clone(), desk.clone());
+        report_attempt("started", &call.request, attempt, &partition.name);
+        let (inner, partition) = (self.clone(), partition.clone());
         self.context.runtime.spawn_blocking(move || {
-            let ending = send(&inner.service, &call, CALL_LIMIT);
+            let ending = call::send(&inner.service, &call, CALL_LIMIT);
             report_ending(&call.request, attempt, &ending);
             if !matches!(ending, Ending::NotSent) {
-                lock(&desk.state).requests.remove(&attempt);
+                lock(&partition.state).requests.remove(&attempt);
             }
-            inner.step(&desk, Event::Ended { key, ending });
+            inner.step(&partition, Event::Ended { key, ending });
         });
     }
 }
 
-/// Drops desks beyond the window of keys, then the least recently used ones beyond the limit.
-/// A desk with work in progress is kept.
-fn evict(desks: &mut BTreeMap<String, Arc<Desk>>, bucket: u64) {
+/// Drops partitions beyond the window of keys, then the least recently used ones beyond the limit.
+/// A partition with work in progress is kept.
+fn evict(partitions: &mut BTreeMap<String, Arc<Partition>>, bucket: u64) {
     let window = (KEY_WINDOW + KEY_LEAD).as_secs() / BUCKET_SPAN.as_secs() + 1;
-    let free = |desk: &Arc<Desk>| Arc::strong_count(desk) == 1 && lock(&desk.state).stream.idle();
-    desks.retain(|_, desk| desk.bucket + window >= bucket || !free(desk));
-    while desks.len() >= MAX_STREAMS {
-        let candidates = desks.values().filter(|desk| free(desk));
-        let oldest = candidates.min_by_key(|desk| lock(&desk.state).used);
-        let Some(name) = oldest.map(|desk| desk.name.clone()) else {
+    let free = |partition: &Arc<Partition>| {
+        Arc::strong_count(partition) == 1 && lock(&partition.state).stream.idle()
+    };
+    partitions.retain(|_, partition| partition.bucket + window >= bucket || !free(partition));
+    while partitions.len() >= MAX_STREAMS {
+        let candidates = partitions.values().filter(|partition| free(partition));
+        let oldest = candidates.min_by_key(|partition| lock(&partition.state).used);
+        let Some(name) = oldest.map(|partition| partition.name.clone()) else {
             return;
         };
-        desks.remove(&name);
-    }
-}
-
-/// Sends the call once and reads its response.
-pub(crate) fn send(service: &Service, call: &Call, timeout: Duration) -> Ending {
-    let outcome = service.call(&service::Call {
-        method: &call.call.method,
-        path: &call.call.path,
-        content_type: call.call.content_type.as_deref(),
-        request: call.request.as_str(),
-        body: &call.body,
-        timeout,
-    });
-    let answer = match outcome {
-        Ok(answer) => answer,
-        Err(Error::Unreachable(_)) => return Ending::NotSent,
-        Err(_) => return Ending::Unknown,
-    };
-    let mut body = Vec::new();
-    let limit = MAX_BODY_BYTES as u64 + 1;
-    if answer.body.take(limit).read_to_end(&mut body).is_err() {
-        return Ending::Unknown;
+        partitions.remove(&name);
     }
-    let body = (body.len() <= MAX_BODY_BYTES).then_some(Body(body));
-    Ending::Response(Arc::new(Response {
-        status: answer.status,
-        content_type: answer.content_type,
-        body,
-    }))
 }
 
 fn report_attempt(event: &str, request: &id::Request, attempt: Uuid, stream: &str) {
--- a/src/claim/mod.rs
+++ b/src/claim/mod.rs
@@ -6,6 +6,8 @@
 
 mod attempt;
 mod bucket;
+pub(crate) mod call;
+mod event;
 pub(crate) mod executor;
 
 pub mod key;
@@ -28,6 +30,10 @@
     Outcome,
     State, //
 };
+pub use event::{
+    Action,
+    Event, //
+};
 pub use key::{
     Digest,
     Key, //
@@ -37,11 +43,7 @@
     Record,
     Response, //
 };
-pub use stream::{
-    Action,
-    Event,
-    Stream, //
-};
+pub use stream::Stream;
 pub use writer::{
     Pace,
     Writer, //
--- a/src/claim/stream.rs
+++ b/src/claim/stream.rs
@@ -14,11 +14,12 @@
 };
 
 use super::{
+    Action,
     Answer,
     Attempt,
     Bucket,
     Digest,
-    Ending,
+    Event,
     Now,
     Phase,
     Record,
@@ -39,73 +40,6 @@
 /// Time between reads while only records of this agent are expected.
 const IDLE_POLL: Duration = Duration::from_secs(2);
 
-/// What happens to a claim stream.
-#[derive(Debug, Clone)]
-pub enum Event<'a> {
-    /// A request with a key arrived.
-    Arrived {
-        /// Digest of institution and key.
-        key: Digest,
-        /// The request.
-        waiter: Waiter,
-    },
-    /// The read of the stream was answered.
-    Page {
-        /// Offset of the oldest record that the log still keeps.
-        first: u64,
-        /// Offset that the next appended record gets.
-        next: u64,
-        /// Offsets and bodies from the offset that was asked for.
-        records: &'a [(u64, String)],
-    },
-    /// The read of the stream failed.
-    ReadFailed,
-    /// The reserved turn to append has come.
-    Turn,
-    /// The append was answered, failed or took too long.
-    Appended,
-    /// A started call ended.
-    Ended {
-        /// Digest of institution and key.
-        key: Digest,
-        /// How it ended.
-        ending: Ending,
-    },
-    /// Time passed or the catalogue changed.
-    Tick,
-}
-
-/// What a claim stream asks for.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Action {
-    /// Read the stream from this offset.
-    Read(u64),
-    /// Reserve a turn to append.
-    Reserve,
-    /// Append this body to the stream.
-    Append(String),
-    /// Run the call once, with the request of this ticket.
-    Start {
-        /// Digest of institution and key.
-        key: Digest,
-        /// The attempt.
-        attempt: Uuid,
-        /// The request to run.
-        ticket: u64,
-    },
-    /// Answer the request of this ticket.
-    Answer(u64, Answer),
-    /// An attempt began for the request of this ticket.
-    Claimed {
-        /// The attempt.
-        attempt: Uuid,
-        /// The request.
-        ticket: u64,
-    },
-    /// An attempt ended without a start.
-    Abandoned(Uuid),
-}
-
 /// A request whose key is looked up or whose call another agent claimed.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Lookup {
@@ -184,12 +118,13 @@
         let mut attempts = self.attempts.values();
         let busy =
             attempts.any(|attempt| matches!(attempt.phase(), Phase::Claiming | Phase::Running));
-        !busy && self.lookups.is_empty() && self.writer.idle() && self.reading.is_none()
+        let quiet = self.writer.idle() && self.is_written() && self.reading.is_none();
+        !busy && self.lookups.is_empty() && quiet
     }
 
     /// Returns whether every result and every abandonment was read back from the stream.
     pub fn is_written(&self) -> bool {
-        !self.writer.owes()
+        !self.writer.has_unconfirmed()
     }
 
     fn expire(&mut self, now: Now, actions: &mut Vec<Action>) {
@@ -272,14 +207,32 @@
         if next < from {
             return self.fail(now, actions);
         }
-        let offsets = (from..).zip(records);
+        let mut offsets = (from..).zip(records);
         let complete = first <= from
-            && offsets.clone().all(|(offset, record)| offset == record.0)
+            && offsets.all(|(offset, record)| offset == record.0)
             && (from == next || !records.is_empty());
         if !complete {
             self.gap = true;
             self.feed_all(now, &attempt::Event::Failed(Reason::KeyExpired), actions);
         }
+        for key in self.fold(records) {
+            let state = self.bucket.state(&key);
+            self.feed(now, key, attempt::Event::Read(state), actions);
+        }
+        if records.is_empty() {
+            self.bucket.advance(next - 1);
+        }
+        let next_read = self.bucket.applied() + 1;
+        if next_read < next {
+            actions.push(Action::Read(next_read));
+        } else {
+            self.reading = None;
+            self.complete(now, began, actions);
+        }
+    }
+
+    /// Applies records and returns the keys that they are about.
+    fn fold(&mut self, records: &[(u64, String)]) -> BTreeSet<Digest> {
         let mut keys = BTreeSet::new();
         for (offset, body) in records {
             for (index, record) in record::decode(body) {
@@ -289,19 +242,7 @@
             }
             self.bucket.advance(*offset);
         }
-        if records.is_empty() {
-            self.bucket.advance(next - 1);
-        }
-        for key in keys {
-            let state = self.bucket.state(&key);
-            self.feed(now, key, attempt::Event::Read(state), actions);
-        }
-        if self.bucket.applied() + 1 < next {
-            actions.push(Action::Read(self.bucket.applied() + 1));
-        } else {
-            self.reading = None;
-            self.complete(now, began, actions);
-        }
+        keys
     }
 
     /// Ends a read that reached the end of the stream and had begun at `began`.
@@ -351,38 +292,49 @@
         let id = attempt.id();
         let steps = attempt.step(now, event);
         // A claim that was never sent can't land.
-        let mut over = *attempt.phase() == Phase::GivenUp && !self.writer.sent(id);
+        let unsent = *attempt.phase() == Phase::GivenUp && !self.writer.sent(id);
+        let retired = steps.contains(&attempt::Action::Retire);
         for step in steps {
-            match step {
-                attempt::Action::Submit(record) => {
-                    if matches!(record, Record::Abandon { .. }) {
-                        actions.push(Action::Abandoned(id));
-                    }
-                    self.writer.submit(record);
-                }
-                attempt::Action::Start(ticket) => actions.push(Action::Start {
-                    key,
-                    attempt: id,
-                    ticket,
-                }),
-                attempt::Action::Answer(ticket, answer) => {
-                    actions.push(Action::Answer(ticket, answer));
-                }
-                attempt::Action::Defer(waiter) => self.lookups.push(Lookup {
-                    key,
-                    waiter,
-                    read: self.reads,
-                    foreign: false,
-                }),
-                attempt::Action::Retire => over = true,
-            }
+            self.carry_out(key, id, step, actions);
         }
-        if over {
+        if unsent || retired {
             self.writer.forget(id);
             self.attempts.remove(&key);
         }
     }
 
+    fn carry_out(
+        &mut self,
+        key: Digest,
+        attempt: Uuid,
+        step: attempt::Action,
+        actions: &mut Vec<Action>,
+    ) {
+        match step {
+            attempt::Action::Submit(record) => {
+                if matches!(record, Record::Abandon { .. }) {
+                    actions.push(Action::Abandoned(attempt));
+                }
+                self.writer.submit(record);
+            }
+            attempt::Action::Start(ticket) => actions.push(Action::Start {
+                key,
+                attempt,
+                ticket,
+            }),
+            attempt::Action::Answer(ticket, answer) => {
+                actions.push(Action::Answer(ticket, answer));
+            }
+            attempt::Action::Defer(waiter) => self.lookups.push(Lookup {
+                key,
+                waiter,
+                read: self.reads,
+                foreign: false,
+            }),
+            attempt::Action::Retire => (),
+        }
+    }
+
     fn schedule(&mut self, now: Now, actions: &mut Vec<Action>) {
         if self.reading.is_none() {
             if self.read_at.is_none() {
--- a/src/claim/writer.rs
+++ b/src/claim/writer.rs
@@ -21,8 +21,9 @@
 /// accepts from all.
 const APPEND_SPACING: Duration = Duration::from_millis(20);
 
-/// Largest append in bytes, unless one record alone is larger.
-const MAX_APPEND_BYTES: usize = 256 << 10;
+/// Largest append in bytes, unless one record alone is larger. A kept body of 16 KiB takes up to
+/// 96 KiB where all its characters are escaped.
+const MAX_APPEND_BYTES: usize = 128 << 10;
 
 /// Spaces the appends of an agent to all its claim streams.
 #[derive(Debug, Clone, Default)]
@@ -170,7 +171,7 @@
     }
 
     /// Returns whether a record other than a claim has not been read back.
-    pub fn owes(&self) -> bool {
+    pub fn has_unconfirmed(&self) -> bool {
         let queue = self.queue.iter().map(|waiting| &waiting.record);
         let mut records = queue.chain(self.sent.iter().map(|sent| &sent.record));
         records.any(|record| !matches!(record, Record::Claim { .. }))
--- a/tests/claim.rs
+++ b/tests/claim.rs
@@ -83,7 +83,7 @@
 
 fn choose(rng: &mut fastrand::Rng, world: &World) -> Choice {
     let key = u8::from(rng.u8(0..8) == 0);
-    let print = u8::from(rng.u8(0..10) == 0);
+    let payload = u8::from(rng.u8(0..10) == 0);
     let agent = rng.usize(0..world.agents.len());
     let choices = world.choices();
     let deliveries: Vec<_> = choices
@@ -91,7 +91,11 @@
         .filter(|choice| matches!(choice, Choice::Deliver(_)))
         .collect();
     match rng.u8(0..40) {
-        0..4 if world.requests.len() < 12 => Choice::Arrive { agent, key, print },
+        0..4 if world.requests.len() < 12 => Choice::Arrive {
+            agent,
+            key,
+            payload,
+        },
         4 => Choice::Wait(rng.u64(1..3_000)),
         5..8 => {
             let index = rng.usize(0..choices.len());
--- a/tests/claim_cases.rs
+++ b/tests/claim_cases.rs
@@ -68,10 +68,10 @@
 fn choice(world: &World, words: &[&str]) -> Choice {
     let index = |message| find(world, message).expect("the message is on its way");
     match words {
-        ["arrive", agent, key, print] => Choice::Arrive {
+        ["arrive", agent, key, payload] => Choice::Arrive {
             agent: number(agent),
             key: key.parse().expect("a number"),
-            print: print.parse().expect("a number"),
+            payload: payload.parse().expect("a number"),
         },
         ["deliver", message] => Choice::Deliver(index(message)),
         ["fail", message] => Choice::Fail(index(message)),
--- a/tests/claim_explore.rs
+++ b/tests/claim_explore.rs
@@ -77,9 +77,13 @@
     let mut steps = Vec::new();
     if budget.requests > 0 {
         for agent in 0..world.agents.len() {
-            let (key, print) = (0, 0);
+            let (key, payload) = (0, 0);
             let requests = budget.requests - 1;
-            let arrive = Choice::Arrive { agent, key, print };
+            let arrive = Choice::Arrive {
+                agent,
+                key,
+                payload,
+            };
             steps.push((arrive, Budget { requests, ..budget }));
         }
     }
--- a/tests/claim_world/check.rs
+++ b/tests/claim_world/check.rs
@@ -43,10 +43,15 @@
     /// Checks what must hold at every moment. The service's own record is the judge.
     pub(crate) fn check(&self) {
         let mut runs = BTreeMap::new();
-        for Call { key, print, ticket } in &self.ran {
+        for Call {
+            key,
+            payload,
+            ticket,
+        } in &self.ran
+        {
             *runs.entry(*key).or_insert(0) += 1;
             let request = &self.requests[at(*ticket)];
-            assert_eq!(request.print, *print);
+            assert_eq!(request.payload, *payload);
             assert!(
                 !said_not_run(request),
                 "request {ticket} ran after \"not run\""
@@ -57,7 +62,7 @@
         }
         for request in &self.requests {
             if let Some(Answer::Response(response)) = &request.answer {
-                let body = Some(Body(vec![request.key, request.print]));
+                let body = Some(Body(vec![request.key, request.payload]));
                 assert_eq!(response.body, body, "a response to another request");
                 assert!(runs.contains_key(&request.key), "a response without a run");
             }
--- a/tests/claim_world/mod.rs
+++ b/tests/claim_world/mod.rs
@@ -61,7 +61,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct Call {
     key: u8,
-    print: u8,
+    payload: u8,
     ticket: u64,
 }
 
@@ -96,7 +96,7 @@
     Arrive {
         agent: usize,
         key: u8,
-        print: u8,
+        payload: u8,
     },
 }
 
@@ -111,7 +111,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(crate) struct Request {
     pub(crate) key: u8,
-    pub(crate) print: u8,
+    pub(crate) payload: u8,
     pub(crate) deadline: Time,
     pub(crate) run: u32,
     pub(crate) answer: Option<Answer>,
@@ -139,8 +139,8 @@
     Digest::of(&[b"key", &[index]])
 }
 
-pub(crate) fn print(index: u8) -> Digest {
-    Digest::of(&[b"print", &[index]])
+pub(crate) fn payload(index: u8) -> Digest {
+    Digest::of(&[b"payload", &[index]])
 }
 
 fn at(ticket: u64) -> usize {
@@ -263,7 +263,11 @@
                 self.tick();
             }
             Choice::Wait(millis) => self.time = self.time + Duration::from_millis(millis),
-            Choice::Arrive { agent, key, print } => self.arrive(agent, key, print),
+            Choice::Arrive {
+                agent,
+                key,
+                payload,
+            } => self.arrive(agent, key, payload),
         }
         self.pending.sort();
     }
@@ -288,7 +292,7 @@
         let deadline = self.time + Duration::from_millis(self.patience);
         self.requests.push(Request {
             key: index,
-            print: body,
+            payload: body,
             deadline,
             run,
             answer: None,
@@ -297,7 +301,7 @@
         let waiter = Waiter {
             ticket,
             attempt: Builder::from_random_bytes(u128::from(ticket).to_be_bytes()).into_uuid(),
-            fingerprint: print(body),
+            fingerprint: payload(body),
             deadline,
         };
         let key = key(index);
@@ -333,8 +337,15 @@
         assert!(request.answer.is_none(), "started for an answered request");
         assert!(request.deadline > self.time, "started after the deadline");
         assert!(self.offered, "started for a withdrawn service");
-        let (key, print) = (request.key, request.print);
-        self.send(run, Message::Call(Call { key, print, ticket }));
+        let (key, payload) = (request.key, request.payload);
+        self.send(
+            run,
+            Message::Call(Call {
+                key,
+                payload,
+                ticket,
+            }),
+        );
     }
 
     fn answer(&mut self, ticket: u64, answer: Answer) {
@@ -408,11 +419,11 @@
 
     fn response(&self, key: u8) -> Response {
         let ran = self.ran.iter().find(|call| call.key == key);
-        let print = ran.map_or(u8::MAX, |call| call.print);
+        let payload = ran.map_or(u8::MAX, |call| call.payload);
         Response {
             status: 201,
             content_type: "text/plain".to_owned(),
-            body: Some(Body(vec![key, print])),
+            body: Some(Body(vec![key, payload])),
         }
     }
 
