claim: probe each seeded schedule with a new call after its faults

Cause: the seeded schedules judged safety only; an executor that never served again after a fault passed them.

Change: after the faults end, a call with a new key has to be answered, except where the log dropped records.

--- a/tests/claim.rs
+++ b/tests/claim.rs
@@ -34,6 +34,9 @@
     World, //
 };
 
+/// A key that no schedule uses.
+const PROBE_KEY: u8 = 9;
+
 /// Seeds of the random fault schedules.
 const SEEDS: u64 = 8_000;
 
@@ -51,6 +54,19 @@
         world.offered = true;
         world.settle();
         world.check_settled();
+        let probe = world.requests.len();
+        let (agent, key, payload) = (0, PROBE_KEY, 0);
+        world.apply(Choice::Arrive {
+            agent,
+            key,
+            payload,
+        });
+        world.settle();
+        world.check_settled();
+        // A stream that lost records refuses; any other has to serve again after all faults.
+        let answer = &world.requests[probe].answer;
+        let served = matches!(answer, Some(Answer::Response(_)));
+        assert!(served || world.first > 1, "{answer:?} after seed {seed}");
         for request in &world.requests {
             *reached.entry(outcome(request)).or_insert(0) += 1;
         }
