agent: read completions without a thread for each stream

Cause: each completion took a blocking thread with an HTTP client and buffers of its own, and each event crossed from that thread to the runtime. Change: platform::stream reads an answer with hyper's client on the runtime, driven by the task that waits for it; relay::Parts replaces the channel. The contract test reads it through a current-thread runtime; its cases are as they were. The platform contract tests pass. caller_port (operator::the_status_names_the_records_that_decided) and entry_table (target::targets.json) fail in code that this does not touch.

--- a/src/agent/chat.rs
+++ b/src/agent/chat.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::sync::mpsc;
 
 use super::{
     dispatch::Denial,
@@ -14,8 +13,8 @@
         Ticket, //
     },
     relay::{
-        self,
-        Part, //
+        Part,
+        Parts, //
     },
     usage::Weights,
 };
@@ -166,8 +165,8 @@
     }
 
     async fn complete(&self, body: Bytes, exchange: &mut Exchange) -> End {
-        let mut parts = relay::start(
-            self.driver.engine().clone(),
+        let mut parts = Parts::new(
+            self.driver.engine(),
             self.request,
             self.chat,
             body,
@@ -180,7 +179,7 @@
         end
     }
 
-    async fn relay(&self, parts: &mut mpsc::Receiver<Part>, exchange: &mut Exchange) -> End {
+    async fn relay(&self, parts: &mut Parts<'_>, exchange: &mut Exchange) -> End {
         let left = self.deadline.remaining(Time::now());
         let Ok(head) = self.next(parts, exchange, left).await else {
             return self.fail(exchange, "no answer by the deadline").await;
@@ -212,7 +211,7 @@
         self.pieces(parts, exchange).await
     }
 
-    async fn pieces(&self, parts: &mut mpsc::Receiver<Part>, exchange: &mut Exchange) -> End {
+    async fn pieces(&self, parts: &mut Parts<'_>, exchange: &mut Exchange) -> End {
         let limit = if self.chat.stream {
             STALL
         } else {
@@ -243,13 +242,13 @@
     /// Waits for the next part; nothing if the caller left, an error after `limit`.
     async fn next(
         &self,
-        parts: &mut mpsc::Receiver<Part>,
+        parts: &mut Parts<'_>,
         exchange: &Exchange,
         limit: Duration,
     ) -> Result<Option<Part>, tokio::time::error::Elapsed> {
         let next = async {
             tokio::select! {
-                part = parts.recv() => part,
+                part = parts.recv() => Some(part),
                 () = exchange.cancelled() => None,
             }
         };
--- a/src/agent/relay.rs
+++ b/src/agent/relay.rs
@@ -1,26 +1,18 @@
-//! Reads a completion from the engine on a thread of its own and passes its parts on.
-
-use std::{
-    io::Read,
-    thread,
-    time::Duration, //
-};
+//! Reads a completion from the engine and passes its parts on.
 
 use bytes::{
-    Buf,
     Bytes,
     BytesMut, //
 };
-use tokio::sync::mpsc;
 
 use crate::{
     platform::{
         Error,
         engine::{
-            Answer,
             Completion,
             Engine, //
         },
+        stream::Stream,
     },
     timer::Time,
     wire::{
@@ -29,12 +21,6 @@
     },
 };
 
-/// Parts that may be read ahead of a slow caller.
-const READ_AHEAD: usize = 64;
-
-/// Bytes asked for in one read.
-const READ_BYTES: usize = 16 << 10;
-
 /// Size from which an event that is not complete is passed on.
 const LARGEST_EVENT: usize = 256 << 10;
 
@@ -64,107 +50,92 @@
     Broken(String),
 }
 
-/// Starts a completion and returns its parts as they arrive.
-pub(super) fn start(
-    engine: Engine,
-    request: &Request,
-    chat: &Chat,
-    body: Bytes,
-    deadline: Time,
-) -> mpsc::Receiver<Part> {
-    let (sender, receiver) = mpsc::channel(READ_AHEAD);
-    let (request, chat, failed) = (request.clone(), chat.clone(), sender.clone());
-    let spawned = thread::Builder::new()
-        .name("completion".to_owned())
-        .spawn(move || {
-            let completion = Completion {
-                request: &request.id,
-                model: &chat.model,
-                adapter: chat.adapter.as_ref(),
-                priority: request.priority,
-                resume_from: chat.resume_from,
-                body: &body,
-                // Without a limit of zero, which the client takes for none.
-                timeout: deadline
-                    .remaining(Time::now())
-                    .max(Duration::from_millis(1)),
-            };
-            let last = match engine.complete(&completion) {
-                Ok(answer) => pass(answer, &sender),
-                Err(error @ Error::Unreachable(_)) => Some(Part::NotRun(error.to_string())),
-                Err(error) => Some(Part::Broken(error.to_string())),
-            };
-            if let Some(last) = last {
-                // Fails only if the caller is gone.
-                let _ = sender.blocking_send(last);
-            }
-        });
-    if let Err(error) = spawned {
-        // The channel is empty, so there is room.
-        let _ = failed.try_send(Part::NotRun(error.to_string()));
-    }
-    receiver
+/// The parts of a completion's answer as they arrive. When dropped before the end, the connection
+/// to the engine is closed.
+pub(super) struct Parts<'a> {
+    engine: &'a Engine,
+    completion: Completion<'a>,
+    stream: Option<Stream>,
+    is_events: bool,
+    pending: BytesMut,
+    done: bool,
 }
 
-/// Passes an answer on and returns its last part, or nothing if the caller is gone.
-fn pass(answer: Answer, sender: &mpsc::Sender<Part>) -> Option<Part> {
-    // By these an engine says that it did not take the request.
-    if matches!(answer.status, 404 | 409 | 429 | 503) {
-        return Some(Part::NotRun(format!("status {}", answer.status)));
-    }
-    if answer.status >= 500 {
-        return Some(Part::Broken(format!("status {}", answer.status)));
-    }
-    let is_stream = answer.content_type.starts_with("text/event-stream");
-    let head = Part::Head {
-        status: answer.status,
-        content_type: answer.content_type,
-    };
-    sender.blocking_send(head).ok()?;
-    if is_stream {
-        pass_events(answer.body, sender)
-    } else {
-        pass_bytes(answer.body, sender)
+impl<'a> Parts<'a> {
+    /// Prepares a completion; it is sent when the first part is asked for.
+    pub(super) fn new(
+        engine: &'a Engine,
+        request: &'a Request,
+        chat: &'a Chat,
+        body: Bytes,
+        deadline: Time,
+    ) -> Self {
+        let completion = Completion {
+            request: &request.id,
+            model: &chat.model,
+            adapter: chat.adapter.as_ref(),
+            priority: request.priority,
+            resume_from: chat.resume_from,
+            body,
+            timeout: deadline.remaining(Time::now()),
+        };
+        Self {
+            engine,
+            completion,
+            stream: None,
+            is_events: false,
+            pending: BytesMut::new(),
+            done: false,
+        }
     }
-}
 
-fn pass_bytes(mut body: Box<dyn Read + Send>, sender: &mpsc::Sender<Part>) -> Option<Part> {
-    let mut buffer = vec![0; READ_BYTES];
-    loop {
-        match body.read(&mut buffer) {
-            Ok(0) => return Some(Part::End),
-            Ok(length) => {
-                let bytes = Bytes::copy_from_slice(&buffer[..length]);
-                sender.blocking_send(Part::Piece(bytes)).ok()?;
+    /// Waits for the next part: the head, then pieces, then the end.
+    pub(super) async fn recv(&mut self) -> Part {
+        let Some(stream) = &mut self.stream else {
+            return self.open().await;
+        };
+        loop {
+            if let Some(event) = take_event(&mut self.pending) {
+                self.done = event.starts_with(DONE);
+                return Part::Piece(event);
+            }
+            match stream.next().await {
+                Ok(Some(bytes)) if self.is_events => self.pending.extend_from_slice(&bytes),
+                Ok(Some(bytes)) => return Part::Piece(bytes),
+                Ok(None) if self.is_events && !(self.done && self.pending.is_empty()) => {
+                    return Part::Broken("the stream ended without its last event".to_owned());
+                }
+                Ok(None) => return Part::End,
+                Err(error) => return Part::Broken(error.to_string()),
             }
-            Err(error) => return Some(Part::Broken(error.to_string())),
         }
     }
-}
 
-/// Passes one event in each piece, so that pieces count alike wherever a stream is resumed.
-fn pass_events(mut body: Box<dyn Read + Send>, sender: &mpsc::Sender<Part>) -> Option<Part> {
-    let mut buffer = vec![0; READ_BYTES];
-    let mut pending = BytesMut::new();
-    let mut done = false;
-    loop {
-        match body.read(&mut buffer) {
-            Ok(0) => break,
-            Ok(length) => pending.extend_from_slice(&buffer[..length]),
-            Err(error) => return Some(Part::Broken(error.to_string())),
+    async fn open(&mut self) -> Part {
+        let stream = match self.engine.complete(&self.completion).await {
+            Ok(stream) => stream,
+            Err(error @ Error::Unreachable(_)) => return Part::NotRun(error.to_string()),
+            Err(error) => return Part::Broken(error.to_string()),
+        };
+        let status = stream.status;
+        // By these an engine says that it did not take the request.
+        if matches!(status, 404 | 409 | 429 | 503) {
+            return Part::NotRun(format!("status {status}"));
+        }
+        if status >= 500 {
+            return Part::Broken(format!("status {status}"));
         }
-        while let Some(event) = take_event(&mut pending) {
-            done = event.starts_with(DONE);
-            sender.blocking_send(Part::Piece(event)).ok()?;
+        let content_type = stream.content_type.clone();
+        self.is_events = content_type.starts_with("text/event-stream");
+        self.stream = Some(stream);
+        Part::Head {
+            status,
+            content_type,
         }
     }
-    Some(if done && !pending.has_remaining() {
-        Part::End
-    } else {
-        Part::Broken("the stream ended without its last event".to_owned())
-    })
 }
 
+/// Takes one event, so that pieces count alike wherever a stream is resumed.
 fn take_event(pending: &mut BytesMut) -> Option<Bytes> {
     let end = pending
         .windows(EVENT_END.len())
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -5,6 +5,12 @@
     time::Duration, //
 };
 
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Request,
+    Uri, //
+};
 use serde::{
     Deserialize,
     Serialize, //
@@ -18,7 +24,8 @@
 
 use super::{
     Error,
-    http, //
+    http,
+    stream::Stream, //
 };
 use crate::id;
 
@@ -117,7 +124,7 @@
     /// Pieces to skip when a stream is resumed.
     pub resume_from: u64,
     /// The caller's JSON body.
-    pub body: &'a [u8],
+    pub body: Bytes,
     /// Longest time for the whole answer.
     pub timeout: Duration,
 }
@@ -217,7 +224,8 @@
         Ok(())
     }
 
-    /// Starts a completion and returns its answer as it arrives.
+    /// Starts a completion and returns its answer as it arrives. Must be awaited within a tokio
+    /// runtime.
     ///
     /// # Errors
     ///
@@ -226,35 +234,43 @@
     /// # Examples
     ///
     /// ```
+    /// use bytes::Bytes;
     /// use chestnuthub::{id, platform::{Error, engine::{Completion, Engine}}};
     /// use std::time::Duration;
     ///
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() {
     /// // Nothing listens at this address.
     /// let engine = Engine::new("http://127.0.0.1:1");
-    /// let result = engine.complete(&Completion {
-    ///     request: &id::Request::from("r1"),
-    ///     model: &id::Model::from("gears@3"),
+    /// let (request, model) = (id::Request::from("r1"), id::Model::from("gears@3"));
+    /// let completion = Completion {
+    ///     request: &request,
+    ///     model: &model,
     ///     adapter: None,
     ///     priority: 0,
     ///     resume_from: 0,
-    ///     body: br#"{"messages":[],"stream":true}"#,
+    ///     body: Bytes::from_static(br#"{"messages":[],"stream":true}"#),
     ///     timeout: Duration::from_secs(30),
-    /// });
+    /// };
+    /// let result = engine.complete(&completion).await;
     /// assert!(matches!(result, Err(Error::Unreachable(_))));
+    /// # }
     /// ```
-    pub fn complete(&self, completion: &Completion<'_>) -> Result<Answer, Error> {
-        let agent = http::unpooled_client(completion.timeout);
-        let mut request = agent
-            .post(format!("{}/v1/chat/completions", self.base))
+    pub async fn complete(&self, completion: &Completion<'_>) -> Result<Stream, Error> {
+        let url = format!("{}/v1/chat/completions", self.base);
+        let url: Uri = url.parse().map_err(not_sent)?;
+        let mut request = Request::post(url.path())
             .header("Content-Type", "application/json")
             .header("X-Request-Id", completion.request.as_str())
             .header("X-Model", completion.model.as_str())
-            .header("X-Priority", completion.priority.to_string())
-            .header("X-Resume-From", completion.resume_from.to_string());
+            .header("X-Priority", u16::from(completion.priority))
+            .header("X-Resume-From", completion.resume_from);
         if let Some(adapter) = completion.adapter {
             request = request.header("X-Adapter", adapter.as_str());
         }
-        Ok(Answer::from(request.send(completion.body)?))
+        let body = Full::new(completion.body.clone());
+        let request = request.body(body).map_err(not_sent)?;
+        Stream::open(&url, request, completion.timeout).await
     }
 
     /// Cancels a completion.
@@ -300,3 +316,7 @@
         http::get(&self.agent, &format!("{}/v1/load", self.base))
     }
 }
+
+fn not_sent(error: impl ToString) -> Error {
+    Error::Unreachable(error.to_string())
+}
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -15,7 +15,7 @@
 use super::Error;
 
 /// Longest wait for a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Largest answer that is read into memory, in bytes.
 const MAX_ANSWER_BYTES: u64 = 32 << 20;
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -7,5 +7,6 @@
 pub mod log;
 pub mod service;
 pub mod store;
+pub mod stream;
 
 pub use error::Error;
--- a/tests/platform_support/call.rs
+++ b/tests/platform_support/call.rs
@@ -10,6 +10,7 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use chestnuthub::{
     emulator, id,
     platform::{
@@ -26,7 +27,8 @@
             Call,
             Service, //
         },
-        store::Store, //
+        store::Store,
+        stream::Stream, //
     },
 };
 use serde::Deserialize;
@@ -34,6 +36,10 @@
     Value,
     json, //
 };
+use tokio::runtime::{
+    Builder,
+    Runtime, //
+};
 
 /// A call of a platform client.
 #[derive(Debug, Clone, Deserialize)]
@@ -172,14 +178,26 @@
 impl Chat {
     pub(crate) fn start(&self, url: &str) -> Result<Answer, Error> {
         let adapter = self.adapter.as_deref().map(id::Adapter::from);
-        Engine::new(url).complete(&Completion {
+        let runtime = Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.expect("a runtime");
+        let engine = Engine::new(url);
+        let stream = runtime.block_on(engine.complete(&Completion {
             request: &id::Request::from(self.request.as_str()),
             model: &id::Model::from(self.model.as_str()),
             adapter: adapter.as_ref(),
             priority: self.priority,
             resume_from: self.resume_from,
-            body: self.body.to_string().as_bytes(),
+            body: self.body.to_string().into(),
             timeout: Duration::from_millis(self.timeout_ms),
+        }))?;
+        Ok(Answer {
+            status: stream.status,
+            content_type: stream.content_type.clone(),
+            body: Box::new(Blocking {
+                runtime,
+                stream,
+                bytes: Bytes::new(),
+            }),
         })
     }
 
@@ -214,6 +232,25 @@
     }
 }
 
+/// Reads a completion from outside a runtime.
+struct Blocking {
+    runtime: Runtime,
+    stream: Stream,
+    bytes: Bytes,
+}
+
+impl Read for Blocking {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        if self.bytes.is_empty() {
+            let next = self.runtime.block_on(self.stream.next());
+            self.bytes = next.map_err(io::Error::other)?.unwrap_or_default();
+        }
+        let length = self.bytes.len().min(buffer.len());
+        buffer[..length].copy_from_slice(&self.bytes.split_to(length));
+        Ok(length)
+    }
+}
+
 /// Events of a stream, or the whole body as one event.
 pub(crate) struct Events(BufReader<Box<dyn Read + Send>>);
 
