agent: keep each model by its own idle times

Cause: the policy held every model for a break-even time that one recall probability shortens, and charged a cold start by its length, although the measure is the tail.

Change: add agent::history, a histogram of a model's idle times in two generations, from which Usage takes the keep-alive that would have cost least; short histories keep the break-even rule. The break-even time grows with the square of the load time.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -9,6 +9,7 @@
 mod driver;
 pub mod event;
 mod flight;
+pub mod history;
 pub mod ledger;
 mod order;
 pub mod pace;
--- a/src/agent/residency.rs
+++ b/src/agent/residency.rs
@@ -156,6 +156,9 @@
                 let replica = self.replica(&model);
                 replica.users = replica.users.saturating_sub(1);
                 replica.idle_since = Some(now);
+                if replica.is_idle() {
+                    replica.usage.fell_idle(now);
+                }
             }
             Event::AdapterNeeded(subject, memory_mb) => self.adapters.need(subject, memory_mb, now),
             Event::AdapterLeft(subject) => self.adapters.leave(&subject, now),
--- a/src/agent/usage.rs
+++ b/src/agent/usage.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
+use super::history::History;
 use crate::timer::Time;
 
-/// Idle seconds that one second of cold start is worth at equal weights.
-const IDLE_PER_COLD_SECOND: f64 = 10.0;
+/// Idle seconds that a cold start of one second is worth at equal weights. Its worth grows with
+/// the square of the cold start, since the measure is the tail of the cold-start time.
+const IDLE_PER_SQUARE_SECOND: f64 = 10.0;
 
 /// Bounds of the break-even time.
 const SHORTEST_HOLD: Duration = Duration::from_secs(5);
@@ -36,12 +38,16 @@
 }
 
 /// How a model version is used.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct Usage {
     weights: Weights,
     /// Probability that the next call comes within the break-even time.
     recall: f64,
     last: Option<Time>,
+    /// When the last request ended or left.
+    idle_since: Option<Time>,
+    history: History,
+    hold: Option<Duration>,
 }
 
 impl Default for Usage {
@@ -50,6 +56,9 @@
             weights: Weights::default(),
             recall: 0.5,
             last: None,
+            idle_since: None,
+            history: History::default(),
+            hold: None,
         }
     }
 }
@@ -71,19 +80,33 @@
             self.weights = weights;
         }
         self.last = Some(now);
+        if let Some(since) = self.idle_since.take()
+            && now - since >= SHORTEST_HOLD
+        {
+            self.history.record(now - since);
+        }
+        self.hold = self.history.keep_alive(self.break_even(load));
+    }
+
+    /// Notes that no request runs or waits any more.
+    pub fn fell_idle(&mut self, now: Time) {
+        self.idle_since = Some(now);
     }
 
     /// Returns the idle time that costs as much as a load.
     pub fn break_even(&self, load: Duration) -> Duration {
         let ratio = self.weights.cold_start.max(0.0) / self.weights.idle_hour.max(1e-3);
-        let seconds = load.as_secs_f64() * ratio * IDLE_PER_COLD_SECOND;
+        let seconds = load.as_secs_f64().powi(2) * ratio * IDLE_PER_SQUARE_SECOND;
         let longest = LONGEST_HOLD.as_secs_f64();
         Duration::from_secs_f64(seconds.min(longest)).max(SHORTEST_HOLD)
     }
 
-    /// Returns for how long an idle replica is kept: the break-even time, and less of it where
-    /// calls seldom come within it.
+    /// Returns for how long an idle replica is kept: what would have cost least over the history,
+    /// or while that is short the break-even time, and less of it where calls seldom come within it.
     pub fn hold(&self, load: Duration) -> Duration {
+        if let Some(hold) = self.hold {
+            return hold.clamp(SHORTEST_HOLD, LONGEST_HOLD);
+        }
         let share = (2.0 * self.recall).clamp(LEAST_SHARE, 1.0);
         self.break_even(load).mul_f64(share)
     }
--- a/src/bench/policy/report.rs
+++ b/src/bench/policy/report.rs
@@ -7,11 +7,12 @@
         Deployment,
         Error, //
     },
-    Options,
+    Options, Placed,
     curve::{
         Comparison,
         Point, //
     },
+    placement::Placement,
     trace::{
         Pattern,
         Trace, //
@@ -113,3 +114,38 @@
         o.evictions
     );
 }
+
+/// Prints the figures of the placements.
+pub(super) fn placements(deployment: &Deployment, options: &Options, placed: &[Placed]) {
+    for placed in placed {
+        let name = match placed.placement {
+            Placement::Home => "home slots",
+            Placement::AnyFree => "any free",
+        };
+        let outcome = &placed.outcome;
+        if options.json {
+            let report = json!({
+                "institution": deployment.institution,
+                "seed": options.seed,
+                "placement": name,
+                "remote_factor": placed.remote_factor,
+                "outcome": outcome,
+            });
+            println!("{report}");
+            continue;
+        }
+        println!(
+            "placement {} {name}, remote factor {}: p50 {:.3} s, p99 {:.3} s, cold p50 {:.3} s, \
+             cold {:.4}, idle {:.1} h, loads {}, evictions {}",
+            deployment.institution,
+            placed.remote_factor,
+            outcome.p50_s,
+            outcome.p99_s,
+            outcome.cold_p50_s,
+            outcome.cold_share,
+            outcome.idle_hours,
+            outcome.loads,
+            outcome.evictions,
+        );
+    }
+}
