agent: load a model whose callers are refused for its load time

Cause: a caller whose deadline is shorter than a load was refused at once, and as nothing waited, no load began; it was refused again on every retry. Such refusals also counted as saturation and asked for slots that help nobody. Change: a refusal because of the load time keeps the model wanted until 2 s after its retry time, so the load begins; only a loaded model, or one that requests wait for without a load in progress, counts as saturated.

--- a/src/agent/dispatch.rs
+++ b/src/agent/dispatch.rs
@@ -43,6 +43,9 @@
 /// Shortest time after which a refused caller is asked to come back.
 const SHORTEST_RETRY: Duration = Duration::from_millis(500);
 
+/// Time beyond its retry time for which a caller that was refused is expected.
+const COME_BACK: Duration = Duration::from_secs(2);
+
 /// Share of a new observation in the service time.
 const SERVICE_SHARE: f64 = 0.1;
 
@@ -141,8 +144,7 @@
     ) -> (Result<Key, Denial>, Vec<Effect>) {
         let model = ticket.model.clone();
         if let Err(denial) = self.admit(&ticket, now) {
-            let widen = self.widen(&model, denial, now);
-            return (Err(denial), widen.into_iter().collect());
+            return (Err(denial), self.note_refusal(&model, denial, now));
         }
         let retry = self.retry_after(self.queue_time(&model, self.queue.len(&model)));
         let Some(key) = self.queue.push(ticket) else {
@@ -155,9 +157,21 @@
         (Ok(key), self.step(Event::Arrived(model, weights), now))
     }
 
-    fn widen(&mut self, model: &id::Model, denial: Denial, now: Time) -> Option<Effect> {
-        let saturated = denial.reason == Reason::Busy && self.saturation.refused(model, now);
-        saturated.then(|| Effect::Widen(model.clone()))
+    /// Notes a refusal because of load: the replica may be saturated, or its caller may come back
+    /// for a model that is not loaded.
+    fn note_refusal(&mut self, model: &id::Model, denial: Denial, now: Time) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        if denial.reason != Reason::Busy {
+            return effects;
+        }
+        if self.policy.is_saturated(model) && self.saturation.refused(model, now) {
+            effects.push(Effect::Widen(model.clone()));
+        }
+        if denial.retry_after_ms > 0 && !self.policy.is_loaded(model) {
+            let until = now + Duration::from_millis(denial.retry_after_ms) + COME_BACK;
+            effects.extend(self.apply(Event::Wished(model.clone(), until), now));
+        }
+        effects
     }
 
     fn admit(&self, ticket: &Ticket, now: Time) -> Result<(), Denial> {
@@ -294,7 +308,7 @@
                 let model = ticket.model;
                 effects.extend(self.apply(Event::Left(model.clone()), now));
                 effects.push(Effect::Refuse(key, denial));
-                effects.extend(self.widen(&model, denial, now));
+                effects.extend(self.note_refusal(&model, denial, now));
             }
         }
         effects
--- a/src/agent/event.rs
+++ b/src/agent/event.rs
@@ -10,7 +10,8 @@
 };
 use crate::{
     id,
-    platform::engine::Inventory, //
+    platform::engine::Inventory,
+    timer::Time, //
 };
 
 /// The permission to load a model version here.
@@ -35,6 +36,8 @@
     Slots(Vec<Slot>),
     /// A request for a model version arrived and waits.
     Arrived(id::Model, Weights),
+    /// A request was refused because of the load time; its caller may come back until this time.
+    Wished(id::Model, Time),
     /// A waiting request has begun.
     Began(id::Model),
     /// A waiting request was refused or cancelled.
--- a/src/agent/replica.rs
+++ b/src/agent/replica.rs
@@ -19,6 +19,8 @@
     pub(super) users: usize,
     /// Since when requests have waited without a break.
     pub(super) wanted_since: Option<Time>,
+    /// Until when a refused caller may come back.
+    pub(super) wished_until: Option<Time>,
     /// When a request last ended or left.
     pub(super) idle_since: Option<Time>,
     /// Time before which no order is given, after one that had no effect.
@@ -35,6 +37,11 @@
         self.users == 0 && self.waiting == 0
     }
 
+    /// Returns whether a request waits, or a refused caller may come back.
+    pub(super) fn is_wanted(&self, now: Time) -> bool {
+        self.waiting > 0 || self.wished_until.is_some_and(|until| now < until)
+    }
+
     /// Returns whether no new request may be served.
     pub(super) fn is_retired(&self) -> bool {
         self.slot.as_ref().is_none_or(|slot| slot.retiring)
--- a/src/agent/residency.rs
+++ b/src/agent/residency.rs
@@ -96,6 +96,15 @@
         self.replicas.get(model).map_or(0, |replica| replica.users)
     }
 
+    /// Returns whether a refusal shows that one more replica is needed: the model version is
+    /// loaded, or requests wait for it and there is no room. A load in progress is no such sign.
+    pub fn is_saturated(&self, model: &id::Model) -> bool {
+        match self.state(model) {
+            Some(state) => state == State::Loaded,
+            None => self.replicas.get(model).is_some_and(|r| r.waiting > 0),
+        }
+    }
+
     fn state(&self, model: &id::Model) -> Option<State> {
         let held = self.ledger.get(&Subject::model(model))?;
         Some(held.state)
@@ -120,6 +129,11 @@
             Event::Authority(authority) => self.authority = authority,
             Event::Slots(slots) => self.set_slots(slots),
             Event::Arrived(model, weights) => self.arrived(&model, weights, now),
+            Event::Wished(model, until) => {
+                let replica = self.replica(&model);
+                replica.wished_until = Some(until);
+                replica.wanted_since.get_or_insert(now);
+            }
             Event::Began(model) => {
                 self.left(&model, now);
                 self.replica(&model).users += 1;
@@ -236,6 +250,7 @@
         let queued = self.replicas.iter().filter(|(other, r)| {
             self.state(other).is_none()
                 && *other != model
+                && r.is_wanted(now)
                 && r.wanted_since.is_some_and(|wanted| wanted < since)
         });
         let queued: Duration = queued.map(|(m, _)| self.load_time(m, now)).sum();
@@ -318,7 +333,7 @@
         let mut wanted: Vec<_> = self
             .replicas
             .iter()
-            .filter(|(model, r)| r.waiting > 0 && !r.is_retired() && self.state(model).is_none())
+            .filter(|(model, r)| r.is_wanted(now) && !r.is_retired() && self.state(model).is_none())
             .filter(|(_, r)| r.retry_at.is_none_or(|at| now >= at))
             .filter_map(|(model, r)| {
                 Some((r.wanted_since, model.clone(), r.slot.as_ref()?.size?.0))
--- a/tests/queue.rs
+++ b/tests/queue.rs
@@ -31,7 +31,10 @@
         usage::Weights,
     },
     id,
-    platform::engine::Inventory,
+    platform::engine::{
+        Inventory,
+        Kind, //
+    },
     timer::Time,
     wire::Reason,
 };
@@ -310,3 +313,47 @@
     assert!(denial.retry_after_ms >= 1_000);
     assert!(keys.len() > MAX_RUNNING && keys.len() < 10 * MAX_RUNNING);
 }
+
+/// Guards against a model that is never loaded because each caller's deadline is shorter than the
+/// load: the first refusal begins the load, so that the caller is served when it comes back.
+#[test]
+fn refusal_for_the_load_time_begins_the_load() {
+    let mut world = World::new(0);
+    let arrive = |world: &mut World, seconds: u64| {
+        let deadline = world.now + Duration::from_secs(seconds);
+        let ticket = ticket("a", 0, deadline);
+        let weights = Weights {
+            cold_start: 1.0,
+            idle_hour: 10.0,
+        };
+        world.dispatch.arrive(ticket, weights, world.now)
+    };
+    let order = |effects: Vec<Effect>| {
+        let mut orders = effects.into_iter().filter_map(|effect| match effect {
+            Effect::Order(order, _) => Some(order),
+            _ => None,
+        });
+        orders.next().expect("an order is given")
+    };
+    // A slow load tells the load time, and the idle model is unloaded after it.
+    let (_, effects) = arrive(&mut world, 60);
+    world.now = world.now + Duration::from_secs(8);
+    let done = Event::Answered(order(effects), Answer::Done);
+    world.dispatch.step(done, world.now);
+    world.dispatch.end(&model(0), None, world.now);
+    for (index, wait) in [30, 1].into_iter().enumerate() {
+        world.now = world.now + Duration::from_secs(wait);
+        let effects = world.dispatch.step(Event::Tick, world.now);
+        if index == 0 {
+            let done = Event::Answered(order(effects), Answer::Done);
+            world.dispatch.step(done, world.now);
+        }
+    }
+    let (result, effects) = arrive(&mut world, 3);
+    let denial = result.expect_err("the load takes longer than the deadline");
+    assert_eq!(
+        (denial.reason, denial.retry_after_ms),
+        (Reason::Busy, 8_000)
+    );
+    assert_eq!(order(effects).kind, Kind::Load);
+}
