follow, cli, claim: one reader for daemons and tools; share the append budget

Change: the command line uses follow::Reader, whose records carry typed outcomes; agents of plain services share 300 appends a second.

--- a/src/agent/usage.rs
+++ b/src/agent/usage.rs
@@ -104,12 +104,12 @@
     /// };
     /// use std::time::Duration;
     ///
-    /// let load = Duration::from_secs(10);
+    /// let load = Duration::from_secs(5);
     /// let weights = Weights { cold_start: 3.0, idle_hour: 1.0 };
     /// let mut usage = Usage::default();
-    /// assert_eq!(usage.break_even(load), Duration::from_secs(100));
+    /// assert_eq!(usage.break_even(load), Duration::from_secs(250));
     /// usage.called(weights, load, Time::ZERO);
-    /// assert_eq!(usage.break_even(load), Duration::from_secs(300));
+    /// assert_eq!(usage.break_even(load), Duration::from_secs(750));
     /// ```
     pub fn break_even(&self, load: Duration) -> Duration {
         let ratio = self.weights.cold_start.max(0.0) / self.weights.idle_hour.max(1e-3);
--- a/src/claim/executor.rs
+++ b/src/claim/executor.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{
         BTreeMap,
+        BTreeSet,
         HashMap, //
     },
     sync::{
@@ -40,6 +41,7 @@
     id,
     platform::{
         Error,
+        list,
         service::Service, //
     },
     report,
@@ -302,8 +304,24 @@
         });
     }
 
+    /// Returns how many live agents of plain services there are.
+    fn live_agents(&self) -> u32 {
+        let catalogue = self.context.view.catalogue();
+        let services = catalogue.items().filter_map(|item| match item {
+            catalogue::Item::Service(service) => Some(&service.pool),
+            _ => None,
+        });
+        let pools: BTreeSet<_> = services.collect();
+        let instances = self.context.view.instances();
+        let agents = instances.iter().filter(|instance| {
+            instance.state == list::State::Live && pools.contains(&instance.pool)
+        });
+        u32::try_from(agents.count()).unwrap_or(u32::MAX)
+    }
+
     fn reserve(self: &Arc<Self>, partition: &Arc<Partition>) {
-        let turn = lock(&self.pace).reserve(Time::now());
+        let agents = self.live_agents();
+        let turn = lock(&self.pace).reserve(Time::now(), agents);
         let (inner, partition) = (self.clone(), partition.clone());
         self.context.runtime.spawn(async move {
             tokio::time::sleep(turn.remaining(Time::now())).await;
--- a/src/claim/writer.rs
+++ b/src/claim/writer.rs
@@ -17,9 +17,11 @@
 /// Time for which the stream is read for the claim of an attempt that was given up.
 const LANDING_LIMIT: Duration = Duration::from_secs(600);
 
-/// Time between two appends of an agent: 50 a second, of the several hundred that the log
-/// accepts from all.
-const APPEND_SPACING: Duration = Duration::from_millis(20);
+/// Claim appends a second of all agents together, of the several hundred that the log accepts.
+const FLEET_APPENDS_PER_S: u32 = 300;
+
+/// Claim appends a second of one agent, however few there are.
+const AGENT_APPENDS_PER_S: u32 = 50;
 
 /// Largest append in bytes, unless one record alone is larger. A kept body of 16 KiB takes up to
 /// 96 KiB where all its characters are escaped.
@@ -32,7 +34,8 @@
 }
 
 impl Pace {
-    /// Returns the time at which the next append may be sent and reserves it.
+    /// Returns the time at which the next append may be sent and reserves it; `agents` of plain
+    /// services share what the log accepts.
     ///
     /// # Examples
     ///
@@ -41,16 +44,24 @@
     ///
     /// let mut pace = Pace::default();
     /// let now = Time::from_millis(1_000);
-    /// assert_eq!(pace.reserve(now), now);
-    /// assert_eq!(pace.reserve(now), Time::from_millis(1_020));
+    /// assert_eq!(pace.reserve(now, 3), now);
+    /// assert_eq!(pace.reserve(now, 3), Time::from_millis(1_020));
+    /// assert_eq!(pace.reserve(now, 150), Time::from_millis(1_040));
+    /// assert_eq!(pace.reserve(now, 150), Time::from_millis(1_540));
     /// ```
-    pub fn reserve(&mut self, now: Time) -> Time {
+    pub fn reserve(&mut self, now: Time, agents: u32) -> Time {
         let turn = self.next.map_or(now, |next| next.max(now));
-        self.next = Some(turn + APPEND_SPACING);
+        self.next = Some(turn + spacing(agents));
         turn
     }
 }
 
+/// Returns the time between two appends of one of so many agents.
+fn spacing(agents: u32) -> Duration {
+    let shared = Duration::from_secs(1) * agents / FLEET_APPENDS_PER_S;
+    shared.max(Duration::from_secs(1) / AGENT_APPENDS_PER_S)
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Waiting {
     record: Record,
--- a/src/cli/decisions.rs
+++ b/src/cli/decisions.rs
@@ -12,10 +12,14 @@
 use crate::{
     decision::{
         self,
-        Record,
         Table, //
     },
+    follow::{
+        Fold,
+        Reader, //
+    },
     platform::log::Log,
+    timer::Time,
 };
 
 /// Most records in one read.
@@ -70,25 +74,18 @@
     /// Says that the log can't be read, or has dropped the oldest records.
     pub(super) fn from_log(log: &str) -> Result<Self, Error> {
         let log = Log::new(log);
-        let mut table = Table::default();
-        let mut next = 1;
+        let mut reader = Reader::<Table>::new(Time::now());
         loop {
             let page = log
-                .read(decision::STREAM, next, READ_LIMIT, Duration::ZERO)
+                .read(Table::STREAM, reader.next(), READ_LIMIT, Duration::ZERO)
                 .map_err(|error| Error::unknown(format!("can't read decisions: {error}")))?;
-            if page.first > next {
+            if !page.records.is_empty() {
+                reader.apply_page(&page);
+            } else if reader.is_at(page.next) {
+                return Ok(Self::from_table(reader.state()));
+            } else {
                 return Err(dropped(page.first));
             }
-            let from = next;
-            for record in page.records.iter().filter(|record| record.offset >= from) {
-                next = record.offset + 1;
-                if let Ok(decision) = serde_json::from_str::<Record>(&record.body) {
-                    table.apply(record.offset, &decision);
-                }
-            }
-            if next == from {
-                return Ok(Self::from_table(&table));
-            }
         }
     }
 
--- a/src/cli/stream.rs
+++ b/src/cli/stream.rs
@@ -11,6 +11,12 @@
         Note,
         Outcome, //
     },
+    follow::{
+        Applied,
+        Effect,
+        Fold,
+        Reader, //
+    },
     platform::{
         self,
         log::{
@@ -18,20 +24,20 @@
             Page, //
         },
     },
+    timer::Time,
 };
 
 /// Name of the stream that holds the release notes.
-pub(super) const STREAM: &str = "releases";
+pub(super) const STREAM: &str = Catalogue::STREAM;
 
 /// Most records in one read.
 const READ_LIMIT: u32 = 500;
 
 /// The stream folded so far.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub(super) struct Releases {
     log: Log,
-    catalogue: Catalogue,
-    next: u64,
+    reader: Reader<Catalogue>,
     wanted: Option<Uuid>,
     seen: Option<Seen>,
 }
@@ -49,8 +55,7 @@
     pub(super) fn new(log: &str) -> Self {
         Self {
             log: Log::new(log),
-            catalogue: Catalogue::default(),
-            next: 1,
+            reader: Reader::new(Time::now()),
             wanted: None,
             seen: None,
         }
@@ -62,7 +67,7 @@
     }
 
     pub(super) fn catalogue(&self) -> &Catalogue {
-        &self.catalogue
+        self.reader.state()
     }
 
     pub(super) fn log(&self) -> &Log {
@@ -78,49 +83,42 @@
     ///
     /// # Errors
     ///
-    /// Says that the log can't be read, or has dropped records that were not read yet.
+    /// Says that the log can't be read, or has dropped records without a snapshot of them.
     pub(super) fn read(&mut self, wait: Duration) -> Result<(), Error> {
         let mut wait = wait;
         loop {
+            let next = self.reader.next();
             let page = self
                 .log
-                .read(STREAM, self.next, READ_LIMIT, wait)
+                .read(STREAM, next, READ_LIMIT, wait)
                 .map_err(unreadable)?;
-            if !self.fold(&page)? {
-                return Ok(());
+            if page.records.is_empty() {
+                return self.check_complete(&page);
+            }
+            for applied in self.reader.apply_page(&page) {
+                self.look(applied);
             }
             wait = Duration::ZERO;
         }
     }
 
-    /// Applies a page and returns whether it brought anything new.
-    fn fold(&mut self, page: &Page) -> Result<bool, Error> {
-        if page.first > self.next {
-            self.begin(page)?;
+    fn look(&mut self, applied: Applied<Catalogue>) {
+        let Effect::Change(note, outcome) = applied.effect else {
+            return;
+        };
+        if self.wanted == Some(note.id) && self.seen.is_none() {
+            self.seen = Some(Seen {
+                offset: applied.offset,
+                outcome,
+                note,
+            });
         }
-        let before = self.next;
-        let records = page.records.iter();
-        for record in records.filter(|record| record.offset >= before) {
-            self.next = record.offset + 1;
-            // Daemons skip a record that is no release note, too.
-            let Ok(note) = serde_json::from_str::<Note>(&record.body) else {
-                continue;
-            };
-            let outcome = self.catalogue.apply(record.offset, &note);
-            if self.wanted == Some(note.id) && self.seen.is_none() {
-                self.seen = Some(Seen {
-                    offset: record.offset,
-                    outcome,
-                    note,
-                });
-            }
-        }
-        Ok(self.next > before)
     }
 
-    /// Begins at the oldest retained record after the log has dropped older ones. Without a
-    /// snapshot in the stream the catalogue can't be known.
-    fn begin(&mut self, page: &Page) -> Result<(), Error> {
+    fn check_complete(&self, page: &Page) -> Result<(), Error> {
+        if self.reader.is_at(page.next) {
+            return Ok(());
+        }
         Err(Error::unknown(format!(
             "the log has dropped the records of {STREAM} before offset {}; the catalogue can't be \
              folded without a snapshot",
--- a/src/follow/fold.rs
+++ b/src/follow/fold.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     catalogue::{
+        self,
         Catalogue,
         Note, //
     },
@@ -38,6 +39,9 @@
     /// A record that changes the state.
     type Change: Debug;
 
+    /// What became of a change.
+    type Outcome: Debug;
+
     /// Decodes a record.
     ///
     /// # Errors
@@ -51,8 +55,8 @@
     /// Returns the offset of the last record that was looked at.
     fn applied(&self) -> u64;
 
-    /// Applies a change and describes what became of it.
-    fn apply_change(&mut self, offset: u64, change: &Self::Change) -> String;
+    /// Applies a change.
+    fn apply_change(&mut self, offset: u64, change: &Self::Change) -> Self::Outcome;
 
     /// Passes over a record that changes nothing.
     fn skip(&mut self, offset: u64);
@@ -68,6 +72,7 @@
     const STREAM: &'static str = "releases";
 
     type Change = Note;
+    type Outcome = catalogue::Outcome;
 
     fn decode(body: &str) -> Result<Entry<Note>, serde_json::Error> {
         if let Ok(ReleaseSnapshot { snapshot }) = serde_json::from_str(body) {
@@ -84,8 +89,8 @@
         self.applied()
     }
 
-    fn apply_change(&mut self, offset: u64, change: &Note) -> String {
-        format!("{:?}", self.apply(offset, change))
+    fn apply_change(&mut self, offset: u64, change: &Note) -> catalogue::Outcome {
+        self.apply(offset, change)
     }
 
     fn skip(&mut self, offset: u64) {
@@ -97,6 +102,7 @@
     const STREAM: &'static str = decision::STREAM;
 
     type Change = decision::Record;
+    type Outcome = decision::Outcome;
 
     fn decode(body: &str) -> Result<Entry<decision::Record>, serde_json::Error> {
         let record: decision::Record = serde_json::from_str(body)?;
@@ -114,8 +120,8 @@
         self.applied()
     }
 
-    fn apply_change(&mut self, offset: u64, change: &decision::Record) -> String {
-        format!("{:?}", self.apply(offset, change))
+    fn apply_change(&mut self, offset: u64, change: &decision::Record) -> decision::Outcome {
+        self.apply(offset, change)
     }
 
     fn skip(&mut self, offset: u64) {
--- a/src/follow/mod.rs
+++ b/src/follow/mod.rs
@@ -12,6 +12,7 @@
 };
 pub use reader::{
     Applied,
+    Effect,
     Reader, //
 };
 pub(crate) use stream::Stream;
--- a/src/follow/reader.rs
+++ b/src/follow/reader.rs
@@ -1,5 +1,10 @@
 //! Applies pages of a log stream to a fold, from the start or from a snapshot.
 
+use std::{
+    fmt,
+    time::Duration, //
+};
+
 use super::{
     Entry,
     Fold, //
@@ -18,13 +23,37 @@
     timer::Time,
 };
 
-/// What became of a record, for the log.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Applied {
+/// What a record was and what became of it.
+#[derive(Debug)]
+pub enum Effect<F: Fold> {
+    /// A change with its outcome.
+    Change(F::Change, F::Outcome),
+    /// Part of a snapshot, which changes nothing.
+    Snapshot,
+    /// The state that a peer relayed.
+    State,
+    /// No record of this stream.
+    Malformed(String),
+}
+
+impl<F: Fold> fmt::Display for Effect<F> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Change(_, outcome) => write!(f, "{outcome:?}"),
+            Self::Snapshot => f.write_str("snapshot"),
+            Self::State => f.write_str("state"),
+            Self::Malformed(error) => write!(f, "malformed: {error}"),
+        }
+    }
+}
+
+/// A record that was looked at.
+#[derive(Debug)]
+pub struct Applied<F: Fold> {
     /// Offset of the record.
     pub offset: u64,
     /// What became of it.
-    pub outcome: String,
+    pub effect: Effect<F>,
 }
 
 /// Reads a stream into a fold. Pure: takes pages, keeps the state.
@@ -61,12 +90,15 @@
         self.next
     }
 
+    /// Returns whether the state holds all records before `next`, the end of the stream.
+    pub fn is_at(&self, next: u64) -> bool {
+        self.state.applied() + 1 >= next
+    }
+
     /// Returns how long ago the last snapshot was.
     pub fn age(&self, now: Time) -> Age {
         let time = match self.snapshot_written_ms {
-            Some(written) => {
-                std::time::Duration::from_millis(unix_millis().saturating_sub(written))
-            }
+            Some(written) => Duration::from_millis(unix_millis().saturating_sub(written)),
             None => now - self.started,
         };
         Age {
@@ -80,7 +112,7 @@
     /// If records between the state and the page are gone from the log, nothing is applied until
     /// a snapshot closes the gap; applying later records to an older state would give a state
     /// that no other daemon has.
-    pub fn apply_page(&mut self, page: &Page) -> Vec<Applied> {
+    pub fn apply_page(&mut self, page: &Page) -> Vec<Applied<F>> {
         let mut applied = Vec::new();
         for record in &page.records {
             if record.offset <= self.state.applied() {
@@ -109,7 +141,7 @@
     }
 
     /// Applies a record that a peer relayed, if it follows the state.
-    pub fn relay_record(&mut self, record: &Record) -> Option<Applied> {
+    pub fn relay_record(&mut self, record: &Record) -> Option<Applied<F>> {
         if record.offset != self.state.applied() + 1 {
             return None;
         }
@@ -126,24 +158,25 @@
         self.next = (last + 1).max(self.next);
     }
 
-    fn apply_record(&mut self, record: &Record) -> Applied {
+    fn apply_record(&mut self, record: &Record) -> Applied<F> {
         self.records_since_snapshot += 1;
-        let outcome = match F::decode(&record.body) {
-            Ok(Entry::Change(change)) => self.state.apply_change(record.offset, &change),
+        let offset = record.offset;
+        let effect = match F::decode(&record.body) {
+            Ok(Entry::Change(change)) => {
+                let outcome = self.state.apply_change(offset, &change);
+                Effect::Change(change, outcome)
+            }
             Ok(Entry::Snapshot(part)) => {
                 self.note_snapshot(&part);
-                self.state.skip(record.offset);
-                "snapshot".to_owned()
+                self.state.skip(offset);
+                Effect::Snapshot
             }
             Err(error) => {
-                self.state.skip(record.offset);
-                format!("malformed: {error}")
+                self.state.skip(offset);
+                Effect::Malformed(error.to_string())
             }
         };
-        Applied {
-            offset: record.offset,
-            outcome,
-        }
+        Applied { offset, effect }
     }
 
     fn note_snapshot(&mut self, part: &Part) {
--- a/src/follow/stream.rs
+++ b/src/follow/stream.rs
@@ -15,6 +15,7 @@
 
 use super::{
     Applied,
+    Effect,
     Fold,
     Reader, //
 };
@@ -143,7 +144,7 @@
             inner.recent.clear();
             let applied = Applied {
                 offset: at,
-                outcome: "state".to_owned(),
+                effect: Effect::State,
             };
             self.publish(&inner, &[applied], "peer");
         }
@@ -202,7 +203,7 @@
         self.publish(&inner, &applied, "log");
     }
 
-    fn publish(&self, inner: &Inner<F>, applied: &[Applied], source: &str) {
+    fn publish(&self, inner: &Inner<F>, applied: &[Applied<F>], source: &str) {
         for one in applied {
             report::info(
                 "applied",
@@ -210,7 +211,7 @@
                     ("stream", &F::STREAM),
                     ("offset", &one.offset),
                     ("source", &source),
-                    ("outcome", &one.outcome),
+                    ("outcome", &one.effect),
                 ],
             );
         }
