agent, metrics: count cold starts and idle replicas

Cause: the users measure tail cold-start time and idle accelerator hours, and no metric showed either. Change: agents export cold_start_seconds and idle_replica_seconds_total.

--- a/src/agent/chat.rs
+++ b/src/agent/chat.rs
@@ -85,6 +85,8 @@
         let Some(adapter_mb) = self.look_up() else {
             return self.refuse(exchange, Reason::Unknown, 0, true).await;
         };
+        let arrived = Time::now();
+        let cold = !self.driver.load(&self.chat.model).resident;
         let (key, verdict) = match self.driver.submit(self.ticket(), self.weights()) {
             Ok(submitted) => submitted,
             Err(denial) => return self.deny(exchange, denial).await,
@@ -99,6 +101,10 @@
             Err(_) => return self.refuse(exchange, Reason::Backend, 0, true).await,
         }
         let began = Time::now();
+        if cold {
+            let waited = (began - arrived).as_secs_f64();
+            self.context.metrics.cold_start.observe(waited);
+        }
         let end = self.with_adapter(adapter_mb, body, exchange).await;
         let took = (end == End::Served).then(|| Time::now() - began);
         self.driver.end(&self.chat.model, took);
--- a/src/agent/driver.rs
+++ b/src/agent/driver.rs
@@ -72,6 +72,8 @@
     dispatch: Dispatch,
     waiters: SecondaryMap<Key, oneshot::Sender<Verdict>>,
     inventoried: Option<Time>,
+    /// When idle replicas were last counted.
+    counted: Option<Time>,
 }
 
 struct Shared {
@@ -102,6 +104,7 @@
             dispatch: Dispatch::new(Policy::new(ledger)),
             waiters: SecondaryMap::new(),
             inventoried: None,
+            counted: None,
         };
         let driver = Self {
             shared: Arc::new(Shared {
@@ -249,9 +252,17 @@
             effects.extend(state.dispatch.step(Event::Slots(slots), now));
         }
         effects.extend(state.dispatch.step(Event::Authority(held), now));
+        self.count_idle(&mut state, now);
         self.carry_out(&mut state, effects);
     }
 
+    fn count_idle(&self, state: &mut State, now: Time) {
+        let since = state.counted.replace(now).unwrap_or(now);
+        let idle = state.dispatch.policy().idle_replicas();
+        let seconds = (now - since).as_secs_f64() * f64::from(u32::try_from(idle).unwrap_or(0));
+        self.shared.context.metrics.idle_replica.inc_by(seconds);
+    }
+
     fn slots(&self) -> Vec<Slot> {
         let view = &self.shared.context.view;
         let catalogue = view.catalogue();
--- a/src/agent/residency.rs
+++ b/src/agent/residency.rs
@@ -101,6 +101,18 @@
         self.state(model) == Some(State::Loaded)
     }
 
+    /// Returns how many loaded model versions have no request.
+    pub fn idle_replicas(&self) -> usize {
+        let loaded = self
+            .ledger
+            .models()
+            .filter(|(model, _)| self.is_loaded(model));
+        let replicas = loaded.map(|(model, _)| self.replicas.get(model));
+        replicas
+            .filter(|replica| replica.is_none_or(Replica::is_idle))
+            .count()
+    }
+
     /// Returns whether the adapter can serve now.
     pub fn has_adapter(&self, subject: &Subject) -> bool {
         let held = self.ledger.get(subject);
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -3,7 +3,8 @@
 use std::{
     sync::{
         Mutex,
-        PoisonError, //
+        PoisonError,
+        atomic::AtomicU64, //
     },
     time::Duration,
 };
@@ -49,6 +50,9 @@
 /// Upper bounds of times between pieces in seconds, with the required 0.051 s among them.
 const BETWEEN_PIECES_S: [f64; 10] = [0.005, 0.01, 0.02, 0.035, 0.051, 0.1, 0.25, 1.0, 4.0, 10.0];
 
+/// Upper bounds of cold starts in seconds.
+const COLD_START_S: [f64; 10] = [0.1, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 40.0, 100.0, 300.0];
+
 /// Metrics of a daemon.
 #[derive(Debug)]
 pub struct Metrics {
@@ -61,6 +65,10 @@
     pub first_piece: Family<Kind, Histogram, fn() -> Histogram>,
     /// Seconds between the pieces of an event stream.
     pub between_pieces: Histogram,
+    /// Seconds that requests waited for the load of a model that was not resident.
+    pub cold_start: Histogram,
+    /// Seconds that loaded replicas spent without a request.
+    pub idle_replica: Counter<f64, AtomicU64>,
 }
 
 impl Default for Metrics {
@@ -70,6 +78,8 @@
         let in_flight = Gauge::default();
         let first_piece = Family::new_with_constructor(new_first_piece as fn() -> Histogram);
         let between_pieces = Histogram::new(BETWEEN_PIECES_S);
+        let cold_start = Histogram::new(COLD_START_S);
+        let idle_replica = Counter::default();
         registry.register("requests", "Requests by kind and outcome", requests.clone());
         registry.register("in_flight", "Requests in flight", in_flight.clone());
         registry.register_with_unit(
@@ -84,12 +94,26 @@
             Unit::Seconds,
             between_pieces.clone(),
         );
+        registry.register_with_unit(
+            "cold_start",
+            "Time that requests waited for the load of a model that was not resident",
+            Unit::Seconds,
+            cold_start.clone(),
+        );
+        registry.register_with_unit(
+            "idle_replica",
+            "Time that loaded replicas spent without a request",
+            Unit::Seconds,
+            idle_replica.clone(),
+        );
         Self {
             registry: Mutex::new(registry),
             requests,
             in_flight,
             first_piece,
             between_pieces,
+            cold_start,
+            idle_replica,
         }
     }
 }
