--- a/src/bench/deployment.rs
+++ b/src/bench/deployment.rs
@@ -121,6 +121,26 @@
         note
     }
 
+    /// Returns a release note that withdraws a model with its adapters and accesses, to replace
+    /// the note at offset `replaces`.
+    pub fn withdrawal(&self, number: u32, replaces: u64) -> Note {
+        let id = self.model(number);
+        let name = format!("{}-{number}", self.model_prefix);
+        let mut note = Note::new("operator", replaces);
+        let keys = self
+            .first_note()
+            .added
+            .into_iter()
+            .filter_map(|item| match &item {
+                Item::Adapter(adapter) if adapter.model == id => Some(item.key()),
+                Item::Access(access) if access.target == name => Some(item.key()),
+                Item::Model(model) if model.id() == id => Some(item.key()),
+                _ => None,
+            });
+        note.withdrawn.extend(keys);
+        note
+    }
+
     fn model_item(&self, number: u32) -> Item {
         let memory_mb = MODEL_MEMORY_MB + 500 * u64::from(number % 5);
         Item::Model(Model {
--- a/tests/release_fleet.rs
+++ b/tests/release_fleet.rs
@@ -4,17 +4,10 @@
 
 use std::thread;
 
-use chestnuthub::{
-    bench::{
-        Daemon,
-        Fleet,
-        TENGIS, //
-    },
-    catalogue::{
-        Item,
-        Key,
-        Note, //
-    },
+use chestnuthub::bench::{
+    Daemon,
+    Fleet,
+    TENGIS, //
 };
 use serde_json::{
     Value,
@@ -30,28 +23,6 @@
 /// Exit code of the command-line tool when another note was accepted first.
 const CONFLICT: i32 = 3;
 
-/// Returns a note that withdraws one model and its access.
-fn withdrawal(number: u32) -> Note {
-    let mut note = Note::new("operator", 0);
-    let id = TENGIS.model(number);
-    let name = id.as_str().split('@').next().unwrap_or_default().to_owned();
-    let adapters = TENGIS
-        .first_note()
-        .added
-        .into_iter()
-        .filter_map(|item| match item {
-            Item::Adapter(adapter) if adapter.model == id => Some(Key::Adapter(adapter.name)),
-            _ => None,
-        });
-    note.withdrawn.extend(adapters);
-    note.withdrawn.push(Key::Model(id));
-    note.withdrawn.push(Key::Access {
-        institution: TENGIS.institution.into(),
-        target: name,
-    });
-    note
-}
-
 fn status(fleet: &Fleet, daemon: &Daemon) -> Value {
     let url = format!("http://{}/status", daemon.operator_addr);
     let request =
@@ -72,8 +43,7 @@
     let turn = start(|_| ());
     let fleet = &turn.fleet;
     let files = [2, 3].map(|number| {
-        let mut note = withdrawal(number);
-        note.replaces = 1;
+        let note = TENGIS.withdrawal(number, 1);
         let name = format!("note-{number}.json");
         fleet.write_note(&name, &note).expect("a file")
     });
@@ -109,7 +79,7 @@
     });
     fleet.log.add_fault(&fault).expect("a fault");
     let file = fleet
-        .write_note("note.json", &withdrawal(2))
+        .write_note("note.json", &TENGIS.withdrawal(2, 0))
         .expect("a file");
     // The note in the file replaces offset 0; a note without the field replaces the newest one.
     let mut note: Value =
@@ -130,8 +100,7 @@
 fn entry_without_the_log_learns_a_note_from_its_neighbours_and_keeps_it() {
     let mut turn = start(|plan| plan.metered = true);
     turn.fleet.entries[0].meters[0].cut();
-    let mut note = withdrawal(2);
-    note.replaces = 1;
+    let note = TENGIS.withdrawal(2, 1);
     let file = turn.fleet.write_note("note.json", &note).expect("a file");
     let (code, output) = turn.fleet.publish(&file).expect("the tool runs");
     assert_eq!(code, 0, "{output}");
--- a/tests/replicas_fleet.rs
+++ b/tests/replicas_fleet.rs
@@ -7,16 +7,9 @@
     time::Duration, //
 };
 
-use chestnuthub::{
-    bench::{
-        Fleet,
-        TENGIS, //
-    },
-    catalogue::{
-        Item,
-        Key,
-        Note, //
-    },
+use chestnuthub::bench::{
+    Fleet,
+    TENGIS, //
 };
 use serde_json::json;
 use support::{
@@ -139,22 +132,7 @@
     let id = TENGIS.model(1);
     let warm = fleet.caller(0).chat(id.as_str(), "warm", 2, TIMEOUT);
     assert!(warm.expect("an answer").is_complete());
-    let mut note = Note::new("operator", 1);
-    let name = id.as_str().split('@').next().unwrap_or_default().to_owned();
-    let adapters = TENGIS
-        .first_note()
-        .added
-        .into_iter()
-        .filter_map(|item| match item {
-            Item::Adapter(adapter) if adapter.model == id => Some(Key::Adapter(adapter.name)),
-            _ => None,
-        });
-    note.withdrawn.extend(adapters);
-    note.withdrawn.push(Key::Model(id.clone()));
-    note.withdrawn.push(Key::Access {
-        institution: TENGIS.institution.into(),
-        target: name,
-    });
+    let note = TENGIS.withdrawal(1, 1);
     let file = fleet.write_note("note.json", &note).expect("a file");
     let (code, output) = fleet.publish(&file).expect("the tool runs");
     assert_eq!(code, 0, "{output}");
