peer: replace a connection on which nothing is heard any more

Cause: a killed agent closes no connection, and entries sent requests on the old one until its idle timeout of 10 s, also after the agent was back; each of these waited in vain for its deadline or for the timeout. Change: an endpoint that received no packet for 1 s after an exchange was opened tries a new connection, and closes the silent one if that fails, so that its exchanges go elsewhere within the retry budget. The load tool adds rounds to path where a round would let the model become idle.

--- a/src/bench/path/drive.rs
+++ b/src/bench/path/drive.rs
@@ -50,7 +50,7 @@
 impl Load {
     /// Returns the part of the run's streams in a round.
     pub(super) fn of(settings: &Settings, round: u32) -> Self {
-        let parts = settings.streams * settings.rounds;
+        let parts = settings.streams * settings.rounds();
         Self {
             seed: settings.seed + u64::from(round),
             streams: settings.streams,
--- a/src/bench/path/mod.rs
+++ b/src/bench/path/mod.rs
@@ -49,6 +49,10 @@
 /// Completions that an engine runs at once, above all bounds of the settings.
 const MAX_RUNNING: u32 = 1_024;
 
+/// Longest time of a round's streams. The agent does not see the direct ones and unloads a model
+/// that stays idle for long.
+const LONGEST_ROUND: Duration = Duration::from_secs(4);
+
 /// Settings of a run.
 #[derive(Debug, Clone, Serialize)]
 pub(super) struct Settings {
@@ -89,6 +93,16 @@
     })
 }
 
+impl Settings {
+    /// Returns the number of rounds, more than asked for if a round would be too long.
+    fn rounds(&self) -> u32 {
+        let requests = self.requests.div_ceil(self.streams);
+        let total = Duration::from_millis(u64::from(self.tokens * self.interval_ms)) * requests;
+        let least = total.as_secs().div_ceil(LONGEST_ROUND.as_secs());
+        self.rounds.max(u32::try_from(least).unwrap_or(u32::MAX))
+    }
+}
+
 /// Runs the measurement and reports it.
 pub(super) fn run(settings: &Settings, output: &Output) -> Result<(), Error> {
     let fleet = Fleet::start(plan(settings))?;
@@ -187,7 +201,7 @@
         processor: Processor::default(),
         elapsed: Duration::ZERO,
     };
-    for round in 0..settings.rounds {
+    for round in 0..settings.rounds() {
         let load = Load::of(settings, round);
         let (start, before) = (Instant::now(), Processor::read(fleet)?);
         sides.system.add(&drive::run(&system, &load)?);
--- a/src/peer/endpoint.rs
+++ b/src/peer/endpoint.rs
@@ -8,7 +8,10 @@
         Mutex,
         PoisonError, //
     },
-    time::Duration,
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use quinn::{
@@ -36,14 +39,62 @@
 /// Longest wait for a connection; beyond it the next slot is tried.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time without any packet from a peer that was sent something, after which a new connection is
+/// tried. The loss of a connection shows only after the idle timeout, and every request that is
+/// sent on it until then waits in vain.
+const SILENCE: Duration = Duration::from_secs(1);
+
 /// Most exchanges that a peer may have open at once on a connection.
 const MAX_EXCHANGES: u32 = 4_096;
 
+/// A connection to a peer and what was last heard on it.
+#[derive(Debug)]
+struct Peer {
+    addr: SocketAddr,
+    connection: Connection,
+    /// Packets received when an exchange was opened at `asked_at`.
+    received: u64,
+    asked_at: Instant,
+}
+
+impl Peer {
+    fn new(addr: SocketAddr, connection: Connection) -> Self {
+        Self {
+            addr,
+            received: received(&connection),
+            connection,
+            asked_at: Instant::now(),
+        }
+    }
+
+    /// Returns whether nothing was received since an exchange was opened a while ago.
+    fn is_silent(&mut self) -> bool {
+        let received = received(&self.connection);
+        if received == self.received {
+            return self.asked_at.elapsed() > SILENCE;
+        }
+        self.received = received;
+        self.asked_at = Instant::now();
+        false
+    }
+}
+
+fn received(connection: &Connection) -> u64 {
+    connection.stats().udp_rx.datagrams
+}
+
 /// The peer port of a daemon, with its connections.
 #[derive(Debug, Clone)]
 pub struct Endpoint {
     quic: quinn::Endpoint,
-    connections: Arc<Mutex<HashMap<id::Instance, (SocketAddr, Connection)>>>,
+    peers: Arc<Mutex<HashMap<id::Instance, Peer>>>,
+}
+
+/// What is known of the connection to a peer.
+enum Existing {
+    None,
+    Usable(Connection),
+    Silent(Connection),
 }
 
 impl Endpoint {
@@ -62,7 +113,7 @@
         quic.set_default_client_config(client);
         Ok(Self {
             quic,
-            connections: Arc::default(),
+            peers: Arc::default(),
         })
     }
 
@@ -100,9 +151,21 @@
     }
 
     async fn connection(&self, name: &id::Instance, addr: SocketAddr) -> Result<Connection, Error> {
-        if let Some(connection) = self.existing(name, addr) {
-            return Ok(connection);
+        match self.existing(name, addr) {
+            Existing::Usable(connection) => Ok(connection),
+            Existing::None => self.connect(name, addr).await,
+            Existing::Silent(old) => {
+                let connected = self.connect(name, addr).await;
+                if connected.is_err() {
+                    // Ends the exchanges that wait for the peer, so that they go elsewhere.
+                    old.close(VarInt::from_u32(0), b"silent");
+                }
+                connected
+            }
         }
+    }
+
+    async fn connect(&self, name: &id::Instance, addr: SocketAddr) -> Result<Connection, Error> {
         let connecting = self
             .quic
             .connect(addr, name.as_str())
@@ -111,22 +174,29 @@
             .await
             .map_err(|_| Error::Connect(format!("no answer within {CONNECT_TIMEOUT:?}")))?
             .map_err(|error| Error::Connect(error.to_string()))?;
-        let entry = (addr, connection.clone());
-        self.lock().insert(name.clone(), entry);
+        let peer = Peer::new(addr, connection.clone());
+        self.lock().insert(name.clone(), peer);
         Ok(connection)
     }
 
-    fn existing(&self, name: &id::Instance, addr: SocketAddr) -> Option<Connection> {
-        let connections = self.lock();
-        let (known, connection) = connections.get(name)?;
-        let usable = *known == addr && connection.close_reason().is_none();
-        usable.then(|| connection.clone())
+    fn existing(&self, name: &id::Instance, addr: SocketAddr) -> Existing {
+        let mut peers = self.lock();
+        let Some(peer) = peers.get_mut(name) else {
+            return Existing::None;
+        };
+        if peer.addr != addr || peer.connection.close_reason().is_some() {
+            return Existing::None;
+        }
+        let connection = peer.connection.clone();
+        if peer.is_silent() {
+            Existing::Silent(connection)
+        } else {
+            Existing::Usable(connection)
+        }
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<id::Instance, (SocketAddr, Connection)>> {
-        self.connections
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<id::Instance, Peer>> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
