--- a/src/peer/endpoint.rs
+++ b/src/peer/endpoint.rs
@@ -26,9 +26,11 @@
 };
 
 use super::{
-    Error,
-    Exchange,
-    Identity, //
+    Error, Exchange, Identity,
+    link::{
+        Existing,
+        Link, //
+    },
 };
 use crate::{
     id,
@@ -42,10 +44,6 @@
 /// start from being taken for lost.
 const KEEP_ALIVE: Duration = Duration::from_secs(2);
 
-/// Time after which a connection without exchanges is closed. Without it the packets that keep
-/// connections alive would grow with the number of daemons.
-const UNUSED_LIMIT: Duration = Duration::from_secs(15);
-
 /// Longest wait for a connection; beyond it the next slot is tried.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -59,26 +57,6 @@
     connections: Arc<Mutex<HashMap<id::Instance, Link>>>,
 }
 
-/// A connection that this side opened.
-#[derive(Debug)]
-struct Link {
-    addr: SocketAddr,
-    connection: Connection,
-    /// Held by each open exchange as well.
-    exchanges: Arc<()>,
-    last_used: Time,
-}
-
-impl Link {
-    fn is_usable(&self, addr: SocketAddr) -> bool {
-        self.addr == addr && self.connection.close_reason().is_none()
-    }
-
-    fn is_unused(&self, now: Time) -> bool {
-        Arc::strong_count(&self.exchanges) == 1 && now - self.last_used > UNUSED_LIMIT
-    }
-}
-
 impl Endpoint {
     /// Binds the peer port. Must be called within a tokio runtime.
     ///
@@ -115,13 +93,7 @@
 
     /// Closes the connections that no exchange has used for a while.
     pub fn close_unused(&self, now: Time) {
-        self.lock().retain(|_, link| {
-            let unused = link.is_unused(now);
-            if unused {
-                link.connection.close(VarInt::from_u32(0), b"unused");
-            }
-            !unused
-        });
+        self.lock().retain(|_, link| !link.close_if_unused(now));
     }
 
     /// Waits for the next connection of a peer; nothing after the port was closed.
@@ -142,7 +114,7 @@
     /// side opened and that are still known.
     pub fn bytes(&self) -> u64 {
         let connections = self.lock();
-        let stats = connections.values().map(|link| link.connection.stats());
+        let stats = connections.values().map(Link::stats);
         stats
             .map(|stats| stats.udp_tx.bytes + stats.udp_rx.bytes)
             .sum()
@@ -158,9 +130,25 @@
         name: &id::Instance,
         addr: SocketAddr,
     ) -> Result<(Connection, Arc<()>), Error> {
-        if let Some(existing) = self.existing(name, addr) {
-            return Ok(existing);
+        match self.existing(name, addr) {
+            Existing::Usable(connection, guard) => Ok((connection, guard)),
+            Existing::None => self.connect(name, addr).await,
+            Existing::Silent(old) => {
+                let connected = self.connect(name, addr).await;
+                if connected.is_err() {
+                    // Ends the exchanges that wait for the peer, so that they go elsewhere.
+                    old.close(VarInt::from_u32(0), b"silent");
+                }
+                connected
+            }
         }
+    }
+
+    async fn connect(
+        &self,
+        name: &id::Instance,
+        addr: SocketAddr,
+    ) -> Result<(Connection, Arc<()>), Error> {
         let connecting = self
             .quic
             .connect(addr, name.as_str())
@@ -169,25 +157,16 @@
             .await
             .map_err(|_| Error::Connect(format!("no answer within {CONNECT_TIMEOUT:?}")))?
             .map_err(|error| Error::Connect(error.to_string()))?;
-        let exchanges = Arc::new(());
-        let link = Link {
-            addr,
-            connection: connection.clone(),
-            exchanges: exchanges.clone(),
-            last_used: Time::now(),
-        };
+        let link = Link::new(addr, connection.clone(), Time::now());
+        let guard = link.guard();
         self.lock().insert(name.clone(), link);
-        Ok((connection, exchanges))
+        Ok((connection, guard))
     }
 
-    fn existing(&self, name: &id::Instance, addr: SocketAddr) -> Option<(Connection, Arc<()>)> {
+    fn existing(&self, name: &id::Instance, addr: SocketAddr) -> Existing {
         let mut connections = self.lock();
-        let link = connections.get_mut(name)?;
-        if !link.is_usable(addr) {
-            return None;
-        }
-        link.last_used = Time::now();
-        Some((link.connection.clone(), link.exchanges.clone()))
+        let link = connections.get_mut(name);
+        link.map_or(Existing::None, |link| link.take_up(addr, Time::now()))
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<id::Instance, Link>> {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -4,6 +4,7 @@
 mod error;
 mod exchange;
 mod identity;
+mod link;
 
 pub use endpoint::Endpoint;
 pub use error::Error;
