claim: answer early when another agent's call has no result

Change: a request waits at most 3 s for another agent's result. The answer stays "outcome unknown", never "not run".

--- a/src/claim/stream.rs
+++ b/src/claim/stream.rs
@@ -34,6 +34,10 @@
     wire::Reason, //
 };
 
+/// Longest wait for the result of another agent's call. That agent may be dead, and the caller can
+/// come back for the result with the same key.
+const FOREIGN_WAIT: Duration = Duration::from_secs(3);
+
 /// Time between reads while a request waits for a record.
 const POLL: Duration = Duration::from_millis(250);
 
@@ -170,6 +174,10 @@
                 return self.feed(now, key, attempt::Event::Joined(waiter), actions);
             }
             State::Claimed { .. } => {
+                if !lookup.foreign {
+                    let limit = now.time + FOREIGN_WAIT;
+                    lookup.waiter.deadline = lookup.waiter.deadline.min(limit);
+                }
                 lookup.foreign = true;
                 return self.lookups.push(lookup);
             }
