agent, entry: refuse early while a load overruns and load no second copy

Cause: chestnuthub-load burst with the store slowed tenfold: refusals at 5.73 of 6 s, since the predicted rest of a load shrank to zero and stayed there. With earlier refusals, entries went on to the second slot and started a second load from the slow store (tests/load_tool.rs: 2 loads). Change: a load that overruns is expected to take as much longer again; the new reason Loading says that only this model's load is waited for, and entries try no other slot then.

--- a/src/agent/dispatch.rs
+++ b/src/agent/dispatch.rs
@@ -161,7 +161,7 @@
     /// for a model that is not loaded.
     fn note_refusal(&mut self, model: &id::Model, denial: Denial, now: Time) -> Vec<Effect> {
         let mut effects = Vec::new();
-        if denial.reason != Reason::Busy {
+        if !matches!(denial.reason, Reason::Busy | Reason::Loading) {
             return effects;
         }
         if self.policy.is_saturated(model) && self.saturation.refused(model, now) {
@@ -198,11 +198,22 @@
             return deny(Reason::Busy, 0);
         };
         if now + wait + ANSWER_MARGIN > ticket.deadline {
-            return deny(Reason::Busy, self.retry_after(wait));
+            return deny(self.too_late(ticket, now), self.retry_after(wait));
         }
         Ok(())
     }
 
+    /// Returns the reason for a refusal because the predicted wait is too long.
+    fn too_late(&self, ticket: &Ticket, now: Time) -> Reason {
+        let load = self.policy.wait(&ticket.model, now);
+        let too_long = load.is_some_and(|load| now + load + ANSWER_MARGIN > ticket.deadline);
+        if too_long && self.policy.waits_for_own_load(&ticket.model, now) {
+            Reason::Loading
+        } else {
+            Reason::Busy
+        }
+    }
+
     /// Returns the predicted time until a request with so many before it has been served.
     fn predict(&self, ticket: &Ticket, ahead: usize, now: Time) -> Option<Duration> {
         let load = self.policy.wait(&ticket.model, now)?;
@@ -325,7 +336,7 @@
         let reason = if now + ANSWER_MARGIN >= ticket.deadline {
             Reason::Deadline
         } else if wait.is_none_or(|wait| now + wait + ANSWER_MARGIN > ticket.deadline) {
-            Reason::Busy
+            self.too_late(ticket, now)
         } else {
             return None;
         };
--- a/src/agent/residency.rs
+++ b/src/agent/residency.rs
@@ -299,11 +299,25 @@
         Some(before + self.pace.left(now) + queued + self.load_time(model, now))
     }
 
+    /// Returns whether requests for the model version wait for nothing but its own load.
+    pub fn waits_for_own_load(&self, model: &id::Model, now: Time) -> bool {
+        match self.state(model) {
+            Some(State::Loaded) => false,
+            Some(State::Loading) => true,
+            Some(State::Unloading) | None => {
+                let wait = self.wait(model, now);
+                wait.is_some_and(|wait| wait <= self.load_time(model, now))
+            }
+        }
+    }
+
     fn left_of_load(&self, model: &id::Model, now: Time) -> Duration {
         let Some(held) = self.ledger.get(&Subject::model(model)) else {
             return Duration::ZERO;
         };
-        self.load_time(model, now).saturating_sub(now - held.since)
+        // A load that overruns its prediction is expected to take as much longer again; otherwise
+        // its requests would be refused only shortly before their deadlines.
+        self.load_time(model, now).abs_diff(now - held.since)
     }
 
     fn unloads(&mut self, now: Time) -> Vec<Action> {
--- a/src/entry/problem.rs
+++ b/src/entry/problem.rs
@@ -163,6 +163,7 @@
         // An agent that does not know what the entry's catalogue holds is behind; come back.
         Reason::Leaving
         | Reason::Busy
+        | Reason::Loading
         | Reason::NoSlot
         | Reason::NoEpoch
         | Reason::LogDown
--- a/src/entry/retry.rs
+++ b/src/entry/retry.rs
@@ -116,7 +116,9 @@
         | Reason::NoEpoch
         | Reason::Unknown
         | Reason::Backend => true,
-        Reason::Deadline
+        // A load on another server would burden the weight store a second time.
+        Reason::Loading
+        | Reason::Deadline
         | Reason::LogDown
         | Reason::BadKey
         | Reason::KeyExpired
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -101,6 +101,9 @@
     Leaving,
     /// The deadline can't be met.
     Busy,
+    /// The load of the model version takes longer than the deadline allows; on another server it
+    /// would have to be loaded as well.
+    Loading,
     /// The institution's queue is full.
     QueueFull,
     /// The deadline passed while the request waited.
@@ -131,6 +134,7 @@
         match self {
             Self::Leaving => "leaving",
             Self::Busy => "busy",
+            Self::Loading => "loading",
             Self::QueueFull => "queue_full",
             Self::Deadline => "deadline",
             Self::NoSlot => "no_slot",
