--- a/src/bench/policy/curve.rs
+++ b/src/bench/policy/curve.rs
@@ -18,12 +18,11 @@
     super::Deployment,
     measure::Outcome,
     placement::Placement,
-    replay::{
-        self,
+    replay, server,
+    setup::{
         Keep,
         Setup, //
     },
-    server,
     trace::Trace,
 };
 use crate::agent::usage::Weights;
--- a/src/bench/policy/mod.rs
+++ b/src/bench/policy/mod.rs
@@ -7,6 +7,7 @@
 pub mod replay;
 mod report;
 mod server;
+pub mod setup;
 mod store;
 pub mod trace;
 
@@ -22,7 +23,7 @@
     },
     measure::Outcome,
     placement::Placement,
-    replay::{
+    setup::{
         Keep,
         Setup, //
     },
@@ -111,7 +112,7 @@
 pub fn placements(deployment: &Deployment, trace: &Trace, warm_up: Duration) -> Vec<Placed> {
     let mut placed = Vec::new();
     for remote_factor in REMOTE_FACTORS {
-        for placement in [Placement::Home, Placement::AnyFree] {
+        for placement in [Placement::Home, Placement::HomeNear, Placement::AnyFree] {
             let setup = Setup {
                 keep: Keep::Policy(curve::weights(deployment)),
                 placement,
--- a/src/bench/policy/placement.rs
+++ b/src/bench/policy/placement.rs
@@ -52,11 +52,24 @@
 pub enum Placement {
     /// The coordinator's home slots, the first of which loads the model.
     Home,
+    /// The home slots, those in the region of the weight store first.
+    HomeNear,
     /// Any server with room, in the region of the weight store first, then the one that holds
     /// the least.
     AnyFree,
 }
 
+impl Placement {
+    /// Returns the name in reports.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Home => "home slots",
+            Self::HomeNear => "home slots, near first",
+            Self::AnyFree => "any free",
+        }
+    }
+}
+
 /// A model version with its sizes.
 pub(super) fn model(deployment: &Deployment, number: usize, size: Size) -> Model {
     Model {
--- a/src/bench/policy/replay.rs
+++ b/src/bench/policy/replay.rs
@@ -25,7 +25,14 @@
         CAPACITY_MB,
         Server, //
     },
-    store::Store,
+    setup::{
+        Keep,
+        Setup, //
+    },
+    store::{
+        self,
+        Store, //
+    },
     trace::{
         self,
         Request,
@@ -63,44 +70,12 @@
 /// Milliseconds of an unload.
 const UNLOAD_MS: u64 = 200;
 
-/// Bounds of a load's time in parts of its time at full speed, since checkpoints are cached
-/// unevenly in memory, on disk and remotely. The logarithm is uniform.
-const CACHE_FACTOR: (f64, f64) = (0.5, 2.0);
-
-/// Milliseconds for which the caches stay as they are.
-const CACHE_MS: u64 = 600_000;
-
-/// Keeps the seeds of different models apart.
-const MODEL_STRIDE: u64 = 1 << 16;
-
 /// Longest predicted wait that a request accepts, the default deadline.
 const DEADLINE: Duration = Duration::from_secs(30);
 
 /// Accelerator memory of an adapter in MiB.
 const ADAPTER_MB: u64 = 50;
 
-/// What keeps an idle model loaded.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Keep {
-    /// The residency policy with the weights of an institution.
-    Policy(Weights),
-    /// The same time for all models.
-    Fixed(Duration),
-}
-
-/// How a trace is replayed.
-#[derive(Debug, Clone, Copy)]
-pub struct Setup {
-    /// What keeps an idle model loaded.
-    pub keep: Keep,
-    /// Which servers load.
-    pub placement: Placement,
-    /// Time of a load outside the weight store's region in parts of one inside it.
-    pub remote_factor: f64,
-    /// Start of the trace that is not measured.
-    pub warm_up: Duration,
-}
-
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 enum Happening {
     Arrival(usize),
@@ -135,10 +110,16 @@
     let ids: Vec<_> = (0..sizes.len())
         .map(|number| placement::model(deployment, number, sizes[number]).id())
         .collect();
-    let slots = match setup.placement {
-        Placement::Home => placement::home(deployment, sizes, CAPACITY_MB),
+    let instances = placement::instances(deployment);
+    let mut slots = match setup.placement {
+        Placement::Home | Placement::HomeNear => placement::home(deployment, sizes, CAPACITY_MB),
         Placement::AnyFree => vec![(0..placement::SERVERS).collect(); sizes.len()],
     };
+    if setup.placement == Placement::HomeNear {
+        for servers in &mut slots {
+            servers.sort_by_key(|server| instances[*server].region != instances[0].region);
+        }
+    }
     let servers = (0..placement::SERVERS).map(|server| {
         let held = (0..sizes.len()).filter(|model| slots[*model].contains(&server));
         Server::new(setup.keep, held.map(|model| (&ids[model], sizes[model])))
@@ -146,7 +127,7 @@
     let replay = Replay {
         trace,
         setup,
-        instances: placement::instances(deployment),
+        instances,
         servers: servers.collect(),
         ids,
         slots,
@@ -161,14 +142,6 @@
     replay.play()
 }
 
-/// Returns the time of a load at full speed in parts of the time without caches. It depends on the
-/// model and the time alone, so that all replays of a trace meet the same caches.
-fn cached(model: usize, now: u64) -> f64 {
-    let mut rng = Rng::with_seed(now / CACHE_MS * MODEL_STRIDE + model as u64);
-    let (low, high) = CACHE_FACTOR;
-    low * f64::powf(high / low, rng.f64())
-}
-
 impl Replay<'_> {
     fn play(mut self) -> Outcome {
         let mut now = 0;
@@ -244,7 +217,7 @@
     fn choose(&mut self, request: Request, now: u64) -> Option<usize> {
         let id = &self.ids[request.model];
         let order = match self.setup.placement {
-            Placement::Home => self.slots[request.model].clone(),
+            Placement::Home | Placement::HomeNear => self.slots[request.model].clone(),
             Placement::AnyFree => self.by_room(request.model),
         };
         let time = Time::from_millis(now);
@@ -326,7 +299,8 @@
         } else {
             1.0
         };
-        let work = self.trace.models[model].checkpoint_mb as f64 * factor * cached(model, now);
+        let work =
+            self.trace.models[model].checkpoint_mb as f64 * factor * store::cached(model, now);
         self.measure.load(now);
         self.store.begin((server, order), work as u64, now);
         self.watch_store();
--- a/src/bench/policy/report.rs
+++ b/src/bench/policy/report.rs
@@ -12,7 +12,6 @@
         Comparison,
         Point, //
     },
-    placement::Placement,
     trace::{
         Pattern,
         Trace, //
@@ -118,10 +117,7 @@
 /// Prints the figures of the placements.
 pub(super) fn placements(deployment: &Deployment, options: &Options, placed: &[Placed]) {
     for placed in placed {
-        let name = match placed.placement {
-            Placement::Home => "home slots",
-            Placement::AnyFree => "any free",
-        };
+        let name = placed.placement.as_str();
         let outcome = &placed.outcome;
         if options.json {
             let report = json!({
--- a/src/bench/policy/server.rs
+++ b/src/bench/policy/server.rs
@@ -7,7 +7,7 @@
 
 use super::{
     measure::Measure,
-    replay::Keep,
+    setup::Keep,
     trace::Size, //
 };
 use crate::{
--- a/src/bench/policy/store.rs
+++ b/src/bench/policy/store.rs
@@ -1,5 +1,7 @@
 //! A queueing model of the weight store. Loads share its rate once more than a few run at once.
 
+use fastrand::Rng;
+
 /// Loads that run at full speed at once.
 const FULL_SPEED_LOADS: f64 = 4.0;
 
@@ -9,6 +11,16 @@
 /// Milliseconds of an adapter load at full speed.
 const ADAPTER_MS: u64 = 5;
 
+/// Bounds of a load's time in parts of its time at full speed, since checkpoints are cached
+/// unevenly in memory, on disk and remotely. The logarithm is uniform.
+const CACHE_FACTOR: (f64, f64) = (0.5, 2.0);
+
+/// Milliseconds for which the caches stay as they are.
+const CACHE_MS: u64 = 600_000;
+
+/// Keeps the seeds of different models apart.
+const MODEL_STRIDE: u64 = 1 << 16;
+
 /// A load in progress.
 #[derive(Debug, Clone)]
 struct Load<T> {
@@ -92,3 +104,11 @@
         self.at = now;
     }
 }
+
+/// Returns the time of a load at full speed in parts of the time without caches. It depends on the
+/// model and the time alone, so that all replays of a trace meet the same caches.
+pub(super) fn cached(model: usize, now: u64) -> f64 {
+    let mut rng = Rng::with_seed(now / CACHE_MS * MODEL_STRIDE + model as u64);
+    let (low, high) = CACHE_FACTOR;
+    low * f64::powf(high / low, rng.f64())
+}
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -9,8 +9,8 @@
         policy::{
             self, curve,
             placement::Placement,
-            replay::{
-                self,
+            replay,
+            setup::{
                 Keep,
                 Setup, //
             },
