--- a/src/bench/fleet/mod.rs
+++ b/src/bench/fleet/mod.rs
@@ -36,7 +36,8 @@
 };
 use super::{
     Caller,
-    Error, //
+    Error,
+    process, //
 };
 use crate::catalogue::Note;
 
@@ -84,6 +85,7 @@
     ///
     /// Fails if a program is not built, can't be started or is not ready in time.
     pub fn start(plan: Plan) -> Result<Self, Error> {
+        process::build_missing()?;
         let mut fleet = Self::start_platform(plan)?;
         fleet.create_keys()?;
         for number in 0..fleet.plan.engines {
--- a/src/bench/process.rs
+++ b/src/bench/process.rs
@@ -28,6 +28,9 @@
 
 use super::Error;
 
+/// Programs that a small system consists of.
+const PROGRAMS: [&str; 3] = ["chestnuthub", "chestnuthub-emulator", "chestnuthubd"];
+
 /// A started process; it is killed when dropped.
 #[derive(Debug)]
 pub struct Process {
@@ -151,3 +154,21 @@
         .find(|path| path.is_file())
         .ok_or_else(|| Error::NotReady(format!("{program}: build it with `cargo build --bins`")))
 }
+
+/// Builds the programs of this package where `cargo run` has built only the running one.
+pub(super) fn build_missing() -> Result<(), Error> {
+    let missing = PROGRAMS.iter().any(|program| executable(program).is_err());
+    let Some(cargo) = std::env::var_os("CARGO").filter(|_| missing) else {
+        return Ok(());
+    };
+    let mut command = Command::new(cargo);
+    command.args(["build", "--bins"]);
+    if !cfg!(debug_assertions) {
+        command.arg("--release");
+    }
+    let status = command.status();
+    match status.map_err(|error| Error::Io("cargo".to_owned(), error))? {
+        status if status.success() => Ok(()),
+        status => Err(Error::NotReady(format!("cargo build --bins: {status}"))),
+    }
+}
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -59,7 +59,7 @@
 const ANSWER_MARGIN: Duration = Duration::from_millis(100);
 
 /// Longest wait for a slow caller to take the problem that ends its stream.
-const FAREWELL: Duration = Duration::from_secs(5);
+const ERROR_SEND_LIMIT: Duration = Duration::from_secs(5);
 
 struct Dispatch {
     shared: Arc<Shared>,
@@ -104,7 +104,7 @@
         Ok(_) => "caller_gone",
         Err(problem) => {
             dispatch.refused(&problem);
-            let _ = time::timeout(FAREWELL, reply.fail(&problem)).await;
+            let _ = time::timeout(ERROR_SEND_LIMIT, reply.fail(&problem)).await;
             problem.code
         }
     };
--- a/src/peer/endpoint.rs
+++ b/src/peer/endpoint.rs
@@ -166,7 +166,7 @@
     fn existing(&self, name: &id::Instance, addr: SocketAddr) -> Existing {
         let mut connections = self.lock();
         let link = connections.get_mut(name);
-        link.map_or(Existing::None, |link| link.take_up(addr, Time::now()))
+        link.map_or(Existing::None, |link| link.reuse(addr, Time::now()))
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<id::Instance, Link>> {
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -68,7 +68,7 @@
     }
 
     /// Returns the connection for another exchange with the peer at `addr`.
-    pub(super) fn take_up(&mut self, addr: SocketAddr, now: Time) -> Existing {
+    pub(super) fn reuse(&mut self, addr: SocketAddr, now: Time) -> Existing {
         if self.addr != addr || self.connection.close_reason().is_some() {
             return Existing::None;
         }
