tests: check a leaving server while it still drains

Change: the stream has 350 tokens in place of 150, and the agent must still be running when the test has seen that new work goes elsewhere.

--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -49,7 +49,7 @@
         .expect("one engine serves");
     let stream = {
         let caller = caller.clone();
-        thread::spawn(move || caller.chat(&model(), "long", 150, TIMEOUT))
+        thread::spawn(move || caller.chat(&model(), "long", 350, TIMEOUT))
     };
     eventually("the stream runs", || {
         turn.fleet.engines[loaded].count("began").expect("a record") == 2
@@ -69,6 +69,9 @@
     }
     let still = turn.fleet.engines[loaded].count("began").expect("a record");
     assert_eq!(still, began, "a leaving server got new work");
+    // Once it has ended, a server gets no work in any case.
+    let draining = turn.fleet.engine_agents[loaded].process.is_running();
+    assert!(draining, "the server left before new work was kept from it");
     let answer = stream.join().expect("no panic").expect("an answer");
     assert!(answer.is_complete(), "{answer:?}");
     // A stream that was cut would be continued on the other server and look whole as well.
