client: rename the clients of the outside systems from platform

Cause: src/platform is to hold only the translation to the users' platform, while the folder of that name held the clients of the project's own outside interfaces. Change: the folder, its contract tests and their data move to client; nothing else changes.

--- a/src/agent/adapters.rs
+++ b/src/agent/adapters.rs
@@ -13,7 +13,7 @@
     residency::RETRY_AFTER,
 };
 use crate::{
-    platform::engine::State,
+    client::engine::State,
     timer::Time, //
 };
 
--- a/src/agent/call.rs
+++ b/src/agent/call.rs
@@ -24,10 +24,9 @@
         },
         scope,
     },
+    client::service::Service,
     context::Context,
-    id,
-    platform::service::Service,
-    report,
+    id, report,
     settings::Role,
     timer::Time,
     wire::{
--- a/src/agent/coordination.rs
+++ b/src/agent/coordination.rs
@@ -16,6 +16,13 @@
         Item,
         Key, //
     },
+    client::{
+        Error,
+        list::{
+            Instance,
+            List, //
+        },
+    },
     context::Context,
     decision::{
         self, Body, Record,
@@ -26,15 +33,7 @@
             Soft, //
         },
     },
-    id,
-    platform::{
-        Error,
-        list::{
-            Instance,
-            List, //
-        },
-    },
-    report,
+    id, report,
     timer::{
         self,
         Time, //
--- a/src/agent/driver.rs
+++ b/src/agent/driver.rs
@@ -45,10 +45,9 @@
 };
 use crate::{
     catalogue,
+    client::{Error, engine::Engine},
     context::Context,
-    decision, id,
-    platform::{Error, engine::Engine},
-    report,
+    decision, id, report,
     timer::{
         self,
         Time, //
--- a/src/agent/event.rs
+++ b/src/agent/event.rs
@@ -9,8 +9,8 @@
     usage::Weights,
 };
 use crate::{
+    client::engine::Inventory,
     id,
-    platform::engine::Inventory,
     timer::Time, //
 };
 
--- a/src/agent/ledger.rs
+++ b/src/agent/ledger.rs
@@ -7,13 +7,13 @@
 use std::collections::BTreeMap;
 
 use crate::{
-    id,
-    platform::engine::{
+    client::engine::{
         Inventory,
         Kind,
         Resident,
         State, //
     },
+    id,
     timer::Time,
 };
 
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -51,13 +51,13 @@
     registration::Registration,
 };
 use crate::{
-    context::Context,
-    id,
-    peer::Exchange,
-    platform::{
+    client::{
         engine::Engine,
         list::State, //
     },
+    context::Context,
+    id,
+    peer::Exchange,
     report,
     settings::{
         self,
--- a/src/agent/order.rs
+++ b/src/agent/order.rs
@@ -8,7 +8,7 @@
     Answer,
     Order, //
 };
-use crate::platform::{
+use crate::client::{
     Error,
     engine::{
         self,
--- a/src/agent/relay.rs
+++ b/src/agent/relay.rs
@@ -6,7 +6,7 @@
 };
 
 use crate::{
-    platform::{
+    client::{
         Error,
         engine::{
             Completion,
--- a/src/agent/residency.rs
+++ b/src/agent/residency.rs
@@ -23,11 +23,11 @@
     usage::Weights,
 };
 use crate::{
-    id,
-    platform::engine::{
+    client::engine::{
         Kind,
         State, //
     },
+    id,
     timer::Time,
 };
 
--- a/src/bench/capacity.rs
+++ b/src/bench/capacity.rs
@@ -31,17 +31,17 @@
         Model,
         Note, //
     },
+    client::list::{
+        Instance,
+        Role,
+        State, //
+    },
     decision::{
         Body,
         Record,
         Table, //
     },
     gossip,
-    platform::list::{
-        Instance,
-        Role,
-        State, //
-    },
     wire::{
         Frame,
         Heads,
--- a/src/bench/error.rs
+++ b/src/bench/error.rs
@@ -6,8 +6,8 @@
 };
 
 use crate::{
+    client, //
     peer,
-    platform, //
 };
 
 /// Why the load tool can't go on.
@@ -42,8 +42,8 @@
     }
 }
 
-impl From<platform::Error> for Error {
-    fn from(error: platform::Error) -> Self {
+impl From<client::Error> for Error {
+    fn from(error: client::Error) -> Self {
         Self::Call(error.to_string())
     }
 }
--- a/src/bench/footprint.rs
+++ b/src/bench/footprint.rs
@@ -31,13 +31,13 @@
 };
 use crate::{
     catalogue::Note,
+    client::log::Log,
     id,
     peer::{
         Endpoint,
         Exchange,
         Identity, //
     },
-    platform::log::Log,
     settings::Tls,
     wire::{
         Frame,
--- a/src/bench/path/mod.rs
+++ b/src/bench/path/mod.rs
@@ -29,7 +29,7 @@
     },
     usage::Usage,
 };
-use crate::platform::engine::{
+use crate::client::engine::{
     Engine,
     State, //
 };
--- a/src/bench/policy/placement.rs
+++ b/src/bench/policy/placement.rs
@@ -21,6 +21,11 @@
         Model,
         Note, //
     },
+    client::list::{
+        Instance,
+        Role,
+        State, //
+    },
     decision::{
         Body, Record, Table,
         coordinator::{
@@ -30,11 +35,6 @@
         },
     },
     id,
-    platform::list::{
-        Instance,
-        Role,
-        State, //
-    },
     timer::Time,
 };
 
--- a/src/bench/policy/replay.rs
+++ b/src/bench/policy/replay.rs
@@ -52,15 +52,15 @@
         },
         usage::Weights,
     },
+    client::{
+        engine::Kind,
+        list::Instance, //
+    },
     entry::route::{
         self,
         Candidate, //
     },
     id,
-    platform::{
-        engine::Kind,
-        list::Instance, //
-    },
     timer::Time,
 };
 
--- a/src/bench/policy/server.rs
+++ b/src/bench/policy/server.rs
@@ -22,8 +22,8 @@
         },
         residency::Policy,
     },
+    client::engine::Inventory,
     id,
-    platform::engine::Inventory,
     timer::Time,
 };
 
--- a/src/claim/call.rs
+++ b/src/claim/call.rs
@@ -16,14 +16,14 @@
     Response, //
 };
 use crate::{
-    id,
-    platform::{
+    client::{
         Error,
         service::{
             self,
             Service, //
         },
     },
+    id,
     timer::Time,
     wire::{
         self,
--- a/src/claim/executor.rs
+++ b/src/claim/executor.rs
@@ -37,14 +37,13 @@
 };
 use crate::{
     catalogue,
-    context::Context,
-    id,
-    platform::{
+    client::{
         Error,
         list,
         service::Service, //
     },
-    report,
+    context::Context,
+    id, report,
     timer::Time,
     wire::{
         self,
--- a/src/cli/decisions.rs
+++ b/src/cli/decisions.rs
@@ -10,6 +10,7 @@
     fleet::Answer, //
 };
 use crate::{
+    client::log::Log,
     decision::{
         self,
         Table, //
@@ -18,7 +19,6 @@
         Fold,
         Reader, //
     },
-    platform::log::Log,
     timer::Time,
 };
 
--- a/src/cli/drain.rs
+++ b/src/cli/drain.rs
@@ -26,17 +26,17 @@
     Report, //
 };
 use crate::{
+    client::list::{
+        Instance,
+        List,
+        Role, //
+    },
     id,
     peer::{
         self,
         Endpoint,
         Identity, //
     },
-    platform::list::{
-        Instance,
-        List,
-        Role, //
-    },
     settings::Tls,
     wire::Frame,
 };
--- a/src/cli/fleet.rs
+++ b/src/cli/fleet.rs
@@ -11,7 +11,7 @@
 use ureq::Agent;
 
 use super::exit::Error;
-use crate::platform::list::{
+use crate::client::list::{
     Instance,
     List,
     State, //
--- a/src/cli/status.rs
+++ b/src/cli/status.rs
@@ -27,7 +27,7 @@
     },
     table, //
 };
-use crate::platform::list::{
+use crate::client::list::{
     Role,
     State, //
 };
--- a/src/cli/stream.rs
+++ b/src/cli/stream.rs
@@ -11,19 +11,19 @@
         Note,
         Outcome, //
     },
-    follow::{
-        Applied,
-        Effect,
-        Fold,
-        Reader, //
-    },
-    platform::{
+    client::{
         self,
         log::{
             Log,
             Page, //
         },
     },
+    follow::{
+        Applied,
+        Effect,
+        Fold,
+        Reader, //
+    },
     timer::Time,
 };
 
@@ -127,6 +127,6 @@
     }
 }
 
-fn unreadable(error: platform::Error) -> Error {
+fn unreadable(error: client::Error) -> Error {
     Error::unknown(format!("can't read the stream {STREAM}: {error}"))
 }
--- a/src/platform/engine.rs
+++ b/src/client/engine.rs
@@ -179,7 +179,7 @@
     /// # Examples
     ///
     /// ```
-    /// use chestnuthub::platform::{Error, engine::Engine};
+    /// use chestnuthub::client::{Error, engine::Engine};
     ///
     /// // Nothing listens at this address.
     /// let engine = Engine::new("http://127.0.0.1:1");
@@ -200,7 +200,7 @@
     /// # Examples
     ///
     /// ```
-    /// use chestnuthub::{id, platform::{Error, engine::{Engine, Kind, Order}}};
+    /// use chestnuthub::{id, client::{Error, engine::{Engine, Kind, Order}}};
     /// use std::time::Duration;
     /// use uuid::Uuid;
     ///
@@ -235,7 +235,7 @@
     ///
     /// ```
     /// use bytes::Bytes;
-    /// use chestnuthub::{id, platform::{Error, engine::{Completion, Engine}}};
+    /// use chestnuthub::{id, client::{Error, engine::{Completion, Engine}}};
     /// use std::time::Duration;
     ///
     /// # #[tokio::main(flavor = "current_thread")]
@@ -282,7 +282,7 @@
     /// # Examples
     ///
     /// ```
-    /// use chestnuthub::{id, platform::{Error, engine::Engine}};
+    /// use chestnuthub::{id, client::{Error, engine::Engine}};
     ///
     /// // Nothing listens at this address.
     /// let engine = Engine::new("http://127.0.0.1:1");
@@ -305,7 +305,7 @@
     /// # Examples
     ///
     /// ```
-    /// use chestnuthub::platform::{Error, engine::Engine};
+    /// use chestnuthub::client::{Error, engine::Engine};
     ///
     /// // Nothing listens at this address.
     /// let engine = Engine::new("http://127.0.0.1:1");
--- a/src/platform/error.rs
+++ b/src/client/error.rs
@@ -29,7 +29,7 @@
     /// # Examples
     ///
     /// ```
-    /// use chestnuthub::platform::Error;
+    /// use chestnuthub::client::Error;
     ///
     /// let refused = Error::Unreachable("connection refused".to_owned());
     /// assert!(refused.had_no_effect());
--- a/src/platform/list.rs
+++ b/src/client/list.rs
@@ -95,7 +95,7 @@
     /// # Examples
     ///
     /// ```
-    /// use chestnuthub::platform::{Error, list::List};
+    /// use chestnuthub::client::{Error, list::List};
     ///
     /// // Nothing listens at this address.
     /// let result = List::new("http://127.0.0.1:1").poll(None);
--- a/src/platform/log.rs
+++ b/src/client/log.rs
@@ -67,7 +67,7 @@
     /// # Examples
     ///
     /// ```
-    /// use chestnuthub::platform::{Error, log::Log};
+    /// use chestnuthub::client::{Error, log::Log};
     ///
     /// // Nothing listens at this address.
     /// let log = Log::new("http://127.0.0.1:1");
@@ -90,7 +90,7 @@
     /// # Examples
     ///
     /// ```
-    /// use chestnuthub::platform::{Error, log::Log};
+    /// use chestnuthub::client::{Error, log::Log};
     /// use std::time::Duration;
     ///
     /// // Nothing listens at this address.
--- a/src/platform/service.rs
+++ b/src/client/service.rs
@@ -50,7 +50,7 @@
     /// # Examples
     ///
     /// ```
-    /// use chestnuthub::platform::{Error, service::{Call, Service}};
+    /// use chestnuthub::client::{Error, service::{Call, Service}};
     /// use std::time::Duration;
     ///
     /// // Nothing listens at this address.
--- a/src/platform/store.rs
+++ b/src/client/store.rs
@@ -46,7 +46,7 @@
     /// # Examples
     ///
     /// ```
-    /// use chestnuthub::{id, platform::{Error, store::Store}};
+    /// use chestnuthub::{id, client::{Error, store::Store}};
     ///
     /// // Nothing listens at this address.
     /// let store = Store::new("http://127.0.0.1:1");
--- a/src/context.rs
+++ b/src/context.rs
@@ -8,9 +8,9 @@
 };
 
 use crate::{
+    client::log::Log,
     metrics::Metrics,
     peer::Endpoint,
-    platform::log::Log,
     settings::Settings,
     view::View, //
 };
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -37,6 +37,7 @@
     streams::Streams, //
 };
 use crate::{
+    client::log::Log,
     context::Context,
     gossip,
     metrics::Metrics,
@@ -45,7 +46,6 @@
         Endpoint,
         Identity, //
     },
-    platform::log::Log,
     report,
     settings::Settings,
     view::View, //
--- a/src/daemon/streams.rs
+++ b/src/daemon/streams.rs
@@ -8,6 +8,10 @@
 
 use crate::{
     catalogue::Catalogue,
+    client::list::{
+        self,
+        List, //
+    },
     context::Context,
     decision::Table,
     follow::{
@@ -16,10 +20,6 @@
         Stream, //
     },
     id,
-    platform::list::{
-        self,
-        List, //
-    },
     rank,
     timer,
     view::View, //
--- a/src/decision/coordinator.rs
+++ b/src/decision/coordinator.rs
@@ -24,13 +24,12 @@
         Item,
         Model, //
     },
-    id,
-    platform::list::{
+    client::list::{
         self,
         Instance,
         Role, //
     },
-    rank,
+    id, rank,
     timer::Time,
 };
 
--- a/src/decision/soft.rs
+++ b/src/decision/soft.rs
@@ -15,8 +15,8 @@
     Proposal, //
 };
 use crate::{
+    client::list::Instance,
     id,
-    platform::list::Instance,
     timer::Time, //
 };
 
--- a/src/emulator/engine/order.rs
+++ b/src/emulator/engine/order.rs
@@ -19,15 +19,15 @@
     state::Outcome, //
 };
 use crate::{
+    client::engine::{
+        Kind,
+        Order, //
+    },
     emulator::http::{
         Answer,
         Call, //
     },
     id,
-    platform::engine::{
-        Kind,
-        Order, //
-    },
 };
 
 /// Longest time for which the engine waits for weights.
--- a/src/emulator/engine/queue.rs
+++ b/src/emulator/engine/queue.rs
@@ -19,7 +19,7 @@
 
 use tokio::sync::oneshot;
 
-use crate::platform::engine::Load;
+use crate::client::engine::Load;
 
 /// Changes of the load that are remembered between two reports.
 const MAX_PAST_LOADS: usize = 10_000;
--- a/src/emulator/engine/state.rs
+++ b/src/emulator/engine/state.rs
@@ -8,13 +8,13 @@
     Record, //
 };
 use crate::{
-    id,
-    platform::engine::{
+    client::engine::{
         Inventory,
         Order,
         Resident,
         State as ModelState, //
     },
+    id,
 };
 
 /// Result of an order: an HTTP status and what is wrong, if anything.
--- a/src/emulator/list.rs
+++ b/src/emulator/list.rs
@@ -30,7 +30,7 @@
         Call, //
     },
 };
-use crate::platform::list::Instance;
+use crate::client::list::Instance;
 
 /// A change of the list; without an instance it removes the name.
 #[derive(Debug)]
--- a/src/entry/job.rs
+++ b/src/entry/job.rs
@@ -26,9 +26,8 @@
         Item,
         Key, //
     },
-    decision, id,
-    platform::list,
-    rank,
+    client::list,
+    decision, id, rank,
     timer::Time,
     wire::{
         Request,
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -27,9 +27,9 @@
         self,
         Access, //
     },
+    client::list,
     context::Context,
     id,
-    platform::list,
     timer::Time, //
 };
 
--- a/src/follow/mod.rs
+++ b/src/follow/mod.rs
@@ -18,7 +18,7 @@
 pub(crate) use stream::Stream;
 
 use crate::{
-    platform::list::List,
+    client::list::List,
     report,
     view::View, //
 };
--- a/src/follow/reader.rs
+++ b/src/follow/reader.rs
@@ -10,7 +10,7 @@
     Fold, //
 };
 use crate::{
-    platform::log::{
+    client::log::{
         Page,
         Record, //
     },
--- a/src/follow/stream.rs
+++ b/src/follow/stream.rs
@@ -20,7 +20,7 @@
     Reader, //
 };
 use crate::{
-    platform::log::{
+    client::log::{
         Log,
         Page,
         Record, //
--- a/src/gossip/neighbours.rs
+++ b/src/gossip/neighbours.rs
@@ -1,8 +1,8 @@
 //! Choice of the neighbours that a daemon exchanges positions with.
 
 use crate::{
+    client::list::Instance,
     id,
-    platform::list::Instance,
     rank, //
 };
 
--- a/src/gossip/node.rs
+++ b/src/gossip/node.rs
@@ -18,6 +18,11 @@
 };
 use crate::{
     catalogue::Catalogue,
+    client::list::{
+        Instance,
+        Role,
+        State, //
+    },
     decision::Table,
     follow::{
         Fold,
@@ -29,11 +34,6 @@
         Endpoint,
         Exchange, //
     },
-    platform::list::{
-        Instance,
-        Role,
-        State, //
-    },
     report,
     timer::Time,
     view::View,
--- a/src/view.rs
+++ b/src/view.rs
@@ -11,9 +11,9 @@
 
 use crate::{
     catalogue::Catalogue,
+    client::list::Instance,
     decision::Table,
     follow::Fold,
-    platform::list::Instance,
     timer::Time, //
 };
 
--- a/tests/caller_port/fixture.rs
+++ b/tests/caller_port/fixture.rs
@@ -9,6 +9,7 @@
 
 use chestnuthub::{
     catalogue::Catalogue,
+    client::log::Log,
     context::Context,
     decision::Table,
     follow::Fold,
@@ -17,7 +18,6 @@
         Endpoint,
         Identity, //
     },
-    platform::log::Log,
     settings::{
         Settings,
         Tls, //
--- a/tests/platform.rs
+++ b/tests/client.rs
@@ -1,9 +1,9 @@
-//! Contract tests of the platform clients against the emulators.
+//! Contract tests of the clients of the outside systems against the emulators.
 //!
-//! Each file under `tests/data/platform/` starts one emulator and lists steps. A `call` step uses
-//! a client of `chestnuthub::platform` and says what it must return.
+//! Each file under `tests/data/client/` starts one emulator and lists steps. A `call` step uses
+//! a client of `chestnuthub::client` and says what it must return.
 
-mod platform_support;
+mod client_support;
 
 use std::{
     collections::HashMap,
@@ -15,11 +15,11 @@
     }, //
 };
 
-use chestnuthub::platform::{
+use chestnuthub::client::{
     Error,
     engine::Answer, //
 };
-use platform_support::{
+use client_support::{
     Chat,
     ClientCall,
     Emulator,
@@ -215,5 +215,5 @@
 }
 
 datatest_stable::harness! {
-    { test = run, root = "tests/data/platform", pattern = r"\.json$" },
+    { test = run, root = "tests/data/client", pattern = r"\.json$" },
 }
--- a/tests/platform_support/call.rs
+++ b/tests/client_support/call.rs
@@ -1,4 +1,4 @@
-//! Calls of the platform clients, read from test files and described as JSON.
+//! Calls of the clients of the outside systems, read from test files and described as JSON.
 
 use std::{
     io::{
@@ -12,8 +12,7 @@
 
 use bytes::Bytes;
 use chestnuthub::{
-    emulator, id,
-    platform::{
+    client::{
         Error,
         engine::{
             Answer,
@@ -30,6 +29,7 @@
         store::Store,
         stream::Stream, //
     },
+    emulator, id,
 };
 use serde::Deserialize;
 use serde_json::{
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -17,6 +17,11 @@
         Note,
         Outcome, //
     },
+    client::list::{
+        self,
+        Instance,
+        Role, //
+    },
     decision::{
         Body,
         Record,
@@ -25,11 +30,6 @@
         coordinator::Soft, //
     },
     id,
-    platform::list::{
-        self,
-        Instance,
-        Role, //
-    },
     timer::Time,
 };
 use uuid::Uuid;
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -17,6 +17,7 @@
         Catalogue,
         Key, //
     },
+    client::list::Instance,
     decision::{
         Body, Record, State, Table,
         coordinator::{
@@ -25,7 +26,6 @@
         },
     },
     id,
-    platform::list::Instance,
     timer::Time,
 };
 use fastrand::Rng;
--- a/tests/follow.rs
+++ b/tests/follow.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use chestnuthub::{
+    client::log,
     decision::{
         Body,
         Record,
@@ -12,7 +13,6 @@
         Fold,
         Reader, //
     },
-    platform::log,
     snapshot,
     timer::Time, //
 };
--- a/tests/gossip.rs
+++ b/tests/gossip.rs
@@ -6,12 +6,12 @@
 };
 
 use chestnuthub::{
-    gossip, id,
-    platform::list::{
+    client::list::{
         Instance,
         Role,
         State, //
     },
+    gossip, id,
 };
 
 /// Daemons at the size to design for.
--- a/tests/queue.rs
+++ b/tests/queue.rs
@@ -30,11 +30,11 @@
         residency::Policy,
         usage::Weights,
     },
-    id,
-    platform::engine::{
+    client::engine::{
         Inventory,
         Kind, //
     },
+    id,
     timer::Time,
     wire::Reason,
 };
--- a/tests/residency.rs
+++ b/tests/residency.rs
@@ -23,13 +23,13 @@
         residency::Policy,
         usage::Weights,
     },
-    id,
-    platform::engine::{
+    client::engine::{
         Inventory,
         Kind,
         Resident,
         State, //
     },
+    id,
     timer::Time,
 };
 use fastrand::Rng;
