--- a/src/daemon/error.rs
+++ b/src/daemon/error.rs
@@ -5,12 +5,16 @@
     io, //
 };
 
-use crate::peer;
+use crate::{
+    hosted,
+    peer, //
+};
 
 /// Why the daemon can't run.
 #[derive(Debug)]
 pub(super) enum Error {
     Settings(String),
+    Hosted(hosted::Error),
     Peer(peer::Error),
     Io(io::Error),
 }
@@ -19,6 +23,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Settings(findings) => f.write_str(findings),
+            Self::Hosted(error) => write!(f, "{error}"),
             Self::Peer(error) => write!(f, "{error}"),
             Self::Io(error) => write!(f, "{error}"),
         }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -17,7 +17,9 @@
 
 use bpaf::{
     OptionParser,
-    Parser, //
+    Parser,
+    construct,
+    pure, //
 };
 use signal_hook::{
     consts::{
@@ -40,6 +42,10 @@
     client::log::Log,
     context::Context,
     gossip,
+    hosted::{
+        self,
+        Role, //
+    },
     metrics::Metrics,
     operator,
     peer::{
@@ -53,7 +59,12 @@
 
 /// Runs `chestnuthubd` and returns its exit code.
 pub fn run() -> ExitCode {
-    match serve(&options().run()) {
+    let command = options().run();
+    let outcome = match command.role {
+        Some(role) => hosted::run(role, &command.settings).map_err(Error::Hosted),
+        None => serve(&command.settings),
+    };
+    match outcome {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("chestnuthubd: {error}");
@@ -62,12 +73,46 @@
     }
 }
 
-fn options() -> OptionParser<PathBuf> {
+/// What the command line asks for.
+#[derive(Debug, Clone)]
+struct Command {
+    /// Role on the users' platform; without one the settings name a role of the own interface.
+    role: Option<Role>,
+    settings: PathBuf,
+}
+
+fn options() -> OptionParser<Command> {
+    let gateway = role(
+        "gateway",
+        Role::Gateway,
+        "Forwards clients' requests to servers",
+    );
+    let loader = role(
+        "loader",
+        Role::Loader,
+        "Gives the engine on this machine its orders",
+    );
+    let role = pure(None);
+    let settings = settings();
+    let own = construct!(Command { role, settings });
+    construct!([gateway, loader, own])
+        .to_options()
+        .descr("Serves rarely used models")
+}
+
+fn settings() -> impl Parser<PathBuf> {
     bpaf::long("settings")
         .help("Settings of this instance, JSON with comments")
         .argument::<PathBuf>("FILE")
+}
+
+fn role(name: &'static str, role: Role, description: &'static str) -> impl Parser<Command> {
+    let role = pure(Some(role));
+    let settings = settings();
+    construct!(Command { role, settings })
         .to_options()
-        .descr("Serves rarely used models, as an entry or as an agent")
+        .descr(description)
+        .command(name)
 }
 
 fn serve(path: &Path) -> Result<(), Error> {
--- /dev/null
+++ b/src/deployment/mod.rs
@@ -0,0 +1,21 @@
+//! What operators deploy on the users' platform: routes, services, models, and their servers.
+
+mod configuration;
+mod server;
+
+pub use configuration::{
+    Configuration,
+    Engine,
+    Kind,
+    Limits,
+    Model,
+    Route,
+    Service,
+    Target, //
+};
+pub use server::{
+    Copies,
+    Replica,
+    Server,
+    State, //
+};
--- /dev/null
+++ b/src/deployment/server.rs
@@ -0,0 +1,72 @@
+//! Backend servers as they describe themselves.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// Whether a server takes new requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum State {
+    /// Takes new requests.
+    Ready,
+    /// Finishes its requests and leaves.
+    Draining,
+}
+
+/// A model in a server's accelerator memory.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Replica {
+    /// Name of the model.
+    pub model: String,
+    /// Names of the adapters that are loaded with it.
+    pub adapters: Vec<String>,
+}
+
+/// Copies of weights outside the accelerator memory.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Copies {
+    /// Models in main memory.
+    pub in_memory: Vec<String>,
+    /// Models on the disk.
+    pub on_disk: Vec<String>,
+}
+
+/// A backend server.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Server {
+    /// Id of the server.
+    pub id: String,
+    /// Start of the server in Unix milliseconds.
+    pub born: u64,
+    /// Number that grows with each description of the same start.
+    pub seq: u64,
+    /// Name of its service.
+    pub service: String,
+    /// Address for requests.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub failure_domain: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new requests.
+    pub state: State,
+    /// How much longer it is slow after its start.
+    pub cold_left: Duration,
+    /// Models in accelerator memory.
+    pub replicas: Vec<Replica>,
+    /// Copies of weights elsewhere on the server.
+    pub copies: Copies,
+}
+
+impl Server {
+    /// Finds a loaded model.
+    pub fn replica(&self, model: &str) -> Option<&Replica> {
+        self.replicas.iter().find(|replica| replica.model == model)
+    }
+}
--- /dev/null
+++ b/src/dispatch/mod.rs
@@ -0,0 +1,18 @@
+//! Sending: which server gets a request, and when it may be sent once more.
+
+mod budget;
+mod choose;
+mod prefix;
+
+pub use budget::{
+    Budget,
+    Share, //
+};
+pub use choose::{
+    Candidate,
+    choose, //
+};
+pub use prefix::{
+    Part,
+    Prefixes, //
+};
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,81 @@
+//! The gateway: forwards clients' requests to the servers of their routes.
+
+mod answer;
+mod backend;
+mod cold;
+mod fleet;
+mod forward;
+mod handler;
+mod link;
+mod message;
+mod ready;
+mod relay;
+mod server;
+mod state;
+
+pub use message::{
+    Answered,
+    Asked,
+    Load,
+    Malformed,
+    ModelName,
+    Outgoing, //
+};
+
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
+
+use tokio::time::sleep;
+
+use crate::{
+    hosted::{
+        Listen,
+        Settings,
+        Signals, //
+    },
+    platform::store::Store,
+    report,
+    watch::{
+        Follower,
+        Periods, //
+    },
+};
+use server::Server;
+use state::State;
+
+/// How often a gateway reads the store.
+const PERIODS: Periods = Periods {
+    configuration: Duration::from_secs(2),
+    servers: Duration::from_secs(1),
+};
+
+/// Time for which new connections are still taken after the signal to stop, until the balancer
+/// has seen twice that the gateway is not ready.
+const LAME_DUCK: Duration = Duration::from_millis(2_600);
+
+/// Part of the grace period within which requests in flight may end.
+const GRACE_PART: f64 = 0.95;
+
+/// Runs a gateway until it is told to stop.
+pub(crate) async fn run(settings: Rc<Settings>, listen: Listen, mut signals: Signals) {
+    let store = Store::new(settings.store_addr);
+    let follower = Rc::new(Follower::new(store, PERIODS));
+    let state = Rc::new(State::new(settings.clone(), follower.clone()));
+    let configuration = follower.clone();
+    tokio::task::spawn_local(async move { configuration.follow_configuration().await });
+    tokio::task::spawn_local(async move { follower.follow_servers().await });
+    tokio::task::spawn_local(fleet::follow(state.clone()));
+    tokio::task::spawn_local(ready::serve(listen.ready, state.clone()));
+    let server = Rc::new(Server::new(state.clone()));
+    let accepting = tokio::task::spawn_local(server.clone().accept(listen.callers));
+    signals.stop().await;
+    report::info("stopping", &[("in_flight", &state.in_flight())]);
+    state.stop();
+    let grace = settings.grace().mul_f64(GRACE_PART);
+    let lame_duck = LAME_DUCK.min(grace);
+    sleep(lame_duck).await;
+    accepting.abort();
+    server.drain(grace - lame_duck).await;
+}
--- /dev/null
+++ b/src/hosted/mod.rs
@@ -0,0 +1,83 @@
+//! The daemon on the users' platform: a gateway before the servers, or a loader beside one.
+
+mod error;
+mod schema;
+mod settings;
+mod signal;
+
+pub use error::Error;
+pub use settings::{
+    Listen,
+    Settings, //
+};
+pub(crate) use signal::Signals;
+
+use std::{
+    path::Path,
+    rc::Rc, //
+};
+
+use tokio::{
+    runtime::Builder,
+    task::LocalSet, //
+};
+
+use crate::{
+    gateway,
+    loader,
+    report, //
+};
+
+/// What a daemon does on the users' platform.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    /// Forwards clients' requests to servers.
+    Gateway,
+    /// Gives the engine on this machine its orders.
+    Loader,
+}
+
+impl Role {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Gateway => "gateway",
+            Self::Loader => "loader",
+        }
+    }
+}
+
+/// Runs a daemon until it is told to stop.
+///
+/// # Errors
+///
+/// Fails if the settings are wrong or the operating system refuses what the daemon needs.
+pub fn run(role: Role, path: &Path) -> Result<(), Error> {
+    let settings = Settings::load(path).map_err(Error::Settings)?;
+    // Fails only when a logger exists already, which then serves as well.
+    let _ = report::start_bounded(&settings.log_level, &settings.instance);
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    let settings = Rc::new(settings);
+    LocalSet::new().block_on(&runtime, async {
+        let signals = Signals::new(path)?;
+        report::info(
+            "started",
+            &[
+                ("role", &role.as_str()),
+                ("instance", &settings.instance),
+                ("failure_domain", &settings.failure_domain),
+            ],
+        );
+        match role {
+            Role::Gateway => {
+                let listen = settings.listen.clone().ok_or(Error::Missing("listen"))?;
+                gateway::run(settings, listen, signals).await;
+            }
+            Role::Loader => {
+                let engine = settings.engine_addr.ok_or(Error::Missing("engine_addr"))?;
+                loader::run(settings, engine, signals).await;
+            }
+        }
+        report::info("stopped", &[]);
+        Ok(())
+    })
+}
--- /dev/null
+++ b/src/hosted/settings.rs
@@ -0,0 +1,146 @@
+//! Settings of a daemon on the users' platform, JSON with comments.
+
+use std::{
+    collections::BTreeMap,
+    net::{
+        IpAddr,
+        SocketAddr, //
+    },
+    path::Path,
+    time::Duration,
+};
+
+use serde::Deserialize;
+
+use super::schema;
+use crate::{
+    jsonc::Document,
+    settings::Findings, //
+};
+
+/// Addresses of a gateway.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// Address for clients.
+    pub callers: SocketAddr,
+    /// Address for the question whether the gateway takes clients, and for metrics.
+    pub ready: SocketAddr,
+}
+
+/// The budget of all gateways for sending requests once more.
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Retry {
+    /// Repeats for each request.
+    pub ratio: f64,
+    /// Repeats in a window beyond those.
+    pub slack: f64,
+    /// Length of the window in milliseconds.
+    pub window_ms: f64,
+}
+
+/// Settings of a daemon on the users' platform.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of this instance.
+    pub instance: String,
+    /// Failure domain of this instance.
+    pub failure_domain: String,
+    /// Regions by failure domain.
+    pub regions: BTreeMap<String, String>,
+    /// Address of this instance.
+    pub peer_ip: IpAddr,
+    /// Port on which loaders listen for gateways; the same on all instances.
+    pub peer_port: u16,
+    /// Address of the platform's store.
+    pub store_addr: SocketAddr,
+    /// Addresses of a gateway.
+    pub listen: Option<Listen>,
+    /// Address of the engine beside a loader.
+    pub engine_addr: Option<SocketAddr>,
+    /// Time from the signal to stop until the process is killed, in milliseconds.
+    pub grace_ms: f64,
+    /// Budget for sending requests once more.
+    pub retry: Retry,
+    /// Time over which the rate of the weight store is held, in milliseconds.
+    pub store_load_window_ms: f64,
+    /// Level of the log: error, warn, info or debug.
+    #[serde(default = "default_log_level")]
+    pub log_level: String,
+}
+
+fn default_log_level() -> String {
+    "info".to_owned()
+}
+
+impl Settings {
+    /// Reads the settings from a file.
+    ///
+    /// # Errors
+    ///
+    /// All that is wrong with the file, with its places.
+    pub fn load(path: &Path) -> Result<Self, Findings> {
+        Document::read(path)?.decode(&schema::SETTINGS)
+    }
+
+    /// Decodes settings from the text of a file.
+    ///
+    /// # Errors
+    ///
+    /// All that is wrong with the text, with its places in `file`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::hosted::Settings;
+    ///
+    /// let findings = Settings::parse("node.jsonc", "[]").unwrap_err();
+    /// let expected = "node.jsonc:1:1: must be an object, not a list";
+    /// assert_eq!(findings.to_string(), expected);
+    /// ```
+    pub fn parse(file: &str, text: &str) -> Result<Self, Findings> {
+        Document::new(file, text).decode(&schema::SETTINGS)
+    }
+
+    /// Returns the address on which a loader listens for gateways.
+    pub(crate) fn peer_addr(&self) -> SocketAddr {
+        SocketAddr::new(self.peer_ip, self.peer_port)
+    }
+
+    /// Returns the time from the signal to stop until the process is killed.
+    pub(crate) fn grace(&self) -> Duration {
+        millis(self.grace_ms)
+    }
+
+    /// Returns the time over which the rate of the weight store is held.
+    pub(crate) fn store_load_window(&self) -> Duration {
+        millis(self.store_load_window_ms)
+    }
+
+    /// Returns the length of the window of the budget for sending requests once more.
+    pub(crate) fn retry_window(&self) -> Duration {
+        millis(self.retry.window_ms)
+    }
+
+    /// Returns the time to a failure domain and back.
+    pub(crate) fn distance(&self, failure_domain: &str) -> Duration {
+        /// Ways to and back within a failure domain, within a region and between regions.
+        const WITHIN_DOMAIN: Duration = Duration::from_micros(200);
+        const WITHIN_REGION: Duration = Duration::from_millis(3);
+        const BETWEEN_REGIONS: Duration = Duration::from_millis(45);
+        let region = |domain: &str| self.regions.get(domain);
+        if failure_domain == self.failure_domain {
+            WITHIN_DOMAIN
+        } else if region(failure_domain) == region(&self.failure_domain) {
+            WITHIN_REGION
+        } else {
+            BETWEEN_REGIONS
+        }
+    }
+}
+
+fn millis(millis: f64) -> Duration {
+    Duration::from_secs_f64(millis.max(0.0) / 1_000.0)
+}
--- /dev/null
+++ b/src/link/message.rs
@@ -0,0 +1,92 @@
+//! The messages.
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::deployment::{
+    Copies,
+    Replica, //
+};
+
+/// Requests of a gateway that a server runs.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Usage {
+    /// Name of the model.
+    pub model: String,
+    /// Name of the adapter, if one is used.
+    pub adapter: Option<String>,
+    /// Requests in flight.
+    pub in_flight: u32,
+}
+
+/// A model or adapter that requests at a gateway wait for.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Wish {
+    /// Name of the model.
+    pub model: String,
+    /// Name of the adapter, if one is wanted.
+    pub adapter: Option<String>,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Rank of the most urgent of them; 0 goes first.
+    pub priority: u8,
+}
+
+/// What a gateway wants of a server.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Demand {
+    /// What its requests use.
+    pub usage: Vec<Usage>,
+    /// What its requests wait for.
+    pub wishes: Vec<Wish>,
+    /// Requests a second at this gateway, by model; the same for all servers.
+    pub rates: Vec<(String, f32)>,
+}
+
+/// An order that a server carries out.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Underway {
+    /// Name of the model.
+    pub model: String,
+    /// Whether the order loads the model; otherwise it unloads it.
+    pub is_load: bool,
+    /// Expected time until it is complete, in milliseconds.
+    pub remaining_ms: u32,
+}
+
+/// What a server holds.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Holdings {
+    /// Id of the server.
+    pub server: String,
+    /// Start of the server in Unix milliseconds.
+    pub born: u64,
+    /// Models in accelerator memory.
+    pub replicas: Vec<Replica>,
+    /// Copies of weights elsewhere on the server.
+    pub copies: Copies,
+    /// The order under way.
+    pub underway: Option<Underway>,
+}
+
+/// How busy a server is.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Workload {
+    /// Requests that run.
+    pub(crate) running: u32,
+    /// Requests that wait for a slot.
+    pub(crate) queued: u32,
+    /// Gateways that are connected to the loader.
+    pub(crate) gateways: u32,
+}
+
+/// What a loader tells gateways.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Status {
+    /// How busy the server is.
+    pub(crate) workload: Workload,
+    /// What the server holds, if that changed since the last message.
+    pub(crate) holdings: Option<Holdings>,
+}
--- /dev/null
+++ b/src/loader/mod.rs
@@ -0,0 +1,61 @@
+//! The loader: gives its server's engine all its orders, for the requests that gateways hold.
+
+mod driver;
+mod engine;
+mod order;
+mod pace;
+mod plan;
+mod port;
+mod state;
+
+pub use order::{
+    Operation,
+    Order,
+    Reply,
+    Report, //
+};
+pub use pace::Pace;
+pub use plan::{
+    Facts,
+    plan, //
+};
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration, //
+};
+
+use crate::{
+    hosted::{
+        Settings,
+        Signals, //
+    },
+    platform::store::Store,
+    report,
+    watch::{
+        Follower,
+        Periods, //
+    },
+};
+use state::State;
+
+/// How often a loader reads the store.
+const PERIODS: Periods = Periods {
+    configuration: Duration::from_secs(5),
+    servers: Duration::from_secs(2),
+};
+
+/// Runs a loader until it is told to stop.
+pub(crate) async fn run(settings: Rc<Settings>, engine: SocketAddr, mut signals: Signals) {
+    let store = Store::new(settings.store_addr);
+    let follower = Rc::new(Follower::new(store, PERIODS));
+    let state = Rc::new(State::new(follower.clone()));
+    let configuration = follower.clone();
+    tokio::task::spawn_local(async move { configuration.follow_configuration().await });
+    tokio::task::spawn_local(async move { follower.follow_servers().await });
+    tokio::task::spawn_local(port::serve(settings.peer_addr(), state.clone()));
+    tokio::task::spawn_local(driver::run(settings, engine, state));
+    signals.stop().await;
+    report::info("stopping", &[]);
+}
--- /dev/null
+++ b/src/loader/plan.rs
@@ -0,0 +1,142 @@
+//! The next order to an engine.
+
+use std::collections::BTreeMap;
+
+use super::{
+    Operation,
+    Order,
+    Report, //
+};
+use crate::{
+    deployment::{
+        Engine,
+        Model, //
+    },
+    link::Wish,
+    placement::{
+        Pool,
+        evict,
+        free_mb, //
+    },
+    timer::Time,
+};
+
+/// Most adapters on their way to one server.
+const PENDING_ADAPTERS: usize = 4;
+
+/// What decides the next order.
+#[derive(Debug)]
+pub struct Facts<'a> {
+    /// All servers of the service.
+    pub pool: Pool<'a>,
+    /// Index of this server in the pool.
+    pub host: usize,
+    /// The newest report of this server's engine.
+    pub report: &'a Report,
+    /// What requests wait for, the most urgent first.
+    pub wishes: &'a [Wish],
+    /// Last use of each adapter, by model and adapter.
+    pub adapter_use: &'a BTreeMap<(String, String), Time>,
+    /// Whether a load from the weight store may begin now.
+    pub may_use_store: bool,
+    /// Whether a model that nobody waits for may be loaded now.
+    pub may_load_spare: bool,
+}
+
+/// Returns the next order, if any.
+pub fn plan(facts: &Facts<'_>) -> Option<Order> {
+    let adapter = facts.wishes.iter().find_map(|wish| facts.adapter(wish));
+    if adapter.is_some() || facts.report.is_busy {
+        return adapter;
+    }
+    let wishes = facts.wishes.iter();
+    let mut models = wishes.filter_map(|wish| facts.missing(&wish.model));
+    if let Some(order) = models.find_map(|model| facts.load(model)) {
+        return Some(order);
+    }
+    let spare = facts.pool.spare(facts.host)?;
+    if facts.may_load_spare {
+        facts.load(spare)
+    } else {
+        None
+    }
+}
+
+impl Facts<'_> {
+    fn engine(&self) -> &Engine {
+        self.pool.engine
+    }
+
+    /// Returns the model if it can be loaded and is not loaded.
+    fn missing(&self, model: &str) -> Option<&Model> {
+        let replicas = &self.report.replicas;
+        if replicas.iter().any(|replica| replica.model == model) {
+            return None;
+        }
+        self.engine().model(model)
+    }
+
+    /// Returns the order that brings a model nearer: its load, or an unload that makes room.
+    fn load(&self, model: &Model) -> Option<Order> {
+        let from_store = self.pool.hosts[self.host].loads_from_store(&model.name);
+        if from_store && !self.may_use_store {
+            return None;
+        }
+        let eviction = evict(&self.pool, self.host, model.weights_mb)?;
+        match eviction.victims.first() {
+            Some(victim) => Some(self.order(Operation::Unload, victim, None)),
+            None => Some(self.order(Operation::Load, &model.name, None)),
+        }
+    }
+
+    /// Returns the order that brings a wished adapter of a loaded model nearer.
+    fn adapter(&self, wish: &Wish) -> Option<Order> {
+        let adapter = wish.adapter.as_deref()?;
+        let mut replicas = self.report.replicas.iter();
+        let replica = replicas.find(|replica| replica.model == wish.model)?;
+        let pending = &self.report.pending_adapters;
+        let is_pending = |(model, name): &(String, String)| *model == wish.model && name == adapter;
+        let has = replica.adapters.iter().any(|name| name == adapter);
+        if has || pending.iter().any(is_pending) || pending.len() >= PENDING_ADAPTERS {
+            return None;
+        }
+        let model = self.engine().model(&wish.model)?;
+        let loaded: usize = self.report.replicas.iter().map(|r| r.adapters.len()).sum();
+        let has_slot = loaded + pending.len() < self.engine().adapter_slots as usize;
+        if has_slot && self.free_mb() >= model.adapter_mb {
+            return Some(self.order(Operation::Load, &wish.model, Some(adapter)));
+        }
+        let (model, victim) = self.idle_adapter()?;
+        Some(self.order(Operation::Unload, &model, Some(&victim)))
+    }
+
+    /// Returns the memory that neither weights nor adapters occupy, in MB.
+    fn free_mb(&self) -> f64 {
+        free_mb(&self.pool, self.host)
+    }
+
+    /// Returns the loaded adapter that was used least recently and that no request waits for.
+    fn idle_adapter(&self) -> Option<(String, String)> {
+        let replicas = self.report.replicas.iter();
+        let loaded = replicas.flat_map(|replica| {
+            let adapters = replica.adapters.iter();
+            adapters.map(|adapter| (replica.model.clone(), adapter.clone()))
+        });
+        let is_wanted = |key: &(String, String)| {
+            let mut wishes = self.wishes.iter();
+            wishes.any(|wish| wish.model == key.0 && wish.adapter.as_ref() == Some(&key.1))
+        };
+        loaded
+            .filter(|key| !is_wanted(key))
+            .min_by_key(|key| self.adapter_use.get(key).copied())
+    }
+
+    fn order(&self, operation: Operation, model: &str, adapter: Option<&str>) -> Order {
+        Order {
+            operation,
+            model: model.to_owned(),
+            adapter: adapter.map(str::to_owned),
+            accepted_orders: self.report.accepted_orders,
+        }
+    }
+}
--- /dev/null
+++ b/src/loader/state.rs
@@ -0,0 +1,115 @@
+//! What a loader knows, shared by its parts.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    collections::BTreeMap,
+    rc::Rc,
+};
+
+use tokio::sync::{
+    Notify,
+    watch, //
+};
+
+use crate::{
+    link::{
+        Demand,
+        Holdings,
+        Wish,
+        Workload, //
+    },
+    watch::Follower,
+};
+
+/// What a loader knows.
+#[derive(Debug)]
+pub(super) struct State {
+    pub(super) follower: Rc<Follower>,
+    /// Demand of each connected gateway.
+    demands: RefCell<BTreeMap<u64, Demand>>,
+    next_connection: Cell<u64>,
+    /// Wakes the driver.
+    pub(super) wake: Notify,
+    pub(super) holdings: watch::Sender<Rc<Holdings>>,
+    pub(super) workload: watch::Sender<Workload>,
+}
+
+impl State {
+    pub(super) fn new(follower: Rc<Follower>) -> Self {
+        Self {
+            follower,
+            demands: RefCell::default(),
+            next_connection: Cell::new(0),
+            wake: Notify::new(),
+            holdings: watch::Sender::new(Rc::new(Holdings::default())),
+            workload: watch::Sender::new(Workload::default()),
+        }
+    }
+
+    /// Adds a gateway and returns the key of its connection.
+    pub(super) fn connect(&self) -> u64 {
+        let key = self.next_connection.get();
+        self.next_connection.set(key + 1);
+        self.demands.borrow_mut().insert(key, Demand::default());
+        key
+    }
+
+    /// Replaces what a gateway wants.
+    pub(super) fn demand(&self, key: u64, demand: Demand) {
+        let is_urgent = !demand.wishes.is_empty();
+        self.demands.borrow_mut().insert(key, demand);
+        if is_urgent {
+            self.wake.notify_one();
+        }
+    }
+
+    /// Removes a gateway.
+    pub(super) fn disconnect(&self, key: u64) {
+        self.demands.borrow_mut().remove(&key);
+    }
+
+    /// Returns the number of connected gateways.
+    pub(super) fn gateways(&self) -> u32 {
+        self.demands.borrow().len() as u32
+    }
+
+    /// Returns what all gateways wait for, the most urgent first.
+    pub(super) fn wishes(&self) -> Vec<Wish> {
+        let demands = self.demands.borrow();
+        let mut merged: Vec<Wish> = Vec::new();
+        for wish in demands.values().flat_map(|demand| &demand.wishes) {
+            let same =
+                |other: &&mut Wish| other.model == wish.model && other.adapter == wish.adapter;
+            match merged.iter_mut().find(same) {
+                Some(other) => {
+                    other.waiting += wish.waiting;
+                    other.priority = other.priority.min(wish.priority);
+                }
+                None => merged.push(wish.clone()),
+            }
+        }
+        merged.sort_by_key(|wish| (wish.priority, u32::MAX - wish.waiting));
+        merged
+    }
+
+    /// Returns the requests a second of each model, over all gateways.
+    pub(super) fn rates(&self) -> BTreeMap<String, f64> {
+        let mut rates = BTreeMap::new();
+        for demand in self.demands.borrow().values() {
+            for (model, rate) in &demand.rates {
+                *rates.entry(model.clone()).or_default() += f64::from(*rate);
+            }
+        }
+        rates
+    }
+
+    /// Calls `visit` with each model or adapter in use and its requests in flight.
+    pub(super) fn visit_usage(&self, mut visit: impl FnMut(&str, Option<&str>, u32)) {
+        for usage in self.demands.borrow().values().flat_map(|d| &d.usage) {
+            visit(&usage.model, usage.adapter.as_deref(), usage.in_flight);
+        }
+    }
+}
--- /dev/null
+++ b/src/placement/pool.rs
@@ -0,0 +1,240 @@
+//! The servers of a service and what they hold.
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+
+use super::{
+    DILUTION_MS,
+    HORIZON_S,
+    PRIOR_RATE,
+    SPARE_GAIN_MS,
+    evict, //
+};
+use crate::{
+    deployment::{
+        Engine,
+        Model, //
+    },
+    rank,
+};
+
+/// A model in a server's accelerator memory.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Resident {
+    /// Requests that run or are on their way.
+    pub in_use: u32,
+    /// Whether requests wait for this replica or one of its adapters.
+    pub wanted: bool,
+    /// Memory of its adapters in MB.
+    pub adapters_mb: f64,
+}
+
+/// An order that a server carries out.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Busy {
+    /// Model that the order concerns.
+    pub model: String,
+    /// Whether the order loads it; otherwise it unloads it.
+    pub is_load: bool,
+    /// Time until the order is expected to be complete, in ms.
+    pub remaining_ms: f64,
+}
+
+/// A server as far as placement is concerned.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Host {
+    /// Id of the server.
+    pub id: String,
+    /// Whether its agent takes wishes for loads.
+    pub reachable: bool,
+    /// Models in accelerator memory.
+    pub resident: BTreeMap<String, Resident>,
+    /// Models in main memory.
+    pub in_memory: BTreeSet<String>,
+    /// Models on the disk.
+    pub on_disk: BTreeSet<String>,
+    /// The order under way.
+    pub busy: Option<Busy>,
+    /// Time of the loads that are wanted here and not begun, in ms.
+    pub backlog_ms: f64,
+}
+
+impl Host {
+    /// Returns whether a model is resident and not being unloaded.
+    pub fn holds(&self, model: &str) -> bool {
+        self.resident.contains_key(model)
+            && !self
+                .busy
+                .as_ref()
+                .is_some_and(|busy| !busy.is_load && busy.model == model)
+    }
+
+    /// Returns whether a model is being loaded.
+    pub fn is_loading(&self, model: &str) -> bool {
+        let busy = self.busy.as_ref();
+        busy.is_some_and(|busy| busy.is_load && busy.model == model)
+    }
+
+    /// Returns the time of a load in ms, by where the weights are.
+    pub fn load_ms(&self, model: &Model) -> f64 {
+        let time = if self.in_memory.contains(&model.name) {
+            model.memory_load
+        } else if self.on_disk.contains(&model.name) {
+            model.disk_load
+        } else {
+            model.store_load
+        };
+        time.as_secs_f64() * 1_000.0
+    }
+
+    /// Returns whether a load would come from the weight store.
+    pub fn loads_from_store(&self, model: &str) -> bool {
+        !self.in_memory.contains(model) && !self.on_disk.contains(model)
+    }
+}
+
+/// A server that could load a model.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Candidate {
+    /// Index of the server in the pool.
+    pub host: usize,
+    /// Time until the model is expected to be resident, in ms.
+    pub ready_ms: f64,
+    /// That time and the delays that the load causes for other models, in ms.
+    pub cost_ms: f64,
+}
+
+/// The servers of a service, what they hold and what is asked of them.
+#[derive(Debug, Clone)]
+pub struct Pool<'a> {
+    /// What the engines have in common.
+    pub engine: &'a Engine,
+    /// The servers.
+    pub hosts: Vec<Host>,
+    /// Requests a second by model.
+    pub rates: BTreeMap<String, f64>,
+}
+
+impl Pool<'_> {
+    /// Returns the rate of a model in requests a second.
+    pub fn rate(&self, model: &str) -> f64 {
+        PRIOR_RATE + self.rates.get(model).copied().unwrap_or_default()
+    }
+
+    /// Returns the number of servers that hold a model or load it.
+    pub fn replicas(&self, model: &str) -> usize {
+        let hosts = self.hosts.iter();
+        hosts
+            .filter(|host| host.holds(model) || host.is_loading(model))
+            .count()
+    }
+
+    /// Returns the shortest time of a load over all servers but one, in ms.
+    fn shortest_load_ms(&self, model: &Model, except: Option<usize>) -> f64 {
+        let hosts = self.hosts.iter().enumerate();
+        hosts
+            .filter(|(index, host)| host.reachable && Some(*index) != except)
+            .map(|(_, host)| host.load_ms(model))
+            .fold(model.store_load.as_secs_f64() * 1_000.0, f64::min)
+    }
+
+    /// Returns the delay that one replica fewer causes, in ms.
+    pub fn loss_ms(&self, model: &str, host: usize) -> f64 {
+        let Some(model) = self.engine.model(model) else {
+            return 0.0;
+        };
+        let rate = self.rate(&model.name);
+        let others = self.replicas(&model.name).saturating_sub(1);
+        if others > 0 {
+            return rate * HORIZON_S * spread_ms(rate, others);
+        }
+        // The evicted copy stays on the disk of its server.
+        let reload_ms = self.shortest_load_ms(model, Some(host));
+        rate * HORIZON_S * reload_ms.min(model.disk_load.as_secs_f64() * 1_000.0)
+    }
+
+    /// Returns the delay that one more replica saves, in ms.
+    pub fn gain_ms(&self, model: &Model) -> f64 {
+        let rate = self.rate(&model.name);
+        match self.replicas(&model.name) {
+            0 => rate * HORIZON_S * self.shortest_load_ms(model, None),
+            replicas => rate * HORIZON_S * spread_ms(rate, replicas),
+        }
+    }
+
+    /// Ranks the reachable servers by what a load of `model` costs there.
+    pub fn rank(&self, model: &str) -> Vec<Candidate> {
+        let Some(model) = self.engine.model(model) else {
+            return Vec::new();
+        };
+        let hosts = self.hosts.iter().enumerate();
+        let by_weight = rank::order_by(&model.name, hosts, |(_, host)| host.id.as_str());
+        let mut ranked: Vec<_> = by_weight
+            .into_iter()
+            .filter_map(|(index, _)| self.candidate(model, index))
+            .collect();
+        // The sort is stable: equal costs stay in the order of the rendezvous weights.
+        ranked.sort_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms));
+        ranked
+    }
+
+    fn candidate(&self, model: &Model, index: usize) -> Option<Candidate> {
+        let host = &self.hosts[index];
+        if !host.reachable || host.holds(&model.name) {
+            return None;
+        }
+        if let Some(busy) = host.busy.as_ref().filter(|_| host.is_loading(&model.name)) {
+            return Some(Candidate {
+                host: index,
+                ready_ms: busy.remaining_ms,
+                cost_ms: busy.remaining_ms,
+            });
+        }
+        let eviction = evict(self, index, model.weights_mb)?;
+        let order_ms = host.busy.as_ref().map_or(0.0, |busy| busy.remaining_ms);
+        let ready_ms = order_ms + host.backlog_ms + eviction.wait_ms + host.load_ms(model);
+        Some(Candidate {
+            host: index,
+            ready_ms,
+            cost_ms: ready_ms + eviction.cost_ms,
+        })
+    }
+
+    /// Returns the model that a server should load although nobody waits for it, if any.
+    ///
+    /// Only the server that ranks first for a model loads it, so that servers with the same facts
+    /// do not load it twice.
+    pub fn spare(&self, host: usize) -> Option<&Model> {
+        let models = self.engine.models.iter();
+        models
+            .filter_map(|model| Some((model, self.spare_gain_ms(model, host)?)))
+            .max_by(|(_, a), (_, b)| a.total_cmp(b))
+            .map(|(model, _)| model)
+    }
+
+    fn spare_gain_ms(&self, model: &Model, host: usize) -> Option<f64> {
+        let gain_ms = self.gain_ms(model);
+        let me = &self.hosts[host];
+        if me.holds(&model.name) || self.hosts.iter().any(|host| host.is_loading(&model.name)) {
+            return None;
+        }
+        if me.loads_from_store(&model.name) && self.replicas(&model.name) > 0 {
+            return None;
+        }
+        // The cheap bound first: ranking compares all servers.
+        let eviction = evict(self, host, model.weights_mb)?;
+        let net_ms = gain_ms - eviction.cost_ms;
+        if net_ms < SPARE_GAIN_MS || self.rank(&model.name).first()?.host != host {
+            return None;
+        }
+        Some(net_ms)
+    }
+}
+
+/// Returns the delay of a request that one replica fewer or more makes, in ms.
+fn spread_ms(rate: f64, replicas: usize) -> f64 {
+    let replicas = replicas as f64;
+    DILUTION_MS * rate / (replicas * (replicas + 1.0))
+}
--- /dev/null
+++ b/src/platform/configuration.rs
@@ -0,0 +1,211 @@
+//! The operators' configuration as the platform stores it.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use crate::deployment::{
+    Configuration,
+    Engine,
+    Kind,
+    Limits,
+    Model,
+    Route,
+    Service,
+    Target, //
+};
+
+#[derive(Debug, Deserialize)]
+struct WireConfiguration {
+    version: u64,
+    #[serde(default)]
+    routes: Vec<WireRoute>,
+    #[serde(default)]
+    services: Vec<WireService>,
+    limits: Option<WireLimits>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireRoute {
+    name: String,
+    host: String,
+    path_prefix: String,
+    kind: String,
+    timeout_ms: f64,
+    target_latency_ms: Option<f64>,
+    #[serde(default)]
+    priority: f64,
+    service: Option<String>,
+    #[serde(default)]
+    split: Vec<WireTarget>,
+    attempts: Option<f64>,
+    #[serde(default)]
+    resumable: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct WireTarget {
+    service: String,
+    weight: f64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireService {
+    name: String,
+    max_conns: Option<f64>,
+    engine: Option<WireEngine>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireEngine {
+    slots: Option<f64>,
+    /// Memory of a server for weights and adapters, not the size of a model.
+    weights_mb: Option<f64>,
+    adapter_slots: Option<f64>,
+    loads_per_s: Option<f64>,
+    #[serde(default)]
+    models: Vec<WireModel>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireModel {
+    name: String,
+    /// Size of the model.
+    weights_mb: f64,
+    load_s: f64,
+    adapter_mb: Option<f64>,
+    warm_s: Option<f64>,
+    disk_s: Option<f64>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireLimits {
+    max_header_bytes: Option<f64>,
+    max_body_bytes: Option<f64>,
+    header_timeout_ms: Option<f64>,
+    idle_timeout_ms: Option<f64>,
+}
+
+/// Decodes a configuration.
+///
+/// # Errors
+///
+/// Fails if the bytes are no configuration of the platform.
+///
+/// # Examples
+///
+/// ```
+/// use chestnuthub::platform::configuration;
+///
+/// let decoded = configuration::decode(br#"{"version":7,"routes":[],"services":[]}"#).unwrap();
+/// assert_eq!(decoded.version, 7);
+/// assert!(configuration::decode(b"{}").is_err());
+/// ```
+pub fn decode(bytes: &[u8]) -> Result<Configuration, serde_json::Error> {
+    let wire: WireConfiguration = serde_json::from_slice(bytes)?;
+    Ok(Configuration {
+        version: wire.version,
+        routes: wire.routes.into_iter().map(route).collect(),
+        services: wire.services.into_iter().map(service).collect(),
+        limits: wire.limits.map_or_else(Limits::default, limits),
+    })
+}
+
+fn route(wire: WireRoute) -> Route {
+    let timeout = millis(wire.timeout_ms);
+    let mut targets: Vec<_> = wire.split.into_iter().map(target).collect();
+    if let Some(service) = wire.service.filter(|_| targets.is_empty()) {
+        let weight = 1.0;
+        targets.push(Target { service, weight });
+    }
+    Route {
+        name: wire.name,
+        host: wire.host.to_ascii_lowercase(),
+        path_prefix: wire.path_prefix,
+        kind: kind(&wire.kind, wire.resumable),
+        timeout,
+        latency_objective: wire.target_latency_ms.map_or(timeout, millis),
+        priority: wire.priority as u8,
+        attempts: wire.attempts.map_or(1, |attempts| attempts as u32),
+        targets,
+    }
+}
+
+fn target(wire: WireTarget) -> Target {
+    Target {
+        service: wire.service,
+        weight: wire.weight,
+    }
+}
+
+/// A kind that is not known counts as one whose requests run at most once.
+fn kind(name: &str, resumable: bool) -> Kind {
+    match name {
+        "safe" => Kind::Idempotent,
+        "stream" if resumable => Kind::ResumableStream,
+        "stream" => Kind::Stream,
+        _ => Kind::NonIdempotent,
+    }
+}
+
+fn service(wire: WireService) -> Service {
+    Service {
+        name: wire.name,
+        max_connections: wire.max_conns.map_or(u32::MAX, |most| most as u32),
+        engine: wire.engine.map(engine),
+    }
+}
+
+fn engine(wire: WireEngine) -> Engine {
+    let mut models: Vec<_> = wire.models.into_iter().map(model).collect();
+    models.sort_by(|a, b| a.name.cmp(&b.name));
+    Engine {
+        slots: wire.slots.map_or(1, |slots| slots as u32),
+        weights_mb: wire.weights_mb.unwrap_or_default(),
+        adapter_slots: wire.adapter_slots.map_or(0, |slots| slots as u32),
+        loads_per_s: wire.loads_per_s.unwrap_or(f64::INFINITY),
+        models,
+    }
+}
+
+fn model(wire: WireModel) -> Model {
+    let store_load = Duration::from_secs_f64(wire.load_s.max(0.0));
+    let other = |seconds: Option<f64>| {
+        seconds.map_or(store_load, |seconds| {
+            Duration::from_secs_f64(seconds.max(0.0))
+        })
+    };
+    Model {
+        weights_mb: wire.weights_mb,
+        adapter_mb: wire.adapter_mb.unwrap_or_default(),
+        store_load,
+        disk_load: other(wire.disk_s),
+        memory_load: other(wire.warm_s),
+        name: wire.name,
+    }
+}
+
+fn limits(wire: WireLimits) -> Limits {
+    let default = Limits::default();
+    Limits {
+        header_bytes: wire
+            .max_header_bytes
+            .map_or(default.header_bytes, |bytes| bytes as usize),
+        body_bytes: wire
+            .max_body_bytes
+            .map_or(default.body_bytes, |bytes| bytes as usize),
+        header_timeout: wire
+            .header_timeout_ms
+            .map_or(default.header_timeout, millis),
+        idle_timeout: wire.idle_timeout_ms.map_or(default.idle_timeout, millis),
+    }
+}
+
+fn millis(value: f64) -> Duration {
+    Duration::from_secs_f64(value.max(0.0) / 1_000.0)
+}
--- /dev/null
+++ b/src/platform/header.rs
@@ -0,0 +1,229 @@
+//! Headers of requests and answers.
+
+use std::time::Duration;
+
+use hyper::{
+    HeaderMap,
+    header::{
+        CONNECTION,
+        HeaderName,
+        HeaderValue, //
+    },
+};
+
+use crate::{
+    dispatch::Part,
+    gateway::{
+        Answered,
+        Asked,
+        Load,
+        Malformed,
+        ModelName,
+        Outgoing, //
+    },
+};
+
+/// Names the server that a request is for; any other refuses it without running it.
+pub(super) const TARGET: HeaderName = HeaderName::from_static("target-instance");
+
+const REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
+const DEADLINE: HeaderName = HeaderName::from_static("deadline-ms");
+const MODEL: HeaderName = HeaderName::from_static("model");
+const TOKENS: HeaderName = HeaderName::from_static("token-count");
+const PROMPT: HeaderName = HeaderName::from_static("prompt-prefix");
+const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+const PRIORITY: HeaderName = HeaderName::from_static("request-priority");
+const SIGNATURE: HeaderName = HeaderName::from_static("response-signature");
+const NOT_EXECUTED: HeaderName = HeaderName::from_static("not-executed");
+const SERVER_LOAD: HeaderName = HeaderName::from_static("server-load");
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
+/// Headers that occur once at most, since two would be read differently by two readers.
+const SINGLE: [HeaderName; 8] = [
+    HeaderName::from_static("host"),
+    REQUEST_ID,
+    DEADLINE,
+    MODEL,
+    TOKENS,
+    PROMPT,
+    LAST_EVENT,
+    HeaderName::from_static("content-length"),
+];
+
+/// Headers that only the system sets.
+const RESERVED: [HeaderName; 10] = [
+    TARGET,
+    PRIORITY,
+    NOT_EXECUTED,
+    HeaderName::from_static("expect-version"),
+    HeaderName::from_static("pin-ms"),
+    HeaderName::from_static("hold"),
+    HeaderName::from_static("kv-backup"),
+    HeaderName::from_static("kv-from"),
+    HeaderName::from_static("kv-fetch"),
+    DEADLINE,
+];
+
+/// Headers that concern one connection only.
+const CONNECTION_ONLY: [HeaderName; 9] = [
+    CONNECTION,
+    KEEP_ALIVE,
+    HeaderName::from_static("proxy-connection"),
+    HeaderName::from_static("proxy-authenticate"),
+    HeaderName::from_static("proxy-authorization"),
+    HeaderName::from_static("te"),
+    HeaderName::from_static("trailer"),
+    HeaderName::from_static("transfer-encoding"),
+    HeaderName::from_static("upgrade"),
+];
+
+/// Decodes the headers of a client's request.
+///
+/// # Errors
+///
+/// Fails if a header occurs twice that may occur once, if the id is missing, or if the lengths
+/// contradict each other.
+pub fn decode_request(headers: &HeaderMap) -> Result<Asked, Malformed> {
+    if let Some(name) = SINGLE.iter().find(|name| count(headers, name) > 1) {
+        return Err(Malformed::Repeated(name.as_str().to_owned()));
+    }
+    if headers.contains_key("transfer-encoding") && headers.contains_key("content-length") {
+        return Err(Malformed::TwoLengths);
+    }
+    let id = text(headers, &REQUEST_ID).filter(|id| !id.is_empty());
+    let prompt: Vec<Part> = text(headers, &PROMPT)
+        .map(|list| list.split(',').filter_map(part).collect())
+        .unwrap_or_default();
+    Ok(Asked {
+        id: id.ok_or(Malformed::NoId)?.to_owned(),
+        time_left: text(headers, &DEADLINE).and_then(millis),
+        model: text(headers, &MODEL).map(model_name),
+        prompt_tokens: text(headers, &TOKENS)
+            .and_then(first_number)
+            .unwrap_or_default(),
+        prompt,
+        last_event: text(headers, &LAST_EVENT).map(str::to_owned),
+    })
+}
+
+/// Makes the headers of a request to a server from those of the client.
+pub fn encode_request(client: &HeaderMap, outgoing: &Outgoing<'_>) -> HeaderMap {
+    let mut headers = forwarded(client);
+    for name in &RESERVED {
+        headers.remove(name);
+    }
+    let mut set = |name: HeaderName, value: String| {
+        if let Ok(value) = HeaderValue::try_from(value) {
+            headers.insert(name, value);
+        }
+    };
+    set(TARGET, outgoing.server.to_owned());
+    // A server stops work at this value, so it is rounded down.
+    set(DEADLINE, outgoing.time_left.as_millis().to_string());
+    if let Some(priority) = outgoing.priority {
+        set(PRIORITY, priority.min(9).to_string());
+    }
+    if let Some(last_event) = outgoing.last_event {
+        set(LAST_EVENT, last_event.to_owned());
+    }
+    headers
+}
+
+/// Decodes the headers of a server's answer.
+pub fn decode_answer(status: u16, headers: &HeaderMap) -> Answered {
+    let signed = headers.contains_key(SIGNATURE);
+    Answered {
+        status,
+        id: text(headers, &REQUEST_ID).map(str::to_owned),
+        is_signed: signed,
+        // Another server than the one that was named refuses with 421 and runs nothing.
+        has_not_run: headers.contains_key(NOT_EXECUTED) || (status == 421 && !signed),
+        load: text(headers, &SERVER_LOAD).and_then(load),
+        keep: text(headers, &KEEP_ALIVE).and_then(keep),
+        closes: is_listed(headers, "close"),
+    }
+}
+
+/// Returns the headers that concern more than one connection.
+pub fn forwarded(headers: &HeaderMap) -> HeaderMap {
+    let mut forwarded = headers.clone();
+    for name in CONNECTION_ONLY {
+        forwarded.remove(name);
+    }
+    for name in listed(headers) {
+        // A client can't have headers left out that say what runs and whose it is.
+        let is_single = SINGLE.iter().any(|single| single.as_str() == name);
+        if !is_single {
+            forwarded.remove(name.as_str());
+        }
+    }
+    forwarded
+}
+
+fn listed(headers: &HeaderMap) -> impl Iterator<Item = String> + '_ {
+    let values = headers.get_all(CONNECTION).into_iter();
+    values
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+}
+
+fn is_listed(headers: &HeaderMap, name: &str) -> bool {
+    listed(headers).any(|listed| listed == name)
+}
+
+fn count(headers: &HeaderMap, name: &HeaderName) -> usize {
+    headers.get_all(name).iter().count()
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok().map(str::trim)
+}
+
+fn millis(text: &str) -> Option<Duration> {
+    let millis: f64 = text.parse().ok()?;
+    Duration::try_from_secs_f64(millis / 1_000.0).ok()
+}
+
+fn first_number(list: &str) -> Option<u64> {
+    list.split(',').next()?.trim().parse().ok()
+}
+
+/// The adapter stands after a slash.
+fn model_name(text: &str) -> ModelName {
+    match text.split_once('/') {
+        Some((model, adapter)) => ModelName {
+            model: model.to_owned(),
+            adapter: Some(adapter.to_owned()),
+        },
+        None => ModelName {
+            model: text.to_owned(),
+            adapter: None,
+        },
+    }
+}
+
+/// Reads ID:TOKENS, the id in hexadecimal.
+fn part(text: &str) -> Option<Part> {
+    let (id, tokens) = text.trim().split_once(':')?;
+    Some(Part {
+        id: u64::from_str_radix(id, 16).ok()?,
+        tokens: tokens.parse().ok()?,
+    })
+}
+
+/// Reads running requests, waiting requests and slots, separated by commas.
+fn load(text: &str) -> Option<Load> {
+    let mut numbers = text.split(',').map(|number| number.trim().parse().ok());
+    Some(Load {
+        running: numbers.next()??,
+        waiting: numbers.next()??,
+    })
+}
+
+/// Reads the time for which a server keeps an idle connection: `timeout=` in whole seconds.
+fn keep(text: &str) -> Option<Duration> {
+    let mut parameters = text.split(',');
+    let seconds = parameters.find_map(|parameter| parameter.trim().strip_prefix("timeout="))?;
+    seconds.parse().ok().map(Duration::from_secs)
+}
--- /dev/null
+++ b/src/platform/store.rs
@@ -0,0 +1,244 @@
+//! Client of the platform's store, as far as the product reads it.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use base64::{
+    Engine as _,
+    engine::general_purpose::STANDARD, //
+};
+use bytes::Bytes;
+use http_body_util::{
+    BodyExt,
+    Full,
+    Limited, //
+};
+use hyper::{
+    Request,
+    StatusCode, //
+};
+use serde::Deserialize;
+use tokio::time::timeout;
+
+use super::{
+    configuration,
+    server, //
+};
+use crate::{
+    deployment::{
+        Configuration,
+        Server, //
+    },
+    http::Pool,
+    watch::{
+        Change,
+        Error, //
+    },
+};
+
+/// Topic and key of the operators' configuration.
+const CONFIGURATION_TOPIC: &str = "keyed.op";
+const CONFIGURATION_KEY: &str = "config";
+
+/// Topic of the servers' descriptions; the key is the server's id.
+const SERVERS_TOPIC: &str = "keyed.servers";
+
+/// Most bytes of an answer of the store.
+const ANSWER_BYTES: usize = 8 << 20;
+
+/// Time for a connection to the store.
+const CONNECT: Duration = Duration::from_millis(500);
+
+/// Time for which an idle connection to the store is kept.
+const KEEP: Duration = Duration::from_secs(10);
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Page {
+    items: Vec<Item>,
+    #[serde(default)]
+    has_more: bool,
+    end_offset: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct Item {
+    key: String,
+    /// Base64.
+    value: String,
+}
+
+/// Client of the platform's store.
+#[derive(Debug)]
+pub(crate) struct Store {
+    pool: Pool,
+    address: SocketAddr,
+}
+
+impl Store {
+    /// Makes a client for the store at this address.
+    pub(crate) fn new(address: SocketAddr) -> Self {
+        Self {
+            pool: Pool::new(address),
+            address,
+        }
+    }
+
+    /// Reads the newest configuration and the offset after which changes follow.
+    pub(crate) async fn configuration(&self, within: Duration) -> Result<Change, Error> {
+        let (items, next) = self.newest(CONFIGURATION_TOPIC, within).await?;
+        let newest = items.into_iter().find(|(key, _)| key == CONFIGURATION_KEY);
+        let configuration = match newest {
+            Some((_, value)) => Some(decode(&value)?),
+            None => None,
+        };
+        Ok(Change {
+            configuration,
+            next,
+        })
+    }
+
+    /// Waits for at most `wait` for a configuration after an offset.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Forgotten`] if the records after the offset are no longer held.
+    pub(crate) async fn change(&self, from: u64, wait: Duration) -> Result<Change, Error> {
+        let path = format!(
+            "/api/log-read?topic={CONFIGURATION_TOPIC}&part=0&from={from}&waitMs={}",
+            wait.as_millis()
+        );
+        let (status, body) = self.get(&path, wait + CONNECT).await?;
+        match status {
+            StatusCode::OK => (),
+            StatusCode::GONE => return Err(Error::Forgotten),
+            _ => return Err(Error::Status(status.as_u16())),
+        }
+        let (next, records) = records(&body, from)?;
+        let mut newest = None;
+        for record in records {
+            let Some((key, value)) = keyed(record) else {
+                return Err(Error::Malformed("a record without a key".to_owned()));
+            };
+            if key == CONFIGURATION_KEY.as_bytes() && !value.is_empty() {
+                newest = Some(value);
+            }
+        }
+        Ok(Change {
+            configuration: newest.map(decode).transpose()?,
+            next,
+        })
+    }
+
+    /// Reads the descriptions of all servers. Entries of other writers are left out.
+    pub(crate) async fn servers(&self, within: Duration) -> Result<Vec<Server>, Error> {
+        let (items, _) = self.newest(SERVERS_TOPIC, within).await?;
+        let items = items.iter();
+        Ok(items
+            .filter_map(|(id, value)| server::decode(id, value))
+            .collect())
+    }
+
+    /// Reads the newest record of each key of a topic, and the end of the topic.
+    async fn newest(
+        &self,
+        topic: &str,
+        within: Duration,
+    ) -> Result<(Vec<(String, Vec<u8>)>, u64), Error> {
+        let mut newest = Vec::new();
+        let mut end: Option<u64> = None;
+        let mut path = format!("/api/log-newest?topic={topic}&part=0");
+        loop {
+            let (status, body) = self.get(&path, within).await?;
+            if status != StatusCode::OK {
+                return Err(Error::Status(status.as_u16()));
+            }
+            let page: Page = serde_json::from_slice(&body)
+                .map_err(|error| Error::Malformed(error.to_string()))?;
+            // Pages are no snapshot: changes after the first page follow from its end.
+            let end = *end.get_or_insert(page.end_offset);
+            let last = page.items.last().map(|item| escape(&item.key));
+            for item in page.items {
+                // A value that is no base64 comes from another writer and names nothing.
+                if let Ok(value) = STANDARD.decode(&item.value) {
+                    newest.push((item.key, value));
+                }
+            }
+            match last.filter(|_| page.has_more) {
+                Some(last) => path = format!("/api/log-newest?topic={topic}&part=0&after={last}"),
+                None => return Ok((newest, end)),
+            }
+        }
+    }
+
+    async fn get(&self, path: &str, within: Duration) -> Result<(StatusCode, Bytes), Error> {
+        match timeout(within, self.exchange(path)).await {
+            Ok(answer) => answer,
+            Err(_) => {
+                // What hangs one call may hang the kept connections as well.
+                self.pool.clear();
+                Err(Error::Timeout)
+            }
+        }
+    }
+
+    async fn exchange(&self, path: &str) -> Result<(StatusCode, Bytes), Error> {
+        let request = Request::get(path)
+            .header("host", self.address.to_string())
+            .body(Full::default())
+            .map_err(|error| Error::Malformed(error.to_string()))?;
+        let unreachable = |error: crate::http::Error| Error::Unreachable(error.to_string());
+        let (mut channel, _) = self.pool.take(CONNECT).await.map_err(unreachable)?;
+        let response = channel.send(request).await.map_err(unreachable)?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), ANSWER_BYTES);
+        let body = body.collect().await;
+        let body = body.map_err(|error| Error::Unreachable(error.to_string()))?;
+        self.pool.put(channel, KEEP);
+        Ok((status, body.to_bytes()))
+    }
+}
+
+fn decode(value: impl AsRef<[u8]>) -> Result<Configuration, Error> {
+    configuration::decode(value.as_ref()).map_err(|error| Error::Malformed(error.to_string()))
+}
+
+/// Escapes what can't stand in a query.
+fn escape(text: &str) -> String {
+    let mut escaped = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        match byte {
+            b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'-' | b'_' | b'.' | b'~' => {
+                escaped.push(char::from(byte));
+            }
+            _ => escaped.push_str(&format!("%{byte:02X}")),
+        }
+    }
+    escaped
+}
+
+/// Splits the answer of a read into its records; also returns the offset after the last of them.
+fn records(body: &[u8], from: u64) -> Result<(u64, Vec<&[u8]>), Error> {
+    let malformed = || Error::Malformed("a read that ends within a record".to_owned());
+    // The end and the first retained offset come first, 8 bytes each.
+    let mut rest = body.get(16..).ok_or_else(malformed)?;
+    let mut records = Vec::new();
+    while !rest.is_empty() {
+        let (length, after) = rest.split_at_checked(4).ok_or_else(malformed)?;
+        let length = u32::from_be_bytes([length[0], length[1], length[2], length[3]]);
+        let (record, after) = after
+            .split_at_checked(length as usize)
+            .ok_or_else(malformed)?;
+        records.push(record);
+        rest = after;
+    }
+    Ok((from + records.len() as u64, records))
+}
+
+/// Splits a record of a keyed topic into key and value.
+fn keyed(record: &[u8]) -> Option<(&[u8], &[u8])> {
+    let (length, rest) = record.split_first()?;
+    rest.split_at_checked(usize::from(*length))
+}
--- a/src/report.rs
+++ b/src/report.rs
@@ -4,7 +4,15 @@
     fmt::{
         self,
         Display,
-        Write, //
+        Write as _, //
+    },
+    io::{
+        self,
+        Write as _, //
+    },
+    sync::{
+        Mutex,
+        PoisonError, //
     },
     time::{
         SystemTime,
@@ -88,6 +96,73 @@
                 record.level().as_str().to_lowercase(),
             ));
         })
-        .chain(std::io::stderr())
+        .chain(io::stderr())
+        .apply()
+}
+
+/// Lines a second that a bounded log holds; further lines are counted and left out.
+const LINES_PER_S: u32 = 200;
+
+/// Counts the lines of the current second.
+#[derive(Debug, Default)]
+struct Bound {
+    second: u64,
+    lines: u32,
+    dropped: u64,
+}
+
+impl Bound {
+    /// Returns whether a line may be written, and the lines dropped before it if it is the first
+    /// of a second.
+    fn admit(&mut self, second: u64) -> Option<u64> {
+        let mut dropped = 0;
+        if second != self.second {
+            self.second = second;
+            self.lines = 0;
+            dropped = std::mem::take(&mut self.dropped);
+        }
+        self.lines += 1;
+        if self.lines > LINES_PER_S {
+            self.dropped += 1;
+            return None;
+        }
+        Some(dropped)
+    }
+}
+
+/// Sets up logging to standard output with a bound on the lines a second.
+///
+/// # Errors
+///
+/// Fails if logging has been set up before.
+pub(crate) fn start_bounded(level: &str, instance: &str) -> Result<(), SetLoggerError> {
+    let level = level.parse().unwrap_or(LevelFilter::Info);
+    let instance = instance.to_owned();
+    let bound = Mutex::new(Bound::default());
+    fern::Dispatch::new()
+        .level(LevelFilter::Warn)
+        .level_for("chestnuthub", level)
+        .chain(fern::Output::call(move |record| {
+            let now = SystemTime::now().duration_since(UNIX_EPOCH);
+            let now = now.unwrap_or_default();
+            let mut bound = bound.lock().unwrap_or_else(PoisonError::into_inner);
+            let Some(dropped) = bound.admit(now.as_secs()) else {
+                return;
+            };
+            let mut text = format!(
+                "ts_ms={} level={} instance={instance} {}\n",
+                now.as_millis(),
+                record.level().as_str().to_lowercase(),
+                record.args(),
+            );
+            if dropped > 0 {
+                text.push_str(&format!(
+                    "ts_ms={} level=warn instance={instance} event=lines_dropped lines={dropped}\n",
+                    now.as_millis()
+                ));
+            }
+            // A log that can't be written has nowhere to be reported.
+            let _ = io::stdout().lock().write_all(text.as_bytes());
+        }))
         .apply()
 }
--- /dev/null
+++ b/src/watch/follower.rs
@@ -0,0 +1,197 @@
+//! Follows the store.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    rc::Rc,
+    time::Duration,
+};
+
+use tokio::{
+    sync::Notify,
+    time::sleep, //
+};
+
+use super::{
+    Error,
+    Roster, //
+};
+use crate::{
+    deployment::Configuration,
+    platform::store::Store,
+    report,
+    timer::Time, //
+};
+
+/// Time for a read of the store.
+const READ: Duration = Duration::from_millis(1_500);
+
+/// Pause after a read that failed.
+const RETRY: Duration = Duration::from_millis(250);
+
+/// A configuration, if there is one, and the offset after which changes follow.
+#[derive(Debug)]
+pub(crate) struct Change {
+    /// The newest configuration.
+    pub(crate) configuration: Option<Configuration>,
+    /// Offset of the next record.
+    pub(crate) next: u64,
+}
+
+/// How often the store is read.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Periods {
+    /// Longest time that one read waits for a new configuration.
+    pub(crate) configuration: Duration,
+    /// Pause between reads of the servers.
+    pub(crate) servers: Duration,
+}
+
+/// What is known from the store.
+#[derive(Debug)]
+pub(crate) struct Follower {
+    store: Store,
+    periods: Periods,
+    configuration: RefCell<Rc<Configuration>>,
+    roster: RefCell<Roster>,
+    has_read_servers: Cell<bool>,
+    /// Wakes what depends on the configuration or the servers.
+    pub(crate) changed: Notify,
+}
+
+impl Follower {
+    /// Makes a follower that knows nothing yet.
+    pub(crate) fn new(store: Store, periods: Periods) -> Self {
+        Self {
+            store,
+            periods,
+            configuration: RefCell::default(),
+            roster: RefCell::default(),
+            has_read_servers: Cell::new(false),
+            changed: Notify::new(),
+        }
+    }
+
+    /// Returns the newest configuration; version 0 before the first was read.
+    pub(crate) fn configuration(&self) -> Rc<Configuration> {
+        self.configuration.borrow().clone()
+    }
+
+    /// Returns whether configuration and servers have been read.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.has_read_servers.get() && self.configuration.borrow().version > 0
+    }
+
+    /// Calls `look` with the servers.
+    pub(crate) fn with_roster<T>(&self, look: impl FnOnce(&Roster) -> T) -> T {
+        look(&self.roster.borrow())
+    }
+
+    /// Follows the servers for ever.
+    pub(crate) async fn follow_servers(&self) {
+        let mut dependency = Dependency::new("servers");
+        loop {
+            match self.store.servers(READ).await {
+                Ok(found) => {
+                    dependency.note_success();
+                    self.roster.borrow_mut().update(found, Time::now());
+                    self.has_read_servers.set(true);
+                    self.changed.notify_waiters();
+                }
+                Err(error) => {
+                    dependency.note_failure(&error);
+                    self.roster.borrow_mut().note_failure();
+                    sleep(RETRY).await;
+                    continue;
+                }
+            }
+            sleep(self.periods.servers).await;
+        }
+    }
+
+    /// Follows the configuration for ever.
+    pub(crate) async fn follow_configuration(&self) {
+        let mut dependency = Dependency::new("configuration");
+        let mut next = None;
+        loop {
+            let change = match next {
+                Some(from) => self.store.change(from, self.periods.configuration).await,
+                None => self.store.configuration(READ).await,
+            };
+            match change {
+                Ok(change) => {
+                    dependency.note_success();
+                    let is_known = change.configuration.is_some();
+                    if let Some(configuration) = change.configuration {
+                        self.apply(configuration);
+                    }
+                    next = Some(change.next);
+                    if !is_known && self.configuration.borrow().version == 0 {
+                        sleep(RETRY).await;
+                    }
+                }
+                Err(error) => {
+                    if error == Error::Forgotten {
+                        next = None;
+                    } else {
+                        dependency.note_failure(&error);
+                        sleep(RETRY).await;
+                    }
+                }
+            }
+        }
+    }
+
+    /// An older version than the one in force changes nothing.
+    fn apply(&self, configuration: Configuration) {
+        let in_force = self.configuration.borrow().version;
+        let applied = configuration.version > in_force;
+        report::info(
+            "configuration",
+            &[
+                ("version", &configuration.version),
+                ("in_force", &in_force),
+                ("applied", &applied),
+                ("routes", &configuration.routes.len()),
+            ],
+        );
+        if applied {
+            *self.configuration.borrow_mut() = Rc::new(configuration);
+            self.changed.notify_waiters();
+        }
+    }
+}
+
+/// Logs when a dependency is lost and regained.
+struct Dependency {
+    name: &'static str,
+    is_lost: bool,
+}
+
+impl Dependency {
+    fn new(name: &'static str) -> Self {
+        Self {
+            name,
+            is_lost: false,
+        }
+    }
+
+    fn note_success(&mut self) {
+        if self.is_lost {
+            report::info("dependency_regained", &[("name", &self.name)]);
+        }
+        self.is_lost = false;
+    }
+
+    fn note_failure(&mut self, error: &Error) {
+        if !self.is_lost {
+            report::warn(
+                "dependency_lost",
+                &[("name", &self.name), ("error", &error)],
+            );
+        }
+        self.is_lost = true;
+    }
+}
