gateway: reset connections whose request is given up; shun silent machines

Change: connections to servers are reset when they end; a gateway treats a machine as silent when nothing is heard from its loader for 1.4 s, and sends it nothing until it is heard again.

--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -63,6 +63,8 @@
     load: Cell<Option<(Load, Time)>>,
     failures: Cell<f64>,
     rests_until: Cell<Time>,
+    /// Whether the server's machine answers nothing at all, as far as the link to its loader shows.
+    is_silent: Cell<bool>,
     /// What the loader told, while the link to it is up.
     pub(super) holdings: RefCell<Option<Holdings>>,
     /// Gateways that the loader knows.
@@ -84,6 +86,7 @@
             load: Cell::new(None),
             failures: Cell::new(0.0),
             rests_until: Cell::new(Time::ZERO),
+            is_silent: Cell::new(false),
             holdings: RefCell::default(),
             gateways: Cell::new(0),
             demand_changed: Notify::new(),
@@ -108,7 +111,17 @@
 
     /// Returns whether new requests may be sent to the server.
     pub(super) fn is_usable(&self, now: Time) -> bool {
-        self.server.borrow().state == State::Ready && now >= self.rests_until.get()
+        self.is_ready() && now >= self.rests_until.get() && !self.is_silent.get()
+    }
+
+    /// Returns whether the server takes new requests by its own word.
+    pub(super) fn is_ready(&self) -> bool {
+        self.server.borrow().state == State::Ready
+    }
+
+    /// Notes whether the server's machine answers.
+    pub(super) fn note_silence(&self, is_silent: bool) {
+        self.is_silent.set(is_silent);
     }
 
     /// Returns whether the loader beside the server takes wishes.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -198,14 +198,15 @@
             return Err(late(progress));
         }
         let backends = state.fleet.of_service(&job.service);
-        let usable = backends.into_iter().filter(|backend| {
-            backend.is_usable(now) && !progress.tried.contains(&backend.server().id)
-        });
-        let able: Vec<_> = usable
+        let untried = backends
+            .into_iter()
+            .filter(|backend| !progress.tried.contains(&backend.server().id));
+        let able: Vec<_> = untried
             .filter(|backend| match (engine, job.model()) {
                 (Some(_), Some(name)) => backend.replica(&name.model, |_| ()).is_some(),
                 _ => true,
             })
+            .filter(|backend| backend.is_usable(now))
             .collect();
         let choice = choose_among(state, job, &able, now);
         if let Some((backend, lacks_adapter)) = choice {
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -42,8 +42,8 @@
 /// Longest time between messages to a loader.
 const HEARTBEAT: Duration = Duration::from_millis(1_000);
 
-/// Silence after which a loader counts as gone.
-const SILENCE: Duration = Duration::from_millis(3_000);
+/// Silence after which a loader, and the machine that it shares with its server, counts as gone.
+const SILENCE: Duration = Duration::from_millis(1_400);
 
 /// Least time between messages to a loader, within which changes are gathered.
 const GATHER: Duration = Duration::from_millis(5);
@@ -57,6 +57,8 @@
         if is_engine(&state, &backend) {
             let loader = loader_addr(&state, &backend);
             let ended = run(&state, &backend, loader).await;
+            // A process that ended leaves a machine that refuses connections at once.
+            backend.note_silence(ended.kind() == io::ErrorKind::TimedOut);
             let is_up = backend.holdings.take().is_some();
             if is_up || was_up {
                 let server = backend.server();
@@ -124,6 +126,7 @@
 }
 
 fn take(state: &State, backend: &Backend, status: Status) {
+    backend.note_silence(false);
     backend.note_workload(status.workload, Time::now());
     let Some(holdings) = status.holdings else {
         return;
--- a/src/http/channel.rs
+++ b/src/http/channel.rs
@@ -78,6 +78,10 @@
         let stream = connected.map_err(|_| Error::Connect(late()))?;
         let stream = stream.map_err(Error::Connect)?;
         configure(&stream).map_err(Error::Connect)?;
+        // A request that is given up must not reach the server later, when a frozen machine wakes or
+        // a partition heals. So the connection is reset, which drops what is still on its way.
+        let linger = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        linger.map_err(Error::Connect)?;
         let handshake = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
--- a/src/loader/port.rs
+++ b/src/loader/port.rs
@@ -32,7 +32,7 @@
 };
 
 /// Longest time between messages to a gateway.
-const HEARTBEAT: Duration = Duration::from_millis(1_000);
+const HEARTBEAT: Duration = Duration::from_millis(500);
 
 /// Silence after which a gateway counts as gone.
 const SILENCE: Duration = Duration::from_millis(3_500);
