loader: hold memory and store rate under churn; test the decisions

Change: servers seen within the window share the rate, leaving ones load nothing, a restarted loader counts a load of its predecessor, shares below one load take turns; no order while one that an engine may take for a new one is on its way, nor adapters while an unknown order runs.

--- a/src/loader/driver.rs
+++ b/src/loader/driver.rs
@@ -7,7 +7,11 @@
     },
     net::SocketAddr,
     rc::Rc,
-    time::Duration, //
+    time::{
+        Duration,
+        SystemTime,
+        UNIX_EPOCH, //
+    },
 };
 
 use tokio::time::{
@@ -22,6 +26,8 @@
     Pace,
     Reply,
     Report,
+    Sharers,
+    Unanswered,
     engine::Engine,
     plan,
     state::State, //
@@ -57,6 +63,9 @@
 /// Pause between looks for models that nobody waits for.
 const SPARE: Duration = Duration::from_millis(500);
 
+/// Time within which an order without an answer may still be carried out.
+const LATE: Duration = Duration::from_millis(13_000);
+
 /// Pause after an order that was refused or got no answer.
 const AGAIN: Duration = Duration::from_millis(200);
 
@@ -71,6 +80,9 @@
         underway: None,
         pace: Pace::default(),
         adapter_use: BTreeMap::new(),
+        unanswered: Vec::new(),
+        seen: BTreeMap::new(),
+        has_report: false,
         spare_at: Time::now(),
         hold_until: Time::now(),
     };
@@ -97,6 +109,10 @@
     underway: Option<Accepted>,
     pace: Pace,
     adapter_use: BTreeMap<(String, String), Time>,
+    unanswered: Vec<Unanswered>,
+    /// Servers of the service by when they were last in the roster.
+    seen: BTreeMap<String, Time>,
+    has_report: bool,
     spare_at: Time,
     hold_until: Time,
 }
@@ -113,6 +129,12 @@
             self.underway = None;
         }
         let now = Time::now();
+        if !self.has_report && self.report.accepted_orders > 0 {
+            // An earlier process on this machine may just have begun a load from the store.
+            self.pace.note(now);
+        }
+        self.has_report = true;
+        self.unanswered.retain(|order| now - order.given < LATE);
         self.note_usage(now);
         let server = self.server();
         self.publish(server.as_ref(), now);
@@ -181,20 +203,23 @@
     }
 
     fn decide(&mut self, server: &Server, wishes: &[Wish], now: Time) -> Option<Order> {
+        if server.state != deployment::State::Ready {
+            return None;
+        }
         let configuration = self.state.follower.configuration();
         let engine = configuration.service(&server.service)?.engine.as_ref()?;
         let pool = self.pool(engine, server, wishes);
         let host = pool.hosts.iter().position(|host| host.id == server.id)?;
-        let window = self.settings.store_load_window();
-        let may_use_store = self
-            .pace
-            .allows(now, engine.loads_per_s, pool.hosts.len(), window);
+        let sharers = self.sharers(engine, server, now);
+        let clock = SystemTime::now().duration_since(UNIX_EPOCH);
+        let may_use_store = self.pace.allows(now, clock.unwrap_or_default(), &sharers);
         let facts = Facts {
             pool,
             host,
             report: &self.report,
             wishes,
             adapter_use: &self.adapter_use,
+            unanswered: &self.unanswered,
             may_use_store,
             may_load_spare: now >= self.spare_at,
         };
@@ -209,6 +234,25 @@
         Some(order)
     }
 
+    /// Counts the servers that may have begun a load within the window: also those that left in it.
+    fn sharers(&mut self, engine: &deployment::Engine, own: &Server, now: Time) -> Sharers {
+        let window = self.settings.store_load_window();
+        let seen = &mut self.seen;
+        self.state.follower.with_roster(|roster| {
+            let servers = roster.servers().values();
+            for server in servers.filter(|server| server.service == own.service) {
+                seen.insert(server.id.clone(), now);
+            }
+        });
+        seen.retain(|_, at| now - *at <= window);
+        Sharers {
+            servers: seen.len(),
+            place: seen.keys().filter(|id| **id < own.id).count(),
+            loads_per_s: engine.loads_per_s,
+            window,
+        }
+    }
+
     fn pool<'a>(
         &self,
         engine: &'a deployment::Engine,
@@ -292,6 +336,13 @@
             Some(Reply::Accepted) if order.adapter.is_none() => self.accept(order, now),
             Some(Reply::Accepted | Reply::Holds) => self.underway = None,
             _ => {
+                if reply.is_none() {
+                    self.unanswered.push(Unanswered {
+                        born: self.report.born,
+                        accepted_orders: order.accepted_orders,
+                        given: now,
+                    });
+                }
                 self.underway = None;
                 self.hold_until = now + AGAIN;
             }
--- a/src/loader/mod.rs
+++ b/src/loader/mod.rs
@@ -12,9 +12,13 @@
     Operation,
     Order,
     Reply,
-    Report, //
+    Report,
+    Unanswered, //
+};
+pub use pace::{
+    Pace,
+    Sharers, //
 };
-pub use pace::Pace;
 pub use plan::{
     Facts,
     plan, //
--- a/src/loader/order.rs
+++ b/src/loader/order.rs
@@ -1,8 +1,11 @@
 //! Reports of an engine and orders to it.
 
-use crate::deployment::{
-    Copies,
-    Replica, //
+use crate::{
+    deployment::{
+        Copies,
+        Replica, //
+    },
+    timer::Time,
 };
 
 /// What an engine says of itself.
@@ -61,6 +64,25 @@
     pub accepted_orders: u64,
 }
 
+/// An order that got no answer and may still be carried out.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Unanswered {
+    /// Start of the engine that the order was decided for, in Unix milliseconds.
+    pub born: u64,
+    /// Orders that the engine must have accepted before.
+    pub accepted_orders: u64,
+    /// When the order was given.
+    pub given: Time,
+}
+
+impl Unanswered {
+    /// Returns whether the order could meet an engine that started again under the same id and so
+    /// counts its orders anew.
+    pub fn threatens(&self, report: &Report) -> bool {
+        self.born != report.born && self.accepted_orders >= report.accepted_orders
+    }
+}
+
 /// Answer of an engine to an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reply {
--- a/src/loader/plan.rs
+++ b/src/loader/plan.rs
@@ -5,7 +5,8 @@
 use super::{
     Operation,
     Order,
-    Report, //
+    Report,
+    Unanswered, //
 };
 use crate::{
     deployment::{
@@ -37,6 +38,8 @@
     pub wishes: &'a [Wish],
     /// Last use of each adapter, by model and adapter.
     pub adapter_use: &'a BTreeMap<(String, String), Time>,
+    /// Orders that may still be carried out.
+    pub unanswered: &'a [Unanswered],
     /// Whether a load from the weight store may begin now.
     pub may_use_store: bool,
     /// Whether a model that nobody waits for may be loaded now.
@@ -45,8 +48,17 @@
 
 /// Returns the next order, if any.
 pub fn plan(facts: &Facts<'_>) -> Option<Order> {
+    let report = facts.report;
+    if facts.unanswered.iter().any(|order| order.threatens(report)) {
+        return None;
+    }
+    let is_busy = report.is_busy;
+    if is_busy && facts.pool.hosts[facts.host].busy.is_none() {
+        // An order without an answer is carried out; how much memory it takes is not known.
+        return None;
+    }
     let adapter = facts.wishes.iter().find_map(|wish| facts.adapter(wish));
-    if adapter.is_some() || facts.report.is_busy {
+    if adapter.is_some() || is_busy {
         return adapter;
     }
     let wishes = facts.wishes.iter();
@@ -94,6 +106,10 @@
         let adapter = wish.adapter.as_deref()?;
         let mut replicas = self.report.replicas.iter();
         let replica = replicas.find(|replica| replica.model == wish.model)?;
+        if !self.pool.hosts[self.host].holds(&wish.model) {
+            // The model is being unloaded, and its adapters with it.
+            return None;
+        }
         let pending = &self.report.pending_adapters;
         let is_pending = |(model, name): &(String, String)| *model == wish.model && name == adapter;
         let has = replica.adapters.iter().any(|name| name == adapter);
--- /dev/null
+++ b/tests/header.rs
@@ -0,0 +1,169 @@
+//! Headers on the users' platform.
+
+use std::time::Duration;
+
+use chestnuthub::{
+    dispatch::Part,
+    gateway::{
+        Malformed,
+        ModelName,
+        Outgoing, //
+    },
+    platform::header, //
+};
+use hyper::{
+    HeaderMap,
+    header::{
+        HeaderName,
+        HeaderValue, //
+    },
+};
+
+fn headers(pairs: &[(&str, &str)]) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for (name, value) in pairs {
+        let name: HeaderName = name.parse().expect("a header name");
+        headers.append(name, HeaderValue::from_str(value).expect("a header value"));
+    }
+    headers
+}
+
+const OUTGOING: Outgoing<'_> = Outgoing {
+    server: "i-1",
+    time_left: Duration::from_micros(1_234_900),
+    priority: Some(1),
+    last_event: None,
+};
+
+/// Guards against fields read wrongly.
+#[test]
+fn a_request_is_decoded() {
+    let asked = header::decode_request(&headers(&[
+        ("Request-Id", "r1"),
+        ("Model", "base/a3"),
+        ("Token-Count", "1460,80"),
+        ("Prompt-Prefix", "5c1e07a2:800,e4402b7d:250"),
+        ("Deadline-Ms", "6000"),
+    ]))
+    .expect("a proper request");
+    assert_eq!(asked.id, "r1");
+    let model = ModelName {
+        model: "base".to_owned(),
+        adapter: Some("a3".to_owned()),
+    };
+    assert_eq!(asked.model, Some(model));
+    assert_eq!(asked.prompt_tokens, 1_460);
+    let last = Part {
+        id: 0xe440_2b7d,
+        tokens: 250,
+    };
+    assert_eq!(asked.prompt.last(), Some(&last));
+    assert_eq!(asked.time_left, Some(Duration::from_secs(6)));
+}
+
+/// Guards against two readers of one head that understand different requests.
+#[test]
+fn ambiguous_heads_are_refused() {
+    for name in [
+        "Request-Id",
+        "Model",
+        "Host",
+        "Content-Length",
+        "Prompt-Prefix",
+    ] {
+        let twice = headers(&[("Request-Id", "r1"), (name, "1"), (name, "2")]);
+        let repeated = header::decode_request(&twice);
+        assert_eq!(
+            repeated,
+            Err(Malformed::Repeated(name.to_ascii_lowercase())),
+            "{name}"
+        );
+    }
+    let lengths = headers(&[
+        ("Request-Id", "r1"),
+        ("Content-Length", "5"),
+        ("Transfer-Encoding", "chunked"),
+    ]);
+    assert_eq!(header::decode_request(&lengths), Err(Malformed::TwoLengths));
+    assert_eq!(header::decode_request(&headers(&[])), Err(Malformed::NoId));
+}
+
+/// Guards against a client that sets what only the system may set, and against headers of one
+/// connection that are passed on.
+#[test]
+fn reserved_headers_are_the_systems() {
+    let client = headers(&[
+        ("Request-Id", "r1"),
+        ("Target-Instance", "other"),
+        ("Request-Priority", "0"),
+        ("Hold", "h"),
+        ("Pin-Ms", "4000"),
+        ("Kv-From", "10.0.0.1:1/h"),
+        ("Kv-Fetch", "10.0.0.1:1"),
+        ("Kv-Backup", "10.0.0.1:1"),
+        ("Expect-Version", "1"),
+        ("Connection", "x-own, close"),
+        ("X-Own", "1"),
+        ("X-Other", "2"),
+        ("Keep-Alive", "timeout=5"),
+    ]);
+    let sent = header::encode_request(&client, &OUTGOING);
+    assert_eq!(sent["target-instance"], "i-1");
+    assert_eq!(sent["request-priority"], "1");
+    assert_eq!(sent["x-other"], "2");
+    for name in [
+        "hold",
+        "pin-ms",
+        "kv-from",
+        "kv-fetch",
+        "kv-backup",
+        "expect-version",
+        "connection",
+        "x-own",
+        "keep-alive",
+    ] {
+        assert!(!sent.contains_key(name), "{name}");
+    }
+}
+
+/// Guards against a client that has the headers left out that say what runs.
+#[test]
+fn a_client_cannot_drop_what_identifies_its_request() {
+    let client = headers(&[
+        ("Request-Id", "r1"),
+        ("Model", "m"),
+        ("Connection", "Model, Request-Id"),
+    ]);
+    let sent = header::encode_request(&client, &OUTGOING);
+    assert_eq!(sent["model"], "m");
+    assert_eq!(sent["request-id"], "r1");
+}
+
+/// Guards against servers that work longer than the client waits.
+#[test]
+fn the_time_left_is_passed_on() {
+    let client = headers(&[("Request-Id", "r1"), ("Deadline-Ms", "6000")]);
+    let sent = header::encode_request(&client, &OUTGOING);
+    assert_eq!(sent["deadline-ms"], "1234");
+}
+
+/// Guards against a failure that is taken for a promise, or a promise that is missed.
+#[test]
+fn promises_of_servers_are_decoded() {
+    let refused = headers(&[("Not-Executed", "1"), ("Server-Load", "3,1,8")]);
+    let answered = header::decode_answer(503, &refused);
+    assert!(answered.has_not_run && !answered.is_signed);
+    assert_eq!(
+        answered.load.map(|load| (load.running, load.waiting)),
+        Some((3, 1))
+    );
+    assert!(header::decode_answer(421, &headers(&[])).has_not_run);
+    let failed = headers(&[("Response-Signature", "s"), ("Request-Id", "r1")]);
+    let answered = header::decode_answer(503, &failed);
+    assert!(answered.is_signed && !answered.has_not_run);
+    assert!(!header::decode_answer(502, &headers(&[])).has_not_run);
+    let closing = headers(&[("Connection", "Close"), ("Keep-Alive", "timeout=7, max=2")]);
+    let answered = header::decode_answer(200, &closing);
+    assert!(answered.closes);
+    assert_eq!(answered.keep, Some(Duration::from_secs(7)));
+}
--- /dev/null
+++ b/tests/placement.rs
@@ -0,0 +1,149 @@
+//! Where models are loaded, and what makes room for them.
+
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+use chestnuthub::{
+    deployment::{
+        Engine,
+        Model, //
+    },
+    placement::{
+        Busy,
+        Host,
+        Pool,
+        Resident,
+        evict, //
+    },
+};
+
+fn engine(sizes: &[(&str, f64)]) -> Engine {
+    let mut models: Vec<_> = sizes
+        .iter()
+        .map(|(name, weights_mb)| Model {
+            name: (*name).to_owned(),
+            weights_mb: *weights_mb,
+            adapter_mb: 1.0,
+            store_load: Duration::from_secs(6),
+            disk_load: Duration::from_millis(800),
+            memory_load: Duration::from_millis(300),
+        })
+        .collect();
+    models.sort_by(|a, b| a.name.cmp(&b.name));
+    Engine {
+        slots: 64,
+        weights_mb: 100.0,
+        adapter_slots: 8,
+        loads_per_s: 2.0,
+        models,
+    }
+}
+
+fn host(id: &str, resident: &[&str], on_disk: &[&str]) -> Host {
+    Host {
+        id: id.to_owned(),
+        reachable: true,
+        resident: resident
+            .iter()
+            .map(|name| ((*name).to_owned(), Resident::default()))
+            .collect(),
+        on_disk: on_disk.iter().map(|name| (*name).to_owned()).collect(),
+        ..Host::default()
+    }
+}
+
+fn pool<'a>(engine: &'a Engine, hosts: Vec<Host>, rates: &[(&str, f64)]) -> Pool<'a> {
+    let rates = rates.iter();
+    Pool {
+        engine,
+        hosts,
+        rates: rates
+            .map(|(name, rate)| ((*name).to_owned(), *rate))
+            .collect::<BTreeMap<_, _>>(),
+    }
+}
+
+/// Guards against loads from the store (6 s) where a disk holds the weights (0.8 s), and against
+/// processes that send the same wish to different servers.
+#[test]
+fn a_copy_on_a_disk_decides_the_place() {
+    let engine = engine(&[("cold", 40.0), ("a", 40.0), ("b", 40.0)]);
+    let hosts = vec![
+        host("s1", &["a"], &[]),
+        host("s2", &["b"], &["cold"]),
+        host("s3", &[], &[]),
+    ];
+    let pool = pool(&engine, hosts, &[]);
+    let ranked = pool.rank("cold");
+    assert_eq!(pool.hosts[ranked[0].host].id, "s2");
+    let mut turned = pool.clone();
+    turned.hosts.reverse();
+    let ids = |pool: &Pool<'_>| {
+        let ranked = pool.rank("cold").into_iter();
+        ranked
+            .map(|candidate| pool.hosts[candidate.host].id.clone())
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(ids(&pool), ids(&turned));
+}
+
+/// Guards against a second load of a model that is being loaded.
+#[test]
+fn a_load_under_way_is_joined() {
+    let engine = engine(&[("cold", 40.0)]);
+    let mut loading = host("s1", &[], &[]);
+    loading.busy = Some(Busy {
+        model: "cold".to_owned(),
+        is_load: true,
+        remaining_ms: 300.0,
+    });
+    let hosts = vec![loading, host("s2", &[], &["cold"])];
+    let pool = pool(&engine, hosts, &[]);
+    assert_eq!(pool.rank("cold")[0].host, 0);
+    assert!(pool.spare(1).is_none());
+}
+
+/// Guards against busy models that lose a copy to one that is hardly asked for, and against an
+/// eviction of the model that requests wait for.
+#[test]
+fn the_cheapest_replica_makes_room() {
+    let engine = engine(&[
+        ("busy", 30.0),
+        ("idle", 30.0),
+        ("rare", 30.0),
+        ("cold", 40.0),
+    ]);
+    let hosts = vec![
+        host("s1", &["busy", "idle", "rare"], &[]),
+        host("s2", &["busy"], &[]),
+    ];
+    let rates = [("busy", 6.0), ("rare", 0.1)];
+    let mut pool = pool(&engine, hosts, &rates);
+    let eviction = evict(&pool, 0, 40.0).expect("there is room");
+    assert_eq!(eviction.victims, ["idle"]);
+    pool.hosts[0]
+        .resident
+        .get_mut("idle")
+        .expect("resident")
+        .wanted = true;
+    let eviction = evict(&pool, 0, 40.0).expect("there is room");
+    assert_eq!(eviction.victims, ["rare"]);
+    for resident in pool.hosts[0].resident.values_mut() {
+        resident.wanted = true;
+    }
+    assert_eq!(evict(&pool, 0, 40.0), None);
+}
+
+/// Guards against accelerators that stay filled with spare copies while a model that is asked for
+/// has none, and against two servers that load the same spare copy.
+#[test]
+fn a_model_without_a_copy_is_loaded_once_before_it_is_asked_for() {
+    let engine = engine(&[("lost", 60.0), ("idle", 60.0)]);
+    let hosts = vec![host("s1", &["idle"], &[]), host("s2", &["idle"], &[])];
+    let pool = pool(&engine, hosts, &[("lost", 0.2)]);
+    let loading: Vec<_> = (0..2).filter_map(|index| pool.spare(index)).collect();
+    assert_eq!(loading.len(), 1);
+    assert_eq!(loading[0].name, "lost");
+}
