--- a/src/emulator/http.rs
+++ b/src/emulator/http.rs
@@ -231,13 +231,26 @@
     runtime.block_on(async {
         let listener = TcpListener::bind(listen).await?;
         println!("listening addr={}", listener.local_addr()?);
-        loop {
-            let (stream, _) = listener.accept().await?;
-            tokio::spawn(serve_connection(stream, faults.clone(), handler.clone()));
-        }
+        accept(listener, faults, handler).await
     })
 }
 
+/// Serves the connections of a listener with the handler.
+pub(super) async fn accept<H, F>(
+    listener: TcpListener,
+    faults: Arc<Faults>,
+    handler: H,
+) -> io::Result<()>
+where
+    H: Fn(Call) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Answer> + Send + 'static,
+{
+    loop {
+        let (stream, _) = listener.accept().await?;
+        tokio::spawn(serve_connection(stream, faults.clone(), handler.clone()));
+    }
+}
+
 async fn serve_connection<H, F>(stream: TcpStream, faults: Arc<Faults>, handler: H)
 where
     H: Fn(Call) -> F + Clone + Send + Sync + 'static,
--- a/src/emulator/mod.rs
+++ b/src/emulator/mod.rs
@@ -21,6 +21,7 @@
 mod list;
 mod log;
 mod service;
+pub mod site;
 mod store;
 
 use std::{
--- /dev/null
+++ b/src/emulator/site/engine.rs
@@ -0,0 +1,314 @@
+//! A model engine of the users' platform.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+};
+
+use bytes::Bytes;
+use serde::Deserialize;
+use serde_json::{
+    Value,
+    json, //
+};
+use tokio::{
+    sync::mpsc,
+    time::sleep, //
+};
+
+use super::{
+    super::http::{
+        Answer,
+        Call, //
+    },
+    Plan,
+    Records,
+    Run,
+    lock, //
+};
+
+/// Memory of each model in MB.
+const MODEL_MB: f64 = 40.0;
+
+/// Parts of an answer that wait for the caller at the most.
+const WAITING_PARTS: usize = 2;
+
+#[derive(Debug, Deserialize)]
+struct Order {
+    operation: String,
+    model: String,
+    adapter: Option<String>,
+    expect: Option<u64>,
+    holder: Option<String>,
+    #[serde(rename = "fencingToken")]
+    fencing_token: Option<u64>,
+}
+
+#[derive(Debug, Clone)]
+struct Loaded {
+    name: String,
+    adapters: Vec<String>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    accepted: u64,
+    is_busy: bool,
+    models: Vec<Loaded>,
+    on_disk: Vec<String>,
+    holder: Option<String>,
+    break_after: Option<u32>,
+    running: u32,
+}
+
+/// A model engine.
+#[derive(Debug)]
+pub(super) struct Engine {
+    id: String,
+    plan: Plan,
+    state: Mutex<State>,
+    records: Arc<Mutex<Records>>,
+}
+
+impl Engine {
+    pub(super) fn new(
+        id: &str,
+        plan: &Plan,
+        models: &[&str],
+        records: Arc<Mutex<Records>>,
+    ) -> Self {
+        let loaded = models.iter().map(|name| Loaded {
+            name: (*name).to_owned(),
+            adapters: Vec::new(),
+        });
+        let state = State {
+            models: loaded.collect(),
+            on_disk: models.iter().map(|name| (*name).to_owned()).collect(),
+            ..State::default()
+        };
+        Self {
+            id: id.to_owned(),
+            plan: plan.clone(),
+            state: Mutex::new(state),
+            records,
+        }
+    }
+
+    pub(super) fn id(&self) -> &str {
+        &self.id
+    }
+
+    pub(super) fn break_next_stream(&self, after: u32) {
+        self.lock().break_after = Some(after);
+    }
+
+    pub(super) fn clear_break(&self) {
+        self.lock().break_after = None;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn violate(&self, what: String) {
+        lock(&self.records).violations.push(what);
+    }
+
+    pub(super) fn description(&self, service: &str, address: SocketAddr, state: &str) -> Value {
+        let models = self.models();
+        json!({
+            "service": service, "address": address.to_string(), "zone": "z1", "version": "v1",
+            "slots": 8, "state": state, "coldLeftMs": 0, "seq": 1, "born": 1, "models": models,
+            "cachedModels": { "inMemory": [], "onDisk": self.lock().on_disk },
+        })
+    }
+
+    fn models(&self) -> Vec<Value> {
+        let state = self.lock();
+        let models = state.models.iter();
+        models
+            .map(|model| json!({ "name": model.name, "version": 1, "adapters": model.adapters }))
+            .collect()
+    }
+
+    fn report(&self) -> Answer {
+        let models = self.models();
+        let state = self.lock();
+        Answer::json(
+            200,
+            &json!({
+                "stage": "unified", "models": models, "busy": state.is_busy, "seq": state.accepted,
+                "queued": 0, "running": state.running, "kvUsed": 0, "kvTotal": 1000, "born": 1,
+                "cachedModels": { "inMemory": [], "onDisk": state.on_disk }, "pending": [],
+            }),
+        )
+    }
+
+    /// Takes an order; returns its answer and the work that remains.
+    fn order(&self, order: &Order) -> (u16, bool) {
+        let mut state = self.lock();
+        let (Some(holder), Some(_)) = (&order.holder, order.fencing_token) else {
+            return (400, false);
+        };
+        let first = state.holder.get_or_insert_with(|| holder.clone());
+        if first != holder {
+            self.violate(format!("two holders: {first} and {holder}"));
+        }
+        if order.expect.is_some_and(|expect| expect != state.accepted) || state.is_busy {
+            return (409, false);
+        }
+        let used = state.models.len() as f64 * MODEL_MB;
+        if order.operation == "load" && order.adapter.is_none() {
+            if used + MODEL_MB > self.plan.weights_mb {
+                self.violate(format!("{} ordered beyond the memory", order.model));
+            }
+            state.accepted += 1;
+            state.is_busy = true;
+            return (202, true);
+        }
+        state.accepted += 1;
+        match (&order.adapter, order.operation.as_str()) {
+            (Some(adapter), "load") => {
+                let model = state.models.iter_mut().find(|m| m.name == order.model);
+                let Some(model) = model else {
+                    return (421, false);
+                };
+                model.adapters.push(adapter.clone());
+                (202, false)
+            }
+            (Some(adapter), _) => {
+                for model in &mut state.models {
+                    model.adapters.retain(|name| name != adapter);
+                }
+                (200, false)
+            }
+            (None, _) => {
+                state.models.retain(|model| model.name != order.model);
+                (202, false)
+            }
+        }
+    }
+
+    fn finish_load(&self, model: String) {
+        let mut state = self.lock();
+        state.is_busy = false;
+        if !state.on_disk.contains(&model) {
+            state.on_disk.push(model.clone());
+        }
+        state.models.push(Loaded {
+            name: model,
+            adapters: Vec::new(),
+        });
+    }
+
+    fn holds(&self, name: &str) -> bool {
+        let (model, adapter) = match name.split_once('/') {
+            Some((model, adapter)) => (model, Some(adapter)),
+            None => (name, None),
+        };
+        let state = self.lock();
+        let mut models = state.models.iter();
+        let loaded = models.find(|loaded| loaded.name == model);
+        loaded.is_some_and(|loaded| {
+            adapter.is_none_or(|name| loaded.adapters.iter().any(|a| a == name))
+        })
+    }
+}
+
+/// Answers a call.
+pub(super) async fn handle(engine: Arc<Engine>, call: Call) -> Answer {
+    match (call.method.as_str(), call.path.as_str()) {
+        ("GET", "/api/report") => engine.report(),
+        ("POST", "/api/order") => order(&engine, &call),
+        _ => run(engine, call).await,
+    }
+}
+
+fn order(engine: &Arc<Engine>, call: &Call) -> Answer {
+    if call
+        .header("Target-Instance")
+        .is_some_and(|id| id != engine.id)
+    {
+        return Answer::error(421, "another server");
+    }
+    let Ok(order) = serde_json::from_slice::<Order>(&call.body) else {
+        return Answer::error(400, "no order");
+    };
+    let (status, is_load) = engine.order(&order);
+    if is_load {
+        let engine = engine.clone();
+        tokio::spawn(async move {
+            sleep(engine.plan.load).await;
+            engine.finish_load(order.model);
+        });
+    }
+    Answer::json(status, &json!({}))
+}
+
+async fn run(engine: Arc<Engine>, call: Call) -> Answer {
+    let Some(request) = call.header("Request-Id").map(str::to_owned) else {
+        return Answer::error(400, "no id").with_header("Not-Executed", "1".to_owned());
+    };
+    let is_other = call
+        .header("Target-Instance")
+        .is_some_and(|id| id != engine.id);
+    if is_other || !engine.holds(call.header("Model").unwrap_or_default()) {
+        return Answer::error(421, "not here").with_header("Instance-Id", engine.id.clone());
+    }
+    let last = call.header("Last-Event-Id").and_then(|id| id.parse().ok());
+    let first: u32 = last.map_or(0, |last: u32| last + 1);
+    let break_after = engine.lock().break_after.take();
+    let (parts, receiver) = mpsc::channel(WAITING_PARTS);
+    let signature = format!("signature-{request}");
+    let echoed = request.clone();
+    tokio::spawn(async move {
+        let abandoned = stream(&engine, &parts, first, break_after).await;
+        let run = Run {
+            server: engine.id.clone(),
+            request,
+            path: call.path.clone(),
+            body: call.body.to_vec(),
+            abandoned,
+        };
+        lock(&engine.records).runs.push(run);
+    });
+    Answer::events(receiver)
+        .with_header("Request-Id", echoed)
+        .with_header("Response-Signature", signature)
+}
+
+/// Sends events; returns whether the caller left before the last one.
+async fn stream(
+    engine: &Engine,
+    parts: &mpsc::Sender<super::super::http::Part>,
+    first: u32,
+    break_after: Option<u32>,
+) -> bool {
+    engine.lock().running += 1;
+    let mut abandoned = false;
+    for event in first..engine.plan.events {
+        if break_after == Some(event) {
+            // In the middle of an event, as servers that crash do.
+            let _ = parts
+                .send(Ok(Bytes::from(format!("id: {event}\nda"))))
+                .await;
+            let _ = parts
+                .send(Err(std::io::ErrorKind::ConnectionReset.into()))
+                .await;
+            break;
+        }
+        let text = format!("id: {event}\ndata: e{event}\n\n");
+        if parts.send(Ok(Bytes::from(text))).await.is_err() {
+            abandoned = true;
+            break;
+        }
+        sleep(engine.plan.pace).await;
+    }
+    engine.lock().running -= 1;
+    abandoned
+}
