placement, gateway: copies follow reading time; drop replaced servers at once

Change: the delay behind other prompts is worked out from the time that engines read; a second copy may come from the store when it saves enough; a server whose address answers for another is not asked again and the list is read anew; requests wait 1.5 s for loaders to return.

--- a/src/dispatch/choose.rs
+++ b/src/dispatch/choose.rs
@@ -8,6 +8,9 @@
 /// Delay of a request for each further one that an engine runs or queues, in ms.
 const ENGINE_REQUEST_MS: f64 = 4.0;
 
+/// Delay of a request for each one that waits at an engine for its prompt to be read, in ms.
+const ENGINE_WAITING_MS: f64 = 60.0;
+
 /// Delay of a request for each further one at a plain service, relative to its slots, in ms.
 const SERVICE_LOAD_MS: f64 = 60.0;
 
@@ -22,6 +25,8 @@
 pub struct Candidate {
     /// Requests that the server runs or queues, as far as known.
     pub load: u32,
+    /// Requests among them that wait, as far as known.
+    pub waiting: u32,
     /// Requests that it runs at once.
     pub slots: u32,
     /// Prompt tokens on their way to it that were not answered yet.
@@ -45,9 +50,12 @@
     fn delay_ms(&self) -> f64 {
         let load = f64::from(self.load);
         let work_ms = if self.is_engine {
-            let tokens = (self.pending_tokens + self.prompt_tokens) as f64;
             let over = (load + 1.0 - f64::from(self.slots)).max(0.0);
-            tokens / PREFILL_TOKENS_PER_MS + (load + 10.0 * over) * ENGINE_REQUEST_MS
+            let own_ms = self.pending_tokens as f64 / PREFILL_TOKENS_PER_MS;
+            let told_ms = f64::from(self.waiting) * ENGINE_WAITING_MS;
+            self.prompt_tokens as f64 / PREFILL_TOKENS_PER_MS
+                + own_ms.max(told_ms)
+                + (load + 10.0 * over) * ENGINE_REQUEST_MS
         } else {
             let slots = f64::from(self.slots.max(1));
             let over = (load + 1.0 - slots).max(0.0);
--- a/src/emulator/site/mod.rs
+++ b/src/emulator/site/mod.rs
@@ -193,6 +193,13 @@
         self.store.put("keyed.servers", engine.id(), &description);
     }
 
+    /// Writes the description of a server that is gone, at the address of an engine.
+    pub fn describe_former_engine(&self, index: usize, id: &str) {
+        let (engine, _, address) = &self.engines[index];
+        let description = engine.description(ENGINES, *address, "ready");
+        self.store.put("keyed.servers", id, &description);
+    }
+
     /// Writes the description of a server of the plain service into the store.
     pub fn describe_service(&self, index: usize, state: &str) {
         let (id, _, address) = &self.services[index];
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -25,6 +25,7 @@
     dispatch::Prefixes,
     http::Pool,
     link::{
+        Asking,
         Demand,
         Holdings,
         Usage,
@@ -65,6 +66,7 @@
     rests_until: Cell<Time>,
     /// Whether the server's machine answers nothing at all, as far as the link to its loader shows.
     is_silent: Cell<bool>,
+    is_replaced: Cell<bool>,
     /// What the loader told, while the link to it is up.
     pub(super) holdings: RefCell<Option<Holdings>>,
     /// Gateways that the loader knows.
@@ -87,6 +89,7 @@
             failures: Cell::new(0.0),
             rests_until: Cell::new(Time::ZERO),
             is_silent: Cell::new(false),
+            is_replaced: Cell::new(false),
             holdings: RefCell::default(),
             gateways: Cell::new(0),
             demand_changed: Notify::new(),
@@ -101,6 +104,7 @@
     pub(super) fn update(&self, server: &Server) {
         let known = self.server();
         if known.born != server.born {
+            self.is_replaced.set(false);
             self.prefixes.borrow_mut().clear();
             self.pool.clear();
         }
@@ -111,7 +115,13 @@
 
     /// Returns whether new requests may be sent to the server.
     pub(super) fn is_usable(&self, now: Time) -> bool {
-        self.is_ready() && now >= self.rests_until.get() && !self.is_silent.get()
+        let is_here = !self.is_silent.get() && !self.is_replaced.get();
+        self.is_ready() && now >= self.rests_until.get() && is_here
+    }
+
+    /// Notes that another server has the address; this one is not used again.
+    pub(super) fn note_replaced(&self) {
+        self.is_replaced.set(true);
     }
 
     /// Returns whether the server takes new requests by its own word.
@@ -149,6 +159,12 @@
         told.max(self.in_flight.get())
     }
 
+    /// Returns the requests that the server says wait.
+    pub(super) fn waiting(&self, now: Time) -> u32 {
+        let told = self.load.get().filter(|(_, at)| now - *at < LOAD_AGE);
+        told.map_or(0, |(load, _)| load.waiting)
+    }
+
     pub(super) fn note_load(&self, load: Load, now: Time) {
         self.load.set(Some((load, now)));
     }
@@ -222,7 +238,7 @@
     }
 
     /// Returns what this gateway wants of the server.
-    pub(super) fn demand(&self, rates: Vec<(String, f32)>) -> Demand {
+    pub(super) fn demand(&self, rates: Vec<Asking>) -> Demand {
         let usage = self.usage.borrow();
         let usage = usage.iter().map(|((model, adapter), in_flight)| Usage {
             model: model.clone(),
--- a/src/gateway/cold.rs
+++ b/src/gateway/cold.rs
@@ -27,6 +27,8 @@
     Wait(Rc<Backend>),
     /// The load takes too long; come back after this time.
     Refuse(Duration),
+    /// No loader can be reached.
+    NoLoader,
 }
 
 /// Decides where to load the model of a request with `left` until its deadline.
@@ -51,7 +53,7 @@
     let Some(best) = best else {
         return match joined {
             Some(backend) => Decision::Wait(backend.clone()),
-            None => Decision::Refuse(Duration::from_millis(500)),
+            None => Decision::NoLoader,
         };
     };
     if let Some(current) = current.filter(|current| is_joined(current)) {
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -19,10 +19,12 @@
         self,
         Engine, //
     },
+    link::Asking,
     placement::{
         Busy,
         Host,
         Pool,
+        Rate,
         Resident, //
     },
     report,
@@ -125,12 +127,18 @@
         engine,
         hosts: hosts.collect(),
         // Clients are spread over the gateways, so each sees a like share.
-        rates: rates
-            .map(|(model, rate)| (model, f64::from(rate) * gateways))
-            .collect(),
+        rates: rates.map(|asking| scaled(asking, gateways)).collect(),
     }
 }
 
+fn scaled(asking: Asking, gateways: f64) -> (String, Rate) {
+    let rate = Rate {
+        per_s: f64::from(asking.per_s) * gateways,
+        reading_ms: f64::from(asking.reading_ms) * gateways,
+    };
+    (asking.model, rate)
+}
+
 fn host(backend: &Rc<Backend>, engine: &Engine, now: Time) -> Host {
     let server = backend.server();
     let holdings = backend.holdings.borrow();
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -57,8 +57,8 @@
     timer::Time,
 };
 
-/// Most sends of one request, including those that servers refused without running it.
-const SENDS: u32 = 4;
+/// Most servers that refuse or fail a request before it is given up.
+const REFUSALS: u32 = 4;
 
 /// Time for a connection to a server.
 const CONNECT: Duration = Duration::from_millis(500);
@@ -66,6 +66,9 @@
 /// Longest time between looks whether a wanted model is loaded.
 const LOOK: Duration = Duration::from_millis(100);
 
+/// Time within which servers or loaders that all went away at once are expected back.
+const RETURN: Duration = Duration::from_millis(1_500);
+
 /// Time that a server keeps an idle connection if it does not say.
 const KEEP: Duration = Duration::from_millis(1_500);
 
@@ -109,6 +112,8 @@
     /// Servers that are not tried again.
     tried: Vec<String>,
     sends: u32,
+    /// Servers that refused or failed the request.
+    refusals: u32,
     /// Servers on which the request may have run.
     runs: u32,
 }
@@ -138,19 +143,27 @@
         }
         progress.sends += 1;
         progress.tried.push(backend.server().id.clone());
-        let outcome = attempt(job, &backend, progress, last_event).await;
+        let outcome = attempt(state, job, &backend, progress, last_event).await;
         match outcome {
             Ok(sent) => return Ok(sent),
-            Err(Miss::NotRun(reason)) => note_miss(job, &backend, progress, reason),
+            Err(Miss::Replaced) => {
+                note_miss(job, &backend, progress, "another server has its address");
+                continue;
+            }
+            Err(Miss::NotRun(reason)) => {
+                note_miss(job, &backend, progress, reason);
+                progress.refusals += 1;
+            }
             Err(Miss::Unknown(reason)) => {
                 note_miss(job, &backend, progress, reason);
                 progress.runs += 1;
+                progress.refusals += 1;
                 if !job.route.kind.is_repeatable() || progress.runs >= job.route.attempts {
                     return Err(Failure::Unknown(reason));
                 }
             }
         }
-        if progress.sends >= SENDS {
+        if progress.refusals >= REFUSALS {
             return Err(give_up(progress, "servers refuse"));
         }
     }
@@ -159,6 +172,8 @@
 /// Why a send gave no answer.
 #[derive(Debug)]
 enum Miss {
+    /// Another server has the address; each such address is met once.
+    Replaced,
     /// The request has not run on this server.
     NotRun(&'static str),
     /// The request may have run.
@@ -227,7 +242,12 @@
             };
             let current = waiting.as_ref().map(|(backend, _)| backend);
             let left = job.left(now);
+            let waited = now - started;
             match cold::decide(state, &job.service, engine, name, left, current) {
+                Decision::NoLoader if waited < RETURN && left > RETURN => {
+                    state.follower.look_again();
+                }
+                Decision::NoLoader => return Err(give_up(progress, "no loader answers")),
                 Decision::Wait(backend) => {
                     let is_same = current.is_some_and(|current| Rc::ptr_eq(current, &backend));
                     if !is_same {
@@ -311,6 +331,7 @@
     });
     Candidate {
         load: backend.load(now),
+        waiting: backend.waiting(now),
         slots: server.slots,
         pending_tokens: backend.pending_tokens.get(),
         prompt_tokens: job.asked.prompt_tokens.saturating_sub(overlap),
@@ -331,6 +352,7 @@
 }
 
 async fn attempt(
+    state: &State,
     job: &Job,
     backend: &Rc<Backend>,
     progress: &Progress,
@@ -344,11 +366,15 @@
         overlap
     });
     let tokens = job.asked.prompt_tokens.saturating_sub(overlap);
+    if let Some(name) = job.model() {
+        state.note_reading(&name.model, tokens, Time::now());
+    }
     let in_flight = backend.begin(job.model(), tokens);
     note_send(job, &server.id, progress, backend.load(Time::now()));
     let within = CONNECT.min(job.left(Time::now()));
     let (mut channel, _) = backend.pool.take(within).await.map_err(|error| {
         backend.note_unreachable(Time::now());
+        state.follower.look_again();
         note_error(job, &error);
         Miss::NotRun("can't connect")
     })?;
@@ -384,7 +410,7 @@
         response,
         answered,
     };
-    judge(job, backend, progress, sent).await
+    judge(state, job, backend, progress, sent).await
 }
 
 fn note_error(job: &Job, error: &Error) {
@@ -443,6 +469,7 @@
 
 /// Decides what an answer's head means for the request.
 async fn judge(
+    state: &State,
     job: &Job,
     backend: &Backend,
     progress: &Progress,
@@ -455,13 +482,19 @@
         return Err(Miss::Unknown("an answer to another request"));
     }
     if answered.has_not_run {
-        let reason = if answered.status == 421 {
-            "not there"
-        } else {
-            "refused"
+        let other = answered.instance.as_ref();
+        let is_replaced = other.is_some_and(|other| *other != backend.server().id);
+        let miss = match answered.status {
+            421 if is_replaced => {
+                backend.note_replaced();
+                state.follower.look_again();
+                Miss::Replaced
+            }
+            421 => Miss::NotRun("the model is not there"),
+            _ => Miss::NotRun("refused"),
         };
         finish(sent).await;
-        return Err(Miss::NotRun(reason));
+        return Err(miss);
     }
     let status = answered.status;
     if !answered.is_signed {
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -62,6 +62,8 @@
     pub status: u16,
     /// Id of the request that this answers.
     pub id: Option<String>,
+    /// Id of the server, where it says so.
+    pub instance: Option<String>,
     /// Whether the answer bears the server's signature.
     pub is_signed: bool,
     /// Whether the server promises that the request has not run and will not.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -21,24 +21,37 @@
         Share, //
     },
     hosted::Settings,
+    link::Asking,
     metrics::Metrics,
     timer::Time,
     watch::Follower,
 };
 
 /// Time constant of the rates of models, in seconds.
-const RATE_S: f64 = 10.0;
+const RATE_S: f64 = 12.0;
 
-/// Requests a second that decay.
+/// Time constant of the time that engines read prompts, in seconds.
+const READING_S: f64 = 4.0;
+
+/// Prompt tokens that an engine reads in a millisecond.
+const TOKENS_PER_MS: f64 = 38.0;
+
+/// What is asked of a model, with weights that decay.
 #[derive(Debug, Clone, Copy)]
-struct Rate {
+struct Asked {
     per_s: f64,
+    reading_ms: f64,
     at: Time,
 }
 
-impl Rate {
-    fn at(self, now: Time) -> f64 {
-        self.per_s * (-(now - self.at).as_secs_f64() / RATE_S).exp()
+impl Asked {
+    fn at(self, now: Time) -> Self {
+        let age_s = (now - self.at).as_secs_f64();
+        Self {
+            per_s: self.per_s * (-age_s / RATE_S).exp(),
+            reading_ms: self.reading_ms * (-age_s / READING_S).exp(),
+            at: now,
+        }
     }
 }
 
@@ -54,7 +67,7 @@
     /// Becomes true when the gateway was told to stop.
     pub(super) stopping: watch::Sender<bool>,
     budgets: RefCell<BTreeMap<String, Budget>>,
-    rates: RefCell<BTreeMap<String, Rate>>,
+    asked: RefCell<BTreeMap<String, Asked>>,
     in_flight: Cell<usize>,
 }
 
@@ -68,7 +81,7 @@
             residency_changed: Notify::new(),
             stopping: watch::Sender::new(false),
             budgets: RefCell::default(),
-            rates: RefCell::default(),
+            asked: RefCell::default(),
             in_flight: Cell::new(0),
         }
     }
@@ -120,28 +133,46 @@
     }
 
     /// Counts a request for a model.
-    pub(super) fn note_model(&self, model: &str, now: Time) {
-        let mut rates = self.rates.borrow_mut();
-        let start = Rate {
+    pub(super) fn note_asked(&self, model: &str, now: Time) {
+        self.note(model, now, |asked| asked.per_s += 1.0 / RATE_S);
+    }
+
+    /// Counts the tokens of a prompt that a server reads for a model.
+    pub(super) fn note_reading(&self, model: &str, tokens: u64, now: Time) {
+        let reading_ms = tokens as f64 / TOKENS_PER_MS;
+        self.note(model, now, |asked| {
+            asked.reading_ms += reading_ms / READING_S
+        });
+    }
+
+    fn note(&self, model: &str, now: Time, add: impl FnOnce(&mut Asked)) {
+        let start = Asked {
             per_s: 0.0,
+            reading_ms: 0.0,
             at: now,
         };
-        let rate = rates.entry(model.to_owned()).or_insert(start);
-        *rate = Rate {
-            per_s: rate.at(now) + 1.0 / RATE_S,
-            at: now,
-        };
+        let mut asked = self.asked.borrow_mut();
+        let asked = asked.entry(model.to_owned()).or_insert(start);
+        *asked = asked.at(now);
+        add(asked);
     }
 
-    /// Returns the requests a second of each model at this gateway.
-    pub(super) fn rates(&self, now: Time) -> Vec<(String, f32)> {
+    /// Returns what is asked of each model at this gateway.
+    pub(super) fn rates(&self, now: Time) -> Vec<Asking> {
         /// Rates below this are those of models that were not asked for in a minute.
         const LEAST: f64 = 0.0005;
-        let mut rates = self.rates.borrow_mut();
-        rates.retain(|_, rate| rate.at(now) > LEAST);
-        let rates = rates.iter();
-        rates
-            .map(|(model, rate)| (model.clone(), rate.at(now) as f32))
+        let mut asked = self.asked.borrow_mut();
+        asked.retain(|_, asked| asked.at(now).per_s > LEAST);
+        let asked = asked.iter();
+        asked
+            .map(|(model, asked)| {
+                let asked = asked.at(now);
+                Asking {
+                    model: model.clone(),
+                    per_s: asked.per_s as f32,
+                    reading_ms: asked.reading_ms as f32,
+                }
+            })
             .collect()
     }
 }
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -41,8 +41,19 @@
     pub usage: Vec<Usage>,
     /// What its requests wait for.
     pub wishes: Vec<Wish>,
-    /// Requests a second at this gateway, by model; the same for all servers.
-    pub rates: Vec<(String, f32)>,
+    /// What is asked of each model at this gateway; the same for all servers.
+    pub rates: Vec<Asking>,
+}
+
+/// What is asked of a model.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Asking {
+    /// Name of the model.
+    pub model: String,
+    /// Requests a second.
+    pub per_s: f32,
+    /// Time that engines read prompts for them, in ms a second.
+    pub reading_ms: f32,
 }
 
 /// An order that a server carries out.
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -10,6 +10,7 @@
     write, //
 };
 pub use message::{
+    Asking,
     Demand,
     Holdings,
     Underway,
--- a/src/loader/state.rs
+++ b/src/loader/state.rs
@@ -21,6 +21,7 @@
         Wish,
         Workload, //
     },
+    placement::Rate,
     watch::Follower,
 };
 
@@ -95,13 +96,13 @@
         merged
     }
 
-    /// Returns the requests a second of each model, over all gateways.
-    pub(super) fn rates(&self) -> BTreeMap<String, f64> {
-        let mut rates = BTreeMap::new();
-        for demand in self.demands.borrow().values() {
-            for (model, rate) in &demand.rates {
-                *rates.entry(model.clone()).or_default() += f64::from(*rate);
-            }
+    /// Returns what is asked of each model, over all gateways.
+    pub(super) fn rates(&self) -> BTreeMap<String, Rate> {
+        let mut rates: BTreeMap<String, Rate> = BTreeMap::new();
+        for asking in self.demands.borrow().values().flat_map(|d| &d.rates) {
+            let rate = rates.entry(asking.model.clone()).or_default();
+            rate.per_s += f64::from(asking.per_s);
+            rate.reading_ms += f64::from(asking.reading_ms);
         }
         rates
     }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -13,6 +13,7 @@
     Candidate,
     Host,
     Pool,
+    Rate,
     Resident, //
 };
 pub use room::{
@@ -24,8 +25,11 @@
 /// Time over which lost replicas and gained ones are weighed, in seconds.
 pub const HORIZON_S: f64 = 10.0;
 
-/// Delay of each request of a model for each further request a second and replica, in ms.
-const DILUTION_MS: f64 = 100.0;
+/// Expected delay of each request of a model with a single replica by crashes of its server, in ms.
+const CRASH_MS: f64 = 60.0;
+
+/// Gain that a further replica must bring beyond others to be worth a load from the store, in ms.
+const STORE_LOAD_MS: f64 = 1_500.0;
 
 /// Delay of new requests while an unload waits for the runs of the model, in ms.
 const RUNNING_MS: f64 = 1_500.0;
--- a/src/placement/pool.rs
+++ b/src/placement/pool.rs
@@ -6,10 +6,11 @@
 };
 
 use super::{
-    DILUTION_MS,
+    CRASH_MS,
     HORIZON_S,
     PRIOR_RATE,
     SPARE_GAIN_MS,
+    STORE_LOAD_MS,
     evict, //
 };
 use crate::{
@@ -20,6 +21,40 @@
     rank,
 };
 
+/// What is asked of a model.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Rate {
+    /// Requests a second.
+    pub per_s: f64,
+    /// Time that engines read prompts for them, in ms a second.
+    pub reading_ms: f64,
+}
+
+impl Rate {
+    /// Returns the delay of a request behind the prompts of others with `replicas`, in ms.
+    fn delay_ms(self, replicas: usize) -> f64 {
+        /// Share of an engine's time from which the delay counts as the longest.
+        const FULL: f64 = 0.95;
+        const LONGEST_MS: f64 = 3_000.0;
+        let share = self.reading_ms / 1_000.0 / replicas as f64;
+        if share >= FULL || self.per_s <= 0.0 {
+            return if share >= FULL {
+                LONGEST_MS * share
+            } else {
+                0.0
+            };
+        }
+        let each_ms = self.reading_ms / self.per_s;
+        (each_ms * share / (1.0 - share)).min(LONGEST_MS)
+    }
+
+    /// Returns what one more replica than `replicas` saves each request, in ms.
+    fn spread_ms(self, replicas: usize) -> f64 {
+        let crash_ms = if replicas == 1 { CRASH_MS } else { 0.0 };
+        self.delay_ms(replicas) - self.delay_ms(replicas + 1) + crash_ms
+    }
+}
+
 /// A model in a server's accelerator memory.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Resident {
@@ -113,14 +148,16 @@
     pub engine: &'a Engine,
     /// The servers.
     pub hosts: Vec<Host>,
-    /// Requests a second by model.
-    pub rates: BTreeMap<String, f64>,
+    /// What is asked of each model.
+    pub rates: BTreeMap<String, Rate>,
 }
 
 impl Pool<'_> {
-    /// Returns the rate of a model in requests a second.
-    pub fn rate(&self, model: &str) -> f64 {
-        PRIOR_RATE + self.rates.get(model).copied().unwrap_or_default()
+    /// Returns what is asked of a model, at least the rate that is assumed of each.
+    pub fn rate(&self, model: &str) -> Rate {
+        let mut rate = self.rates.get(model).copied().unwrap_or_default();
+        rate.per_s += PRIOR_RATE;
+        rate
     }
 
     /// Returns the number of servers that hold a model or load it.
@@ -148,19 +185,19 @@
         let rate = self.rate(&model.name);
         let others = self.replicas(&model.name).saturating_sub(1);
         if others > 0 {
-            return rate * HORIZON_S * spread_ms(rate, others);
+            return rate.per_s * HORIZON_S * rate.spread_ms(others);
         }
         // The evicted copy stays on the disk of its server.
         let reload_ms = self.shortest_load_ms(model, Some(host));
-        rate * HORIZON_S * reload_ms.min(model.disk_load.as_secs_f64() * 1_000.0)
+        rate.per_s * HORIZON_S * reload_ms.min(model.disk_load.as_secs_f64() * 1_000.0)
     }
 
     /// Returns the delay that one more replica saves, in ms.
     pub fn gain_ms(&self, model: &Model) -> f64 {
         let rate = self.rate(&model.name);
         match self.replicas(&model.name) {
-            0 => rate * HORIZON_S * self.shortest_load_ms(model, None),
-            replicas => rate * HORIZON_S * spread_ms(rate, replicas),
+            0 => rate.per_s * HORIZON_S * self.shortest_load_ms(model, None),
+            replicas => rate.per_s * HORIZON_S * rate.spread_ms(replicas),
         }
     }
 
@@ -220,21 +257,14 @@
         if me.holds(&model.name) || self.hosts.iter().any(|host| host.is_loading(&model.name)) {
             return None;
         }
-        if me.loads_from_store(&model.name) && self.replicas(&model.name) > 0 {
-            return None;
-        }
+        let is_store_load = me.loads_from_store(&model.name) && self.replicas(&model.name) > 0;
+        let store_ms = if is_store_load { STORE_LOAD_MS } else { 0.0 };
         // The cheap bound first: ranking compares all servers.
         let eviction = evict(self, host, model.weights_mb)?;
-        let net_ms = gain_ms - eviction.cost_ms;
+        let net_ms = gain_ms - eviction.cost_ms - store_ms;
         if net_ms < SPARE_GAIN_MS || self.rank(&model.name).first()?.host != host {
             return None;
         }
         Some(net_ms)
     }
 }
-
-/// Returns the delay of a request that one replica fewer or more makes, in ms.
-fn spread_ms(rate: f64, replicas: usize) -> f64 {
-    let replicas = replicas as f64;
-    DILUTION_MS * rate / (replicas * (replicas + 1.0))
-}
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -36,6 +36,7 @@
 const SIGNATURE: HeaderName = HeaderName::from_static("response-signature");
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("not-executed");
 const SERVER_LOAD: HeaderName = HeaderName::from_static("server-load");
+const INSTANCE: HeaderName = HeaderName::from_static("instance-id");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Headers that occur once at most, since two would be read differently by two readers.
@@ -135,6 +136,7 @@
     Answered {
         status,
         id: text(headers, &REQUEST_ID).map(str::to_owned),
+        instance: text(headers, &INSTANCE).map(str::to_owned),
         is_signed: signed,
         // Another server than the one that was named refuses with 421 and runs nothing.
         has_not_run: headers.contains_key(NOT_EXECUTED) || (status == 421 && !signed),
--- a/src/watch/follower.rs
+++ b/src/watch/follower.rs
@@ -11,7 +11,10 @@
 
 use tokio::{
     sync::Notify,
-    time::sleep, //
+    time::{
+        sleep,
+        timeout, //
+    },
 };
 
 use super::{
@@ -28,6 +31,9 @@
 /// Time for a read of the store.
 const READ: Duration = Duration::from_millis(1_500);
 
+/// Least pause between reads of the servers.
+const LEAST_PAUSE: Duration = Duration::from_millis(300);
+
 /// Pause after a read that failed.
 const RETRY: Duration = Duration::from_millis(250);
 
@@ -57,6 +63,8 @@
     configuration: RefCell<Rc<Configuration>>,
     roster: RefCell<Roster>,
     has_read_servers: Cell<bool>,
+    /// Ends the pause before the next read of the servers.
+    look: Notify,
     /// Wakes what depends on the configuration or the servers.
     pub(crate) changed: Notify,
 }
@@ -70,6 +78,7 @@
             configuration: RefCell::default(),
             roster: RefCell::default(),
             has_read_servers: Cell::new(false),
+            look: Notify::new(),
             changed: Notify::new(),
         }
     }
@@ -107,10 +116,18 @@
                     continue;
                 }
             }
-            sleep(self.periods.servers).await;
+            sleep(LEAST_PAUSE).await;
+            let rest = self.periods.servers.saturating_sub(LEAST_PAUSE);
+            // A sign that the servers have changed ends the pause.
+            let _ = timeout(rest, self.look.notified()).await;
         }
     }
 
+    /// Reads the servers again soon, since a sign shows that they have changed.
+    pub(crate) fn look_again(&self) {
+        self.look.notify_one();
+    }
+
     /// Follows the configuration for ever.
     pub(crate) async fn follow_configuration(&self) {
         let mut dependency = Dependency::new("configuration");
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -94,3 +94,22 @@
     let busy = Candidate { load: 64, ..reader };
     assert_eq!(choose(&[other, busy], 0.0), Some(0));
 }
+
+/// Guards against a prompt that joins the queue of other gateways' prompts at one server.
+#[test]
+fn waiting_prompts_count() {
+    let queued = Candidate {
+        load: 6,
+        waiting: 6,
+        slots: 64,
+        prompt_tokens: 9_200,
+        is_engine: true,
+        ..Candidate::default()
+    };
+    let streaming = Candidate {
+        load: 20,
+        waiting: 0,
+        ..queued
+    };
+    assert_eq!(choose(&[queued, streaming], 0.0), Some(1));
+}
--- a/tests/hosted/main.rs
+++ b/tests/hosted/main.rs
@@ -331,3 +331,23 @@
             .starts_with("HTTP/1.1 200")
     });
 }
+
+/// Guards against requests that keep going to the address of a server that was replaced, and
+/// against refusals for that reason while its successor could answer.
+#[test]
+fn a_replaced_server_is_not_asked_again() {
+    let plan = Plan {
+        engines: vec![vec!["m1"]],
+        ..Plan::default()
+    };
+    let world = World::start(&plan);
+    for former in ["engine-a", "engine-b", "engine-c", "engine-d", "engine-e"] {
+        world.site.describe_former_engine(0, former);
+    }
+    thread::sleep(Duration::from_millis(1_200));
+    for number in 0..10 {
+        let id = format!("r{number}");
+        let answer = world.ask(&Request::model(&id, "/chat/x", "m1"));
+        assert!(answer.starts_with("HTTP/1.1 200"), "{id}: {answer}");
+    }
+}
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -14,6 +14,7 @@
         Busy,
         Host,
         Pool,
+        Rate,
         Resident,
         evict, //
     },
@@ -60,7 +61,13 @@
         engine,
         hosts,
         rates: rates
-            .map(|(name, rate)| ((*name).to_owned(), *rate))
+            .map(|(name, per_s)| {
+                let rate = Rate {
+                    per_s: *per_s,
+                    reading_ms: 150.0 * per_s,
+                };
+                ((*name).to_owned(), rate)
+            })
             .collect::<BTreeMap<_, _>>(),
     }
 }
@@ -147,3 +154,15 @@
     assert_eq!(loading.len(), 1);
     assert_eq!(loading[0].name, "lost");
 }
+
+/// Guards against a busy model whose requests queue at one server while others hold idle models
+/// and the weights lie in the store only.
+#[test]
+fn a_busy_model_gets_a_second_copy_even_from_the_store() {
+    let engine = engine(&[("busy", 60.0), ("idle", 60.0)]);
+    let hosts = vec![host("s1", &["busy"], &[]), host("s2", &["idle"], &[])];
+    let quiet = pool(&engine, hosts.clone(), &[("busy", 0.3), ("idle", 0.1)]);
+    assert!(quiet.spare(1).is_none());
+    let busy = pool(&engine, hosts, &[("busy", 5.0), ("idle", 0.1)]);
+    assert_eq!(busy.spare(1).map(|model| model.name.as_str()), Some("busy"));
+}
