placement: share out missing models, weigh spare replicas against churn

Change: all servers plan the missing models in one order with growing backlogs; loaders learn of the loads of others from gateways; a replica that nobody waits for must gain twice what it evicts; servers settle 1.3 s before such loads; four of them from the store at once.

--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -28,6 +28,7 @@
         Asking,
         Demand,
         Holdings,
+        Loading,
         Usage,
         Wish,
         Workload, //
@@ -238,7 +239,7 @@
     }
 
     /// Returns what this gateway wants of the server.
-    pub(super) fn demand(&self, rates: Vec<Asking>) -> Demand {
+    pub(super) fn demand(&self, rates: Vec<Asking>, loads: Vec<Loading>) -> Demand {
         let usage = self.usage.borrow();
         let usage = usage.iter().map(|((model, adapter), in_flight)| Usage {
             model: model.clone(),
@@ -256,6 +257,7 @@
             usage: usage.collect(),
             wishes: wishes.collect(),
             rates,
+            loads,
         }
     }
 }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -19,7 +19,10 @@
         self,
         Engine, //
     },
-    link::Asking,
+    link::{
+        Asking,
+        Loading, //
+    },
     placement::{
         Busy,
         Host,
@@ -51,6 +54,18 @@
         self.backends.borrow().get(id).cloned()
     }
 
+    /// Returns the loads under way, as their loaders tell.
+    pub(super) fn loads(&self) -> Vec<Loading> {
+        let backends = self.backends.borrow();
+        let loads = backends.iter().filter_map(|(id, backend)| {
+            let holdings = backend.holdings.borrow();
+            let order = holdings.as_ref()?.underway.clone()?;
+            let server = id.clone();
+            order.is_load.then_some(Loading { server, order })
+        });
+        loads.collect()
+    }
+
     /// Returns the gateways that any loader knows, at least this one.
     pub(super) fn gateways(&self) -> u32 {
         let backends = self.backends.borrow();
@@ -134,6 +149,7 @@
 fn scaled(asking: Asking, gateways: f64) -> (String, Rate) {
     let rate = Rate {
         per_s: f64::from(asking.per_s) * gateways,
+        recent_per_s: f64::from(asking.recent_per_s) * gateways,
         reading_ms: f64::from(asking.reading_ms) * gateways,
     };
     (asking.model, rate)
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -34,7 +34,8 @@
     forward::{
         self,
         Job,
-        Progress, //
+        Progress,
+        Sent, //
     },
     message::Malformed,
     relay,
@@ -102,6 +103,18 @@
     );
 }
 
+fn note_answer(job: &Job, sent: &Sent, started: Time) {
+    report::info(
+        "answered",
+        &[
+            ("request", &job.asked.id),
+            ("server", &sent.in_flight.backend.server().id),
+            ("status", &sent.answered.status),
+            ("after_ms", &(Time::now() - started).as_millis()),
+        ],
+    );
+}
+
 async fn forward(
     state: &Rc<State>,
     request: Request<Incoming>,
@@ -122,6 +135,7 @@
     let sent = forward::send(state, &job, &mut progress, last_event).await;
     let sent = sent.map_err(|failure| (id, failure))?;
     let status = sent.response.status();
+    note_answer(&job, &sent, started);
     state.metrics.count("request", status.as_str());
     let kind = if job.route.kind.is_stream() {
         "stream"
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -116,7 +116,7 @@
 
 async fn write(state: &State, backend: &Rc<Backend>, mut writer: OwnedWriteHalf) -> io::Result<()> {
     while is_known(state, backend) {
-        let demand = backend.demand(state.rates(Time::now()));
+        let demand = backend.demand(state.rates(Time::now()), state.fleet.loads());
         link::write(&mut writer, &demand).await?;
         sleep(GATHER).await;
         // A change of the demand ends the pause.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -30,8 +30,8 @@
 /// Time constant of the rates of models, in seconds.
 const RATE_S: f64 = 12.0;
 
-/// Time constant of the time that engines read prompts, in seconds.
-const READING_S: f64 = 4.0;
+/// Time constant of the rates that show a shift of demand, in seconds.
+const RECENT_S: f64 = 2.5;
 
 /// Prompt tokens that an engine reads in a millisecond.
 const TOKENS_PER_MS: f64 = 38.0;
@@ -40,6 +40,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Asked {
     per_s: f64,
+    recent_per_s: f64,
     reading_ms: f64,
     at: Time,
 }
@@ -49,7 +50,8 @@
         let age_s = (now - self.at).as_secs_f64();
         Self {
             per_s: self.per_s * (-age_s / RATE_S).exp(),
-            reading_ms: self.reading_ms * (-age_s / READING_S).exp(),
+            recent_per_s: self.recent_per_s * (-age_s / RECENT_S).exp(),
+            reading_ms: self.reading_ms * (-age_s / RECENT_S).exp(),
             at: now,
         }
     }
@@ -134,20 +136,24 @@
 
     /// Counts a request for a model.
     pub(super) fn note_asked(&self, model: &str, now: Time) {
-        self.note(model, now, |asked| asked.per_s += 1.0 / RATE_S);
+        self.note(model, now, |asked| {
+            asked.per_s += 1.0 / RATE_S;
+            asked.recent_per_s += 1.0 / RECENT_S;
+        });
     }
 
     /// Counts the tokens of a prompt that a server reads for a model.
     pub(super) fn note_reading(&self, model: &str, tokens: u64, now: Time) {
         let reading_ms = tokens as f64 / TOKENS_PER_MS;
         self.note(model, now, |asked| {
-            asked.reading_ms += reading_ms / READING_S
+            asked.reading_ms += reading_ms / RECENT_S
         });
     }
 
     fn note(&self, model: &str, now: Time, add: impl FnOnce(&mut Asked)) {
         let start = Asked {
             per_s: 0.0,
+            recent_per_s: 0.0,
             reading_ms: 0.0,
             at: now,
         };
@@ -170,6 +176,7 @@
                 Asking {
                     model: model.clone(),
                     per_s: asked.per_s as f32,
+                    recent_per_s: asked.recent_per_s as f32,
                     reading_ms: asked.reading_ms as f32,
                 }
             })
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -43,6 +43,17 @@
     pub wishes: Vec<Wish>,
     /// What is asked of each model at this gateway; the same for all servers.
     pub rates: Vec<Asking>,
+    /// Loads under way at all servers.
+    pub loads: Vec<Loading>,
+}
+
+/// A load under way.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Loading {
+    /// Id of the server.
+    pub server: String,
+    /// What is loaded.
+    pub order: Underway,
 }
 
 /// What is asked of a model.
@@ -50,9 +61,11 @@
 pub struct Asking {
     /// Name of the model.
     pub model: String,
-    /// Requests a second.
+    /// Requests a second over a time in which rarely used models are asked for more than once.
     pub per_s: f32,
-    /// Time that engines read prompts for them, in ms a second.
+    /// Requests a second over a short time, which shows a shift of demand.
+    pub recent_per_s: f32,
+    /// Time that engines read prompts for them over the same short time, in ms a second.
     pub reading_ms: f32,
 }
 
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -13,6 +13,7 @@
     Asking,
     Demand,
     Holdings,
+    Loading,
     Underway,
     Usage,
     Wish, //
--- a/src/loader/driver.rs
+++ b/src/loader/driver.rs
@@ -66,6 +66,10 @@
 /// Time within which an order without an answer may still be carried out.
 const LATE: Duration = Duration::from_millis(13_000);
 
+/// Time after a server has joined in which nothing is loaded that nobody waits for: servers that
+/// start together tell what they hold one after the other.
+const SETTLED: Duration = Duration::from_millis(1_300);
+
 /// Pause after an order that was refused or got no answer.
 const AGAIN: Duration = Duration::from_millis(200);
 
@@ -82,6 +86,7 @@
         adapter_use: BTreeMap::new(),
         unanswered: Vec::new(),
         seen: BTreeMap::new(),
+        joined: Time::now(),
         has_report: false,
         spare_at: Time::now(),
         hold_until: Time::now(),
@@ -112,6 +117,8 @@
     unanswered: Vec<Unanswered>,
     /// Servers of the service by when they were last in the roster.
     seen: BTreeMap<String, Time>,
+    /// When a server last joined them.
+    joined: Time,
     has_report: bool,
     spare_at: Time,
     hold_until: Time,
@@ -213,6 +220,10 @@
         let sharers = self.sharers(engine, server, now);
         let clock = SystemTime::now().duration_since(UNIX_EPOCH);
         let may_use_store = self.pace.allows(now, clock.unwrap_or_default(), &sharers);
+        let is_settled = now - self.joined >= SETTLED;
+        if !is_settled {
+            self.state.follower.look_again();
+        }
         let facts = Facts {
             pool,
             host,
@@ -221,7 +232,7 @@
             adapter_use: &self.adapter_use,
             unanswered: &self.unanswered,
             may_use_store,
-            may_load_spare: now >= self.spare_at,
+            may_load_spare: now >= self.spare_at && is_settled,
         };
         let order = plan(&facts)?;
         let from_store = order.operation == Operation::Load
@@ -237,11 +248,13 @@
     /// Counts the servers that may have begun a load within the window: also those that left in it.
     fn sharers(&mut self, engine: &deployment::Engine, own: &Server, now: Time) -> Sharers {
         let window = self.settings.store_load_window();
-        let seen = &mut self.seen;
+        let (seen, joined) = (&mut self.seen, &mut self.joined);
         self.state.follower.with_roster(|roster| {
             let servers = roster.servers().values();
             for server in servers.filter(|server| server.service == own.service) {
-                seen.insert(server.id.clone(), now);
+                if seen.insert(server.id.clone(), now).is_none() {
+                    *joined = now;
+                }
             }
         });
         seen.retain(|_, at| now - *at <= window);
@@ -259,6 +272,7 @@
         server: &Server,
         wishes: &[Wish],
     ) -> Pool<'a> {
+        let loads = self.state.loads();
         let hosts = self.state.follower.with_roster(|roster| {
             let servers = roster.servers().values();
             let mates = servers.filter(|other| {
@@ -266,7 +280,15 @@
             });
             let mut hosts: Vec<_> = mates
                 .filter(|other| other.id != server.id)
-                .map(|other| host(&other.id, &other.replicas, &other.copies))
+                .map(|other| {
+                    let mut other = host(&other.id, &other.replicas, &other.copies);
+                    other.busy = loads.get(&other.id).map(|order| Busy {
+                        model: order.model.clone(),
+                        is_load: order.is_load,
+                        remaining_ms: f64::from(order.remaining_ms),
+                    });
+                    other
+                })
                 .collect();
             hosts.push(self.own_host(engine, server, wishes));
             hosts
--- a/src/loader/state.rs
+++ b/src/loader/state.rs
@@ -18,6 +18,7 @@
     link::{
         Demand,
         Holdings,
+        Underway,
         Wish,
         Workload, //
     },
@@ -102,11 +103,21 @@
         for asking in self.demands.borrow().values().flat_map(|d| &d.rates) {
             let rate = rates.entry(asking.model.clone()).or_default();
             rate.per_s += f64::from(asking.per_s);
+            rate.recent_per_s += f64::from(asking.recent_per_s);
             rate.reading_ms += f64::from(asking.reading_ms);
         }
         rates
     }
 
+    /// Returns the loads under way at other servers, by server, as the gateways know them.
+    pub(super) fn loads(&self) -> BTreeMap<String, Underway> {
+        let demands = self.demands.borrow();
+        let loads = demands.values().flat_map(|demand| &demand.loads);
+        loads
+            .map(|load| (load.server.clone(), load.order.clone()))
+            .collect()
+    }
+
     /// Calls `visit` with each model or adapter in use and its requests in flight.
     pub(super) fn visit_usage(&self, mut visit: impl FnMut(&str, Option<&str>, u32)) {
         for usage in self.demands.borrow().values().flat_map(|d| &d.usage) {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -37,5 +37,16 @@
 /// Rate that is assumed of every model besides the observed one, in requests a second.
 const PRIOR_RATE: f64 = 0.02;
 
+/// Models that are considered at once for one more replica.
+const MOST_SPARE: usize = 12;
+
 /// Gain that a replica which nobody waits for must bring beyond its costs, in ms.
-const SPARE_GAIN_MS: f64 = 100.0;
+const SPARE_GAIN_MS: f64 = 60.0;
+
+/// How much more a replica which nobody waits for must gain than the evicted ones lose. The rates
+/// of rarely used models are known from a few requests only; without this they take turns in the
+/// memory.
+const SPARE_FACTOR: f64 = 2.0;
+
+/// Loads from the store at once beyond which no model is loaded that nobody waits for.
+const MOST_STORE_LOADS: usize = 4;
--- a/src/placement/pool.rs
+++ b/src/placement/pool.rs
@@ -8,7 +8,10 @@
 use super::{
     CRASH_MS,
     HORIZON_S,
+    MOST_SPARE,
+    MOST_STORE_LOADS,
     PRIOR_RATE,
+    SPARE_FACTOR,
     SPARE_GAIN_MS,
     STORE_LOAD_MS,
     evict, //
@@ -24,9 +27,11 @@
 /// What is asked of a model.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Rate {
-    /// Requests a second.
+    /// Requests a second over a time in which rarely used models are asked for more than once.
     pub per_s: f64,
-    /// Time that engines read prompts for them, in ms a second.
+    /// Requests a second over a short time, which shows a shift of demand.
+    pub recent_per_s: f64,
+    /// Time that engines read prompts for them over the same short time, in ms a second.
     pub reading_ms: f64,
 }
 
@@ -37,14 +42,14 @@
         const FULL: f64 = 0.95;
         const LONGEST_MS: f64 = 3_000.0;
         let share = self.reading_ms / 1_000.0 / replicas as f64;
-        if share >= FULL || self.per_s <= 0.0 {
+        if share >= FULL || self.recent_per_s <= 0.0 {
             return if share >= FULL {
                 LONGEST_MS * share
             } else {
                 0.0
             };
         }
-        let each_ms = self.reading_ms / self.per_s;
+        let each_ms = self.reading_ms / self.recent_per_s;
         (each_ms * share / (1.0 - share)).min(LONGEST_MS)
     }
 
@@ -185,7 +190,7 @@
         let rate = self.rate(&model.name);
         let others = self.replicas(&model.name).saturating_sub(1);
         if others > 0 {
-            return rate.per_s * HORIZON_S * rate.spread_ms(others);
+            return rate.recent_per_s * HORIZON_S * rate.spread_ms(others);
         }
         // The evicted copy stays on the disk of its server.
         let reload_ms = self.shortest_load_ms(model, Some(host));
@@ -197,7 +202,7 @@
         let rate = self.rate(&model.name);
         match self.replicas(&model.name) {
             0 => rate.per_s * HORIZON_S * self.shortest_load_ms(model, None),
-            replicas => rate.per_s * HORIZON_S * rate.spread_ms(replicas),
+            replicas => rate.recent_per_s * HORIZON_S * rate.spread_ms(replicas),
         }
     }
 
@@ -241,30 +246,60 @@
 
     /// Returns the model that a server should load although nobody waits for it, if any.
     ///
-    /// Only the server that ranks first for a model loads it, so that servers with the same facts
-    /// do not load it twice.
+    /// All servers are given models in the same order, each the model that it loads at the least
+    /// cost; so servers with the same facts neither load a model twice nor leave one to a server
+    /// that is busy with others.
     pub fn spare(&self, host: usize) -> Option<&Model> {
-        let models = self.engine.models.iter();
-        models
-            .filter_map(|model| Some((model, self.spare_gain_ms(model, host)?)))
-            .max_by(|(_, a), (_, b)| a.total_cmp(b))
-            .map(|(model, _)| model)
+        let mut planned = self.clone();
+        let mut store_loads = self.store_loads();
+        for (model, gain_ms) in self.wanting() {
+            let Some(best) = planned.rank(&model.name).into_iter().next() else {
+                continue;
+            };
+            let from_store = planned.hosts[best.host].loads_from_store(&model.name);
+            let is_first = self.replicas(&model.name) == 0;
+            let store_ms = if from_store && !is_first {
+                STORE_LOAD_MS
+            } else {
+                0.0
+            };
+            let eviction_ms = best.cost_ms - best.ready_ms;
+            if gain_ms < SPARE_FACTOR * eviction_ms + store_ms + SPARE_GAIN_MS {
+                continue;
+            }
+            if from_store && store_loads >= MOST_STORE_LOADS {
+                continue;
+            }
+            store_loads += usize::from(from_store);
+            if best.host == host {
+                return Some(model);
+            }
+            planned.hosts[best.host].backlog_ms += best.ready_ms;
+        }
+        None
     }
 
-    fn spare_gain_ms(&self, model: &Model, host: usize) -> Option<f64> {
-        let gain_ms = self.gain_ms(model);
-        let me = &self.hosts[host];
-        if me.holds(&model.name) || self.hosts.iter().any(|host| host.is_loading(&model.name)) {
-            return None;
-        }
-        let is_store_load = me.loads_from_store(&model.name) && self.replicas(&model.name) > 0;
-        let store_ms = if is_store_load { STORE_LOAD_MS } else { 0.0 };
-        // The cheap bound first: ranking compares all servers.
-        let eviction = evict(self, host, model.weights_mb)?;
-        let net_ms = gain_ms - eviction.cost_ms - store_ms;
-        if net_ms < SPARE_GAIN_MS || self.rank(&model.name).first()?.host != host {
-            return None;
-        }
-        Some(net_ms)
+    /// Returns the number of loads from the weight store under way.
+    fn store_loads(&self) -> usize {
+        let hosts = self.hosts.iter();
+        let loading = hosts.filter(|host| {
+            let busy = host.busy.as_ref().filter(|busy| busy.is_load);
+            busy.is_some_and(|busy| host.loads_from_store(&busy.model))
+        });
+        loading.count()
+    }
+
+    /// Returns the models that gain most by one more replica, with their gain in ms.
+    fn wanting(&self) -> Vec<(&Model, f64)> {
+        let models = self.engine.models.iter();
+        let is_loading = |model: &Model| self.hosts.iter().any(|h| h.is_loading(&model.name));
+        let mut wanting: Vec<_> = models
+            .map(|model| (model, self.gain_ms(model)))
+            .filter(|(model, gain_ms)| *gain_ms >= SPARE_GAIN_MS && !is_loading(model))
+            .collect();
+        // The sort is stable, so equal gains stay in the order of the names.
+        wanting.sort_by(|(_, a), (_, b)| b.total_cmp(a));
+        wanting.truncate(MOST_SPARE);
+        wanting
     }
 }
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -64,6 +64,7 @@
             .map(|(name, per_s)| {
                 let rate = Rate {
                     per_s: *per_s,
+                    recent_per_s: *per_s,
                     reading_ms: 150.0 * per_s,
                 };
                 ((*name).to_owned(), rate)
