gateway, watch: streams move off silent machines; failed reads back off

Change: a resumable stream, or a repeatable request without an answer, goes on elsewhere when nothing is heard from the machine; pauses after failed reads of the store double from 0.2 to 1 s. Result: a_stream_moves_off_a_silent_machine passes; without the change it waits for the frozen machine.

--- a/src/emulator/site/engine.rs
+++ b/src/emulator/site/engine.rs
@@ -107,6 +107,10 @@
         self.lock().break_after = Some(after);
     }
 
+    pub(super) fn running(&self) -> u32 {
+        self.lock().running
+    }
+
     pub(super) fn clear_break(&self) {
         self.lock().break_after = None;
     }
--- a/src/emulator/site/mod.rs
+++ b/src/emulator/site/mod.rs
@@ -245,6 +245,11 @@
         self.engines.len()
     }
 
+    /// Returns the number of streams that an engine runs.
+    pub fn running(&self, index: usize) -> u32 {
+        self.engines[index].0.running()
+    }
+
     /// Lets all engines finish their streams again.
     pub fn clear_breaks(&self) {
         for (engine, ..) in &self.engines {
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -10,7 +10,10 @@
     time::Duration,
 };
 
-use tokio::sync::Notify;
+use tokio::sync::{
+    Notify,
+    watch, //
+};
 
 use super::message::{
     Load,
@@ -66,7 +69,7 @@
     failures: Cell<f64>,
     rests_until: Cell<Time>,
     /// Whether the server's machine answers nothing at all, as far as the link to its loader shows.
-    is_silent: Cell<bool>,
+    is_silent: watch::Sender<bool>,
     is_replaced: Cell<bool>,
     /// What the loader told, while the link to it is up.
     pub(super) holdings: RefCell<Option<Holdings>>,
@@ -89,7 +92,7 @@
             load: Cell::new(None),
             failures: Cell::new(0.0),
             rests_until: Cell::new(Time::ZERO),
-            is_silent: Cell::new(false),
+            is_silent: watch::Sender::new(false),
             is_replaced: Cell::new(false),
             holdings: RefCell::default(),
             gateways: Cell::new(0),
@@ -116,7 +119,7 @@
 
     /// Returns whether new requests may be sent to the server.
     pub(super) fn is_usable(&self, now: Time) -> bool {
-        let is_here = !self.is_silent.get() && !self.is_replaced.get();
+        let is_here = !*self.is_silent.borrow() && !self.is_replaced.get();
         self.is_ready() && now >= self.rests_until.get() && is_here
     }
 
@@ -132,7 +135,14 @@
 
     /// Notes whether the server's machine answers.
     pub(super) fn note_silence(&self, is_silent: bool) {
-        self.is_silent.set(is_silent);
+        self.is_silent.send_replace(is_silent);
+    }
+
+    /// Waits until the server's machine answers nothing at all.
+    pub(super) async fn silence(&self) {
+        let mut is_silent = self.is_silent.subscribe();
+        // The sender lives as long as this backend.
+        let _ = is_silent.wait_for(|is_silent| *is_silent).await;
     }
 
     /// Returns whether the loader beside the server takes wishes.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -384,14 +384,17 @@
         return Err(Miss::NotRun("the time ran out"));
     }
     let request = outgoing(job, &server.id, left, last_event);
+    let may_repeat = job.route.kind.is_repeatable() && progress.runs + 1 < job.route.attempts;
     let patience = match job.route.kind {
-        Kind::Idempotent if progress.runs + 1 < job.route.attempts => {
-            left.min(job.route.latency_objective * PATIENCE)
-        }
+        Kind::Idempotent if may_repeat => left.min(job.route.latency_objective * PATIENCE),
         _ => left,
     };
-    let response = timeout(patience, channel.send(request)).await;
-    let response = response.unwrap_or(Err(Error::Timeout));
+    let response = tokio::select! {
+        response = timeout(patience, channel.send(request)) => {
+            response.unwrap_or(Err(Error::Timeout))
+        }
+        () = backend.silence(), if may_repeat => Err(Error::Timeout),
+    };
     let response = response.map_err(|error| {
         note_error(job, &error);
         if error.was_not_sent() {
@@ -534,6 +537,11 @@
 }
 
 impl Progress {
+    /// Returns whether another server may run the request.
+    pub(super) fn may_run(&self, job: &Job) -> bool {
+        self.runs < job.route.attempts
+    }
+
     /// Counts a server on which the request has run in part.
     pub(super) fn note_run(&mut self) {
         self.runs += 1;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -86,9 +86,10 @@
         }
         // The connection ends with the answer.
         drop((body, sent.channel, sent.in_flight));
-        let next = match relay.resume_point(&job) {
+        progress.note_run();
+        let may_run = progress.may_run(&job);
+        let next = match relay.resume_point(&job).filter(|_| may_run) {
             Some(last) => {
-                progress.note_run();
                 tokio::select! {
                     next = forward::send(&state, &job, &mut progress, last.as_deref()) => next.ok(),
                     () = parts.closed() => None,
@@ -164,6 +165,8 @@
             let left = job.deadline.remaining(Time::now());
             let frame = tokio::select! {
                 () = parts.closed() => return End::Abandoned,
+                // Only a stream that another server can continue is ended for this reason.
+                () = in_flight.backend.silence(), if self.is_resumable => return End::BrokenOff,
                 frame = timeout(left, body.frame()) => frame,
             };
             let data = match frame {
--- a/src/watch/follower.rs
+++ b/src/watch/follower.rs
@@ -34,8 +34,10 @@
 /// Least pause between reads of the servers.
 const LEAST_PAUSE: Duration = Duration::from_millis(300);
 
-/// Pause after a read that failed.
-const RETRY: Duration = Duration::from_millis(250);
+/// Pause after a read that failed; it doubles up to the longest with each further failure, since
+/// refused reads are paid for as well.
+const RETRY: Duration = Duration::from_millis(200);
+const LONGEST_RETRY: Duration = Duration::from_millis(1_000);
 
 /// A configuration, if there is one, and the offset after which changes follow.
 #[derive(Debug)]
@@ -112,7 +114,7 @@
                 Err(error) => {
                     dependency.note_failure(&error);
                     self.roster.borrow_mut().note_failure();
-                    sleep(RETRY).await;
+                    sleep(dependency.pause()).await;
                     continue;
                 }
             }
@@ -154,7 +156,7 @@
                         next = None;
                     } else {
                         dependency.note_failure(&error);
-                        sleep(RETRY).await;
+                        sleep(dependency.pause()).await;
                     }
                 }
             }
@@ -184,31 +186,36 @@
 /// Logs when a dependency is lost and regained.
 struct Dependency {
     name: &'static str,
-    is_lost: bool,
+    failures: u32,
 }
 
 impl Dependency {
     fn new(name: &'static str) -> Self {
-        Self {
-            name,
-            is_lost: false,
-        }
+        Self { name, failures: 0 }
     }
 
     fn note_success(&mut self) {
-        if self.is_lost {
+        if self.failures > 0 {
             report::info("dependency_regained", &[("name", &self.name)]);
         }
-        self.is_lost = false;
+        self.failures = 0;
+    }
+
+    /// Returns the pause before the next try.
+    fn pause(&self) -> Duration {
+        /// Doublings that lead beyond the longest pause.
+        const DOUBLINGS: u32 = 4;
+        let doublings = self.failures.saturating_sub(1).min(DOUBLINGS);
+        (RETRY * 2_u32.pow(doublings)).min(LONGEST_RETRY)
     }
 
     fn note_failure(&mut self, error: &Error) {
-        if !self.is_lost {
+        if self.failures == 0 {
             report::warn(
                 "dependency_lost",
                 &[("name", &self.name), ("error", &error)],
             );
         }
-        self.is_lost = true;
+        self.failures = self.failures.saturating_add(1);
     }
 }
--- a/tests/hosted/main.rs
+++ b/tests/hosted/main.rs
@@ -351,3 +351,36 @@
         assert!(answer.starts_with("HTTP/1.1 200"), "{id}: {answer}");
     }
 }
+
+/// Guards against a stream that waits for a frozen machine until its client gives up, although
+/// another server could continue it.
+#[test]
+fn a_stream_moves_off_a_silent_machine() {
+    let plan = Plan {
+        engines: vec![vec!["m1"], vec!["m1"]],
+        events: 150,
+        pace: Duration::from_millis(30),
+        ..Plan::default()
+    };
+    let world = World::start(&plan);
+    let callers = world.callers;
+    let stream = thread::spawn(move || {
+        let text = "POST /review/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: moved\r\n\
+                    Model: m1\r\nDeadline-Ms: 20000\r\nContent-Length: 0\r\n\
+                    Connection: close\r\n\r\n";
+        world::ask_raw(callers, text)
+    });
+    eventually("the stream runs", || {
+        (0..2).any(|index| world.site.running(index) > 0)
+    });
+    let first = (0..2).find(|index| world.site.running(*index) > 0);
+    // The emulated engine goes on; to the gateway its machine falls silent with the loader.
+    world.loaders[first.expect("the stream runs")].signal("STOP");
+    let answer = stream.join().expect("the client ends");
+    assert!(is_whole(&answer), "{answer}");
+    let expected: Vec<_> = (0..150).map(|event| format!("data: e{event}")).collect();
+    assert_eq!(events(&answer), expected);
+    let runs = world.site.runs();
+    let runs = runs.iter().filter(|run| run.request == "moved").count();
+    assert_eq!(runs, 2);
+}
