--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -209,7 +209,8 @@
     let started = Time::now();
     loop {
         let now = Time::now();
-        if job.left(now).is_zero() {
+        let left = job.left(now);
+        if left.is_zero() {
             return Err(late(progress));
         }
         let backends = state.fleet.of_service(&job.service);
@@ -238,10 +239,14 @@
             }
         } else {
             let (Some(engine), Some(name)) = (engine, job.model()) else {
-                return Err(give_up(progress, "no server takes requests"));
+                if now - started >= RETURN.min(left / 4) {
+                    return Err(give_up(progress, "no server takes requests"));
+                }
+                state.follower.look_again();
+                pause(state, left).await;
+                continue;
             };
             let current = waiting.as_ref().map(|(backend, _)| backend);
-            let left = job.left(now);
             let waited = now - started;
             match cold::decide(state, &job.service, engine, name, left, current) {
                 Decision::NoLoader if waited < RETURN && left > RETURN => {
@@ -265,11 +270,15 @@
                 }
             }
         }
-        // A change of what servers hold ends the pause.
-        let _ = timeout(LOOK.min(job.left(now)), state.residency_changed.notified()).await;
+        pause(state, left).await;
     }
 }
 
+/// Waits until what servers hold changes, or for a short time.
+async fn pause(state: &State, left: Duration) {
+    let _ = timeout(LOOK.min(left), state.residency_changed.notified()).await;
+}
+
 fn late(progress: &Progress) -> Failure {
     if progress.runs > 0 {
         Failure::Late
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -48,8 +48,12 @@
     timer::Time, //
 };
 
-/// Time to come back to a gateway that knows no configuration yet.
-const STARTING: Duration = Duration::from_millis(500);
+/// Longest time for which a request waits for the first configuration.
+const START_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Time to come back to a gateway that knows no configuration although it has waited for one, as
+/// while the store is down.
+const STARTING: Duration = Duration::from_millis(2_000);
 
 /// Parts of an answer that wait for the client at the most.
 const WAITING_PARTS: usize = 4;
@@ -166,10 +170,12 @@
     asked: super::Asked,
     started: Time,
 ) -> Result<Job, Failure> {
-    let configuration = state.follower.configuration();
-    if configuration.version == 0 {
-        return Err(Failure::Refused("no configuration yet", STARTING));
-    }
+    let patience = asked
+        .time_left
+        .map_or(START_WAIT, |left| START_WAIT.min(left / 8));
+    let configuration = timeout(patience, state.follower.configured()).await;
+    let configuration =
+        configuration.map_err(|_| Failure::Refused("no configuration yet", STARTING))?;
     let host = host(&request).ok_or_else(|| malformed(&Malformed::Host))?;
     let path = request.uri().path();
     let route = configuration.route(&host, path).ok_or(Failure::NoRoute)?;
--- a/src/placement/pool.rs
+++ b/src/placement/pool.rs
@@ -184,14 +184,27 @@
             .fold(model.store_load.as_secs_f64() * 1_000.0, f64::min)
     }
 
+    /// Returns whether this server is the one of several holders of a model that may drop it.
+    ///
+    /// The holders' facts about each other are a second old. Were each to count on the others, all
+    /// of them could drop a busy model at the same time.
+    fn is_dispensable(&self, model: &str, host: usize) -> bool {
+        let hosts = self.hosts.iter();
+        let holders = hosts
+            .filter(|host| host.holds(model))
+            .map(|host| host.id.as_str());
+        let ranked = rank::order(model, holders);
+        ranked.len() > 1 && ranked.last() == Some(&self.hosts[host].id.as_str())
+    }
+
     /// Returns the delay that one replica fewer causes, in ms.
     pub fn loss_ms(&self, model: &str, host: usize) -> f64 {
         let Some(model) = self.engine.model(model) else {
             return 0.0;
         };
         let rate = self.rate(&model.name);
-        let others = self.replicas(&model.name).saturating_sub(1);
-        if others > 0 {
+        if self.is_dispensable(&model.name, host) {
+            let others = self.replicas(&model.name).saturating_sub(1).max(1);
             return rate.recent_per_s * HORIZON_S * rate.spread_ms(others);
         }
         // The evicted copy stays on the disk of its server.
--- a/src/watch/follower.rs
+++ b/src/watch/follower.rs
@@ -39,6 +39,9 @@
 const RETRY: Duration = Duration::from_millis(200);
 const LONGEST_RETRY: Duration = Duration::from_millis(1_000);
 
+/// Longest pause while configuration or servers are not known and nothing can be served.
+const LONGEST_START: Duration = Duration::from_millis(300);
+
 /// A configuration, if there is one, and the offset after which changes follow.
 #[derive(Debug)]
 pub(crate) struct Change {
@@ -114,7 +117,7 @@
                 Err(error) => {
                     dependency.note_failure(&error);
                     self.roster.borrow_mut().note_failure();
-                    sleep(dependency.pause()).await;
+                    sleep(self.pause(&dependency)).await;
                     continue;
                 }
             }
@@ -156,13 +159,35 @@
                         next = None;
                     } else {
                         dependency.note_failure(&error);
-                        sleep(dependency.pause()).await;
+                        sleep(self.pause(&dependency)).await;
                     }
                 }
             }
         }
     }
 
+    /// Returns the pause before the next try to reach a dependency.
+    fn pause(&self, dependency: &Dependency) -> Duration {
+        let longest = if self.is_complete() {
+            LONGEST_RETRY
+        } else {
+            LONGEST_START
+        };
+        dependency.pause().min(longest)
+    }
+
+    /// Waits for the first configuration.
+    pub(crate) async fn configured(&self) -> Rc<Configuration> {
+        loop {
+            let changed = self.changed.notified();
+            let configuration = self.configuration();
+            if configuration.version > 0 {
+                return configuration;
+            }
+            changed.await;
+        }
+    }
+
     /// An older version than the one in force changes nothing.
     fn apply(&self, configuration: Configuration) {
         let in_force = self.configuration.borrow().version;
@@ -206,7 +231,7 @@
         /// Doublings that lead beyond the longest pause.
         const DOUBLINGS: u32 = 4;
         let doublings = self.failures.saturating_sub(1).min(DOUBLINGS);
-        (RETRY * 2_u32.pow(doublings)).min(LONGEST_RETRY)
+        RETRY * 2_u32.pow(doublings)
     }
 
     fn note_failure(&mut self, error: &Error) {
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -170,3 +170,15 @@
         Some("busy")
     );
 }
+
+/// Guards against holders of a busy model that each count on the others and all drop it.
+#[test]
+fn one_holder_at_most_drops_a_busy_model() {
+    let engine = engine(&[("busy", 60.0), ("cold", 60.0)]);
+    let hosts: Vec<_> = ["s1", "s2", "s3"].map(|id| host(id, &["busy"], &[])).into();
+    let pool = pool(&engine, hosts, &[("busy", 5.0)]);
+    let reload_ms = 5.0 * 10.0 * 800.0;
+    let losses: Vec<_> = (0..3).map(|index| pool.loss_ms("busy", index)).collect();
+    let cheap = losses.iter().filter(|loss| **loss < reload_ms).count();
+    assert_eq!(cheap, 1, "{losses:?}");
+}
