--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -31,8 +31,8 @@
         Answer,
         Failure, //
     },
-    forward::{
-        self,
+    forward,
+    job::{
         Job,
         Progress,
         Sent, //
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,13 +1,16 @@
 //! The gateway: forwards clients' requests to the servers of their routes.
 
 mod answer;
+mod attempt;
 mod backend;
 mod cold;
 mod fleet;
 mod forward;
 mod handler;
+mod job;
 mod link;
 mod message;
+mod pick;
 mod ready;
 mod relay;
 mod server;
@@ -35,6 +38,7 @@
         Settings,
         Signals, //
     },
+    metrics::Metrics,
     platform::store::Store,
     report,
     watch::{
@@ -59,10 +63,15 @@
 const GRACE_PART: f64 = 0.95;
 
 /// Runs a gateway until it is told to stop.
-pub(crate) async fn run(settings: Rc<Settings>, listen: Listen, mut signals: Signals) {
+pub(crate) async fn run(
+    settings: Rc<Settings>,
+    listen: Listen,
+    metrics: Rc<Metrics>,
+    mut signals: Signals,
+) {
     let store = Store::new(settings.store_addr);
     let follower = Rc::new(Follower::new(store, PERIODS));
-    let state = Rc::new(State::new(settings.clone(), follower.clone()));
+    let state = Rc::new(State::new(settings.clone(), follower.clone(), metrics));
     let configuration = follower.clone();
     tokio::task::spawn_local(async move { configuration.follow_configuration().await });
     tokio::task::spawn_local(async move { follower.follow_servers().await });
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -14,8 +14,8 @@
 };
 
 use super::{
-    forward::{
-        self,
+    attempt, forward,
+    job::{
         Job,
         Progress,
         Sent, //
@@ -69,7 +69,7 @@
             .await;
         match end {
             End::Complete => {
-                forward::keep(&sent.in_flight.backend, sent.channel, &sent.answered);
+                attempt::keep(&sent.in_flight.backend, sent.channel, &sent.answered);
                 note_end(&job, "complete", relay.events());
                 return;
             }
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -16,18 +16,12 @@
     TokioTimer, //
 };
 use tokio::{
-    net::{
-        TcpListener,
-        TcpStream, //
-    },
+    net::TcpStream,
     sync::{
         Notify,
         watch, //
     },
-    time::{
-        sleep,
-        timeout, //
-    },
+    time::timeout,
 };
 
 use super::{
@@ -39,9 +33,6 @@
     report, //
 };
 
-/// Pause before the port is bound again, or after an accept that failed.
-const REBIND: Duration = Duration::from_millis(200);
-
 /// Least read buffer of a connection in bytes, as the HTTP library asks.
 const LEAST_BUFFER: usize = 8 << 10;
 
@@ -66,30 +57,11 @@
 
     /// Accepts connections for ever.
     pub(super) async fn accept(self: Rc<Self>, address: SocketAddr) {
-        loop {
-            match TcpListener::bind(address).await {
-                Ok(listener) => self.accept_from(&listener).await,
-                Err(error) => {
-                    report::warn("bind_failed", &[("addr", &address), ("error", &error)]);
-                }
-            }
-            sleep(REBIND).await;
-        }
-    }
-
-    async fn accept_from(self: &Rc<Self>, listener: &TcpListener) {
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    let server = self.clone();
-                    tokio::task::spawn_local(async move { server.connection(stream).await });
-                }
-                Err(error) => {
-                    report::warn("accept_failed", &[("error", &error)]);
-                    sleep(REBIND).await;
-                }
-            }
-        }
+        let take = |stream| {
+            let server = self.clone();
+            tokio::task::spawn_local(async move { server.connection(stream).await });
+        };
+        http::listen(address, take).await;
     }
 
     async fn connection(&self, stream: TcpStream) {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -63,7 +63,7 @@
     pub(super) settings: Rc<Settings>,
     pub(super) follower: Rc<Follower>,
     pub(super) fleet: Fleet,
-    pub(super) metrics: Metrics,
+    pub(super) metrics: Rc<Metrics>,
     /// Wakes requests that wait for a model.
     pub(super) residency_changed: Notify,
     /// Becomes true when the gateway was told to stop.
@@ -74,12 +74,16 @@
 }
 
 impl State {
-    pub(super) fn new(settings: Rc<Settings>, follower: Rc<Follower>) -> Self {
+    pub(super) fn new(
+        settings: Rc<Settings>,
+        follower: Rc<Follower>,
+        metrics: Rc<Metrics>,
+    ) -> Self {
         Self {
             settings,
             follower,
             fleet: Fleet::default(),
-            metrics: Metrics::default(),
+            metrics,
             residency_changed: Notify::new(),
             stopping: watch::Sender::new(false),
             budgets: RefCell::default(),
@@ -146,7 +150,7 @@
     pub(super) fn note_reading(&self, model: &str, tokens: u64, now: Time) {
         let reading_ms = tokens as f64 / TOKENS_PER_MS;
         self.note(model, now, |asked| {
-            asked.reading_ms += reading_ms / RECENT_S
+            asked.reading_ms += reading_ms / RECENT_S;
         });
     }
 
--- a/src/hosted/mod.rs
+++ b/src/hosted/mod.rs
@@ -17,6 +17,8 @@
     rc::Rc, //
 };
 
+use http_body_util::Full;
+use hyper::Response;
 use tokio::{
     runtime::Builder,
     task::LocalSet, //
@@ -24,7 +26,9 @@
 
 use crate::{
     gateway,
+    http,
     loader,
+    metrics::Metrics,
     report, //
 };
 
@@ -57,6 +61,7 @@
     let _ = report::start_bounded(&settings.log_level, &settings.instance);
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let settings = Rc::new(settings);
+    let metrics = Rc::new(Metrics::default());
     LocalSet::new().block_on(&runtime, async {
         let signals = Signals::new(path)?;
         report::info(
@@ -67,14 +72,17 @@
                 ("failure_domain", &settings.failure_domain),
             ],
         );
+        let exposed = metrics.clone();
+        let text = move || Response::new(Full::from(exposed.text()));
+        tokio::task::spawn_local(http::answer(settings.metrics_addr(), text));
         match role {
             Role::Gateway => {
                 let listen = settings.listen.clone().ok_or(Error::Missing("listen"))?;
-                gateway::run(settings, listen, signals).await;
+                gateway::run(settings, listen, metrics, signals).await;
             }
             Role::Loader => {
                 let engine = settings.engine_addr.ok_or(Error::Missing("engine_addr"))?;
-                loader::run(settings, engine, signals).await;
+                loader::run(settings, engine, metrics, signals).await;
             }
         }
         report::info("stopped", &[]);
--- a/src/hosted/schema.rs
+++ b/src/hosted/schema.rs
@@ -32,6 +32,7 @@
     ),
     required("peer_ip", NAME),
     required("peer_port", PORT),
+    required("metrics_port", PORT),
     required("store_addr", ADDRESS),
     Field::optional(
         "listen",
--- a/src/hosted/settings.rs
+++ b/src/hosted/settings.rs
@@ -54,6 +54,8 @@
     pub peer_ip: IpAddr,
     /// Port on which loaders listen for gateways; the same on all instances.
     pub peer_port: u16,
+    /// Port on which metrics are read.
+    pub metrics_port: u16,
     /// Address of the platform's store.
     pub store_addr: SocketAddr,
     /// Addresses of a gateway.
@@ -109,6 +111,11 @@
         SocketAddr::new(self.peer_ip, self.peer_port)
     }
 
+    /// Returns the address on which metrics are read.
+    pub(crate) fn metrics_addr(&self) -> SocketAddr {
+        SocketAddr::new(self.peer_ip, self.metrics_port)
+    }
+
     /// Returns the time from the signal to stop until the process is killed.
     pub(crate) fn grace(&self) -> Duration {
         millis(self.grace_ms)
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 connections to other systems, kept for reuse, without a thread for each call.
 
 mod channel;
+mod listener;
 mod pool;
 
 pub(crate) use channel::{
@@ -9,4 +10,8 @@
     Response,
     configure, //
 };
+pub(crate) use listener::{
+    answer,
+    listen, //
+};
 pub(crate) use pool::Pool;
--- a/src/loader/driver.rs
+++ b/src/loader/driver.rs
@@ -44,6 +44,7 @@
         Wish,
         Workload, //
     },
+    metrics::Metrics,
     placement::{
         Busy,
         Host,
@@ -74,12 +75,18 @@
 const AGAIN: Duration = Duration::from_millis(200);
 
 /// Runs the driver for ever.
-pub(super) async fn run(settings: Rc<Settings>, engine: SocketAddr, state: Rc<State>) {
+pub(super) async fn run(
+    settings: Rc<Settings>,
+    engine: SocketAddr,
+    state: Rc<State>,
+    metrics: Rc<Metrics>,
+) {
     let mut driver = Driver {
         engine: Engine::new(engine, &settings.instance),
         address: engine,
         settings,
         state,
+        metrics,
         report: Report::default(),
         underway: None,
         pace: Pace::default(),
@@ -110,6 +117,7 @@
     address: SocketAddr,
     settings: Rc<Settings>,
     state: Rc<State>,
+    metrics: Rc<Metrics>,
     report: Report,
     underway: Option<Accepted>,
     pace: Pace,
@@ -342,6 +350,7 @@
             Some(Reply::Refused(_)) => "refused",
             None => "no_answer",
         };
+        self.metrics.count("order", outcome);
         report::info(
             "order",
             &[
--- a/src/loader/mod.rs
+++ b/src/loader/mod.rs
@@ -35,6 +35,7 @@
         Settings,
         Signals, //
     },
+    metrics::Metrics,
     platform::store::Store,
     report,
     watch::{
@@ -51,7 +52,12 @@
 };
 
 /// Runs a loader until it is told to stop.
-pub(crate) async fn run(settings: Rc<Settings>, engine: SocketAddr, mut signals: Signals) {
+pub(crate) async fn run(
+    settings: Rc<Settings>,
+    engine: SocketAddr,
+    metrics: Rc<Metrics>,
+    mut signals: Signals,
+) {
     let store = Store::new(settings.store_addr);
     let follower = Rc::new(Follower::new(store, PERIODS));
     let state = Rc::new(State::new(follower.clone()));
@@ -59,7 +65,7 @@
     tokio::task::spawn_local(async move { configuration.follow_configuration().await });
     tokio::task::spawn_local(async move { follower.follow_servers().await });
     tokio::task::spawn_local(port::serve(settings.peer_addr(), state.clone()));
-    tokio::task::spawn_local(driver::run(settings, engine, state));
+    tokio::task::spawn_local(driver::run(settings, engine, state, metrics));
     signals.stop().await;
     report::info("stopping", &[]);
 }
--- a/src/loader/port.rs
+++ b/src/loader/port.rs
@@ -10,7 +10,6 @@
 use tokio::{
     io::BufReader,
     net::{
-        TcpListener,
         TcpStream,
         tcp::OwnedWriteHalf, //
     },
@@ -28,7 +27,6 @@
         Demand,
         Status, //
     },
-    report,
 };
 
 /// Longest time between messages to a gateway.
@@ -37,38 +35,18 @@
 /// Silence after which a gateway counts as gone.
 const SILENCE: Duration = Duration::from_millis(3_500);
 
-/// Pause before the port is bound again.
-const REBIND: Duration = Duration::from_millis(500);
-
 /// Serves gateways for ever.
 pub(super) async fn serve(address: SocketAddr, state: Rc<State>) {
-    loop {
-        match TcpListener::bind(address).await {
-            Ok(listener) => accept(&listener, &state).await,
-            Err(error) => report::warn("bind_failed", &[("addr", &address), ("error", &error)]),
-        }
-        sleep(REBIND).await;
-    }
-}
-
-async fn accept(listener: &TcpListener, state: &Rc<State>) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let state = state.clone();
-                tokio::task::spawn_local(async move {
-                    let key = state.connect();
-                    // Either side's end ends the link; the gateway connects again.
-                    let _ = exchange(stream, &state, key).await;
-                    state.disconnect(key);
-                });
-            }
-            Err(error) => {
-                report::warn("accept_failed", &[("error", &error)]);
-                sleep(REBIND).await;
-            }
-        }
-    }
+    let take = |stream| {
+        let state = state.clone();
+        tokio::task::spawn_local(async move {
+            let key = state.connect();
+            // Either side's end ends the link; the gateway connects again.
+            let _ = exchange(stream, &state, key).await;
+            state.disconnect(key);
+        });
+    };
+    http::listen(address, take).await;
 }
 
 async fn exchange(stream: TcpStream, state: &State, key: u64) -> io::Result<()> {
--- a/tests/hosted/main.rs
+++ b/tests/hosted/main.rs
@@ -384,3 +384,17 @@
     let runs = runs.iter().filter(|run| run.request == "moved").count();
     assert_eq!(runs, 2);
 }
+
+/// Guards against outcomes that can't be counted from outside.
+#[test]
+fn metrics_count_answers_and_failures() {
+    let world = World::start(&Plan::default());
+    world.ask(&Request::new("r1", "/look/x"));
+    world.ask(&Request::new("r2", "/nowhere/x"));
+    let text = "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    let metrics = world::ask_raw(world.metrics, text);
+    for outcome in ["200", "404"] {
+        let line = format!("kind=\"request\",outcome=\"{outcome}\"}} 1");
+        assert!(metrics.contains(&line), "{metrics}");
+    }
+}
--- a/tests/hosted/world.rs
+++ b/tests/hosted/world.rs
@@ -95,6 +95,7 @@
     pub(crate) loaders: Vec<Daemon>,
     pub(crate) callers: SocketAddr,
     pub(crate) ready: SocketAddr,
+    pub(crate) metrics: SocketAddr,
 }
 
 /// Returns a port that is free on this address now.
@@ -126,6 +127,8 @@
             loaders.push(Daemon::start("loader", &settings));
         }
         let mut settings = settings(&site, "front-1", callers, peer_port);
+        let metrics_port = free_port(Ipv4Addr::LOCALHOST);
+        settings["metrics_port"] = json!(metrics_port);
         settings["listen"] = json!({ "callers": callers.to_string(), "ready": ready.to_string() });
         let gateway = Daemon::start("gateway", &settings);
         Self {
@@ -134,6 +137,7 @@
             loaders,
             callers,
             ready,
+            metrics: SocketAddr::from((Ipv4Addr::LOCALHOST, metrics_port)),
         }
     }
 
@@ -158,6 +162,7 @@
         "regions": { "z1": "r1" },
         "peer_ip": address.ip().to_string(),
         "peer_port": peer_port,
+        "metrics_port": free_port(Ipv4Addr::LOCALHOST),
         "store_addr": site.store_addr().to_string(),
         "grace_ms": 8e3,
         "retry": { "ratio": 0.2, "slack": 54, "window_ms": 10e3 },
--- /dev/null
+++ b/tests/hosted_settings.rs
@@ -0,0 +1,38 @@
+//! Settings of daemons on the users' platform.
+
+use chestnuthub::hosted::Settings;
+
+const SETTINGS: &str = r#"{
+    // An instance with an engine.
+    "instance": "side-1", "failure_domain": "z1", "regions": { "z1": "r1" },
+    "peer_ip": "10.0.0.1", "peer_port": 7000, "metrics_port": 9464,
+    "store_addr": "10.0.0.9:80", "engine_addr": "10.0.0.1:81", "grace_ms": 8e3,
+    "retry": { "ratio": 0.2, "slack": 54, "window_ms": 10e3 },
+    "store_load_window_ms": 5e3,
+}"#;
+
+/// Guards against settings as the deploy template writes them that are refused.
+#[test]
+fn settings_are_read() {
+    let settings = Settings::parse("node.jsonc", SETTINGS).expect("proper settings");
+    assert_eq!(settings.peer_port, 7_000);
+    assert!(settings.listen.is_none());
+}
+
+/// Guards against wrong settings that are found one at a time, or without their place.
+#[test]
+fn all_findings_come_together() {
+    let wrong = SETTINGS
+        .replace("7000", "0")
+        .replace("\"10.0.0.9:80\"", "\"nowhere\"")
+        .replace("\"grace_ms\"", "\"grace\"");
+    let findings = Settings::parse("node.jsonc", &wrong).expect_err("wrong settings");
+    let lines = findings.to_string();
+    for path in ["peer_port", "store_addr", "grace_ms", "grace"] {
+        assert!(lines.contains(path), "{path}: {lines}");
+    }
+    assert!(
+        lines.lines().all(|line| line.starts_with("node.jsonc:")),
+        "{lines}"
+    );
+}
