loader, gateway: send nothing to an engine that does not answer its loader

Change: a loader tells gateways when its engine does not answer; they send it nothing and move resumable streams off it until it answers again. Result: a_stream_moves_off_a_dark_server passes (without the change the stream has one run).

--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -68,7 +68,8 @@
     load: Cell<Option<(Load, Time)>>,
     failures: Cell<f64>,
     rests_until: Cell<Time>,
-    /// Whether the server's machine answers nothing at all, as far as the link to its loader shows.
+    /// Whether the server answers nothing at all: neither is its machine heard, nor does its loader
+    /// get answers.
     is_silent: watch::Sender<bool>,
     is_replaced: Cell<bool>,
     /// What the loader told, while the link to it is up.
@@ -133,12 +134,12 @@
         self.server.borrow().state == State::Ready
     }
 
-    /// Notes whether the server's machine answers.
+    /// Notes whether the server answers nothing at all.
     pub(super) fn note_silence(&self, is_silent: bool) {
         self.is_silent.send_replace(is_silent);
     }
 
-    /// Waits until the server's machine answers nothing at all.
+    /// Waits until the server answers nothing at all.
     pub(super) async fn silence(&self) {
         let mut is_silent = self.is_silent.subscribe();
         // The sender lives as long as this backend.
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -126,13 +126,13 @@
 }
 
 fn take(state: &State, backend: &Backend, status: Status) {
-    backend.note_silence(false);
     backend.note_workload(status.workload, Time::now());
     let Some(holdings) = status.holdings else {
         return;
     };
     // A loader that does not know its server yet, or beside another one, says nothing of this one.
     let is_own = holdings.server == backend.server().id;
+    backend.note_silence(is_own && !holdings.answers);
     *backend.holdings.borrow_mut() = is_own.then_some(holdings);
     state.residency_changed.notify_waiters();
 }
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -87,6 +87,8 @@
     pub server: String,
     /// Start of the server in Unix milliseconds.
     pub born: u64,
+    /// Whether the server answers the loader beside it.
+    pub answers: bool,
     /// Models in accelerator memory.
     pub replicas: Vec<Replica>,
     /// Copies of weights elsewhere on the server.
--- a/src/loader/driver.rs
+++ b/src/loader/driver.rs
@@ -136,6 +136,7 @@
     /// Reads a report and gives the next order; returns whether the next turn is urgent.
     async fn turn(&mut self) -> bool {
         let Some(report) = self.engine.report().await else {
+            self.publish_silence();
             sleep(AGAIN).await;
             return false;
         };
@@ -183,6 +184,18 @@
         });
     }
 
+    /// Tells gateways that the engine does not answer, long before its entry lapses.
+    fn publish_silence(&self) {
+        let holdings = self.state.holdings.borrow().clone();
+        if holdings.answers {
+            report::warn("engine_silent", &[("server", &holdings.server)]);
+            self.state.holdings.send_replace(Rc::new(Holdings {
+                answers: false,
+                ..holdings.as_ref().clone()
+            }));
+        }
+    }
+
     fn publish(&self, server: Option<&Server>, now: Time) {
         let underway = self.underway.as_ref().map(|accepted| Underway {
             model: accepted.order.model.clone(),
@@ -192,6 +205,7 @@
         let holdings = Holdings {
             server: server.map(|server| server.id.clone()).unwrap_or_default(),
             born: self.report.born,
+            answers: true,
             replicas: self.report.replicas.clone(),
             copies: self.report.copies.clone(),
             underway,
@@ -203,6 +217,7 @@
             };
             old.server == holdings.server
                 && old.born == holdings.born
+                && old.answers == holdings.answers
                 && old.replicas == holdings.replicas
                 && old.copies == holdings.copies
                 && model(old) == model(&holdings)
--- a/src/loader/engine.rs
+++ b/src/loader/engine.rs
@@ -27,8 +27,8 @@
     platform::engine,
 };
 
-/// Time for a call to the engine.
-const CALL: Duration = Duration::from_millis(600);
+/// Time for a call to the engine, which answers within milliseconds on its own machine.
+const CALL: Duration = Duration::from_millis(500);
 
 /// Time for which an idle connection to the engine is kept.
 const KEEP: Duration = Duration::from_millis(900);
