gateway: log the inputs of a refusal; answer 504 when the time ran out

Change: a line cold_refused with the expected time of the load and the time left; 504 where the time ran out after a send.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -53,6 +53,9 @@
                 note_miss(job, &backend, progress, reason);
                 progress.runs += 1;
                 progress.refusals += 1;
+                if job.left(Time::now()).is_zero() {
+                    return Err(Failure::Late);
+                }
                 if !job.route.kind.is_repeatable() || progress.runs >= job.route.attempts {
                     return Err(Failure::Unknown(reason));
                 }
--- a/src/gateway/pick.rs
+++ b/src/gateway/pick.rs
@@ -153,6 +153,7 @@
                 Err(Failure::Unknown("no other server has the model"))
             }
             Decision::Refuse(after) => {
+                note_refusal(self.job, name, after, left);
                 Err(Failure::Refused("the model can't be loaded in time", after))
             }
         }
@@ -178,6 +179,20 @@
     }
 }
 
+fn note_refusal(job: &Job, name: &ModelName, after: Duration, left: Duration) {
+    report::info(
+        "cold_refused",
+        &[
+            ("request", &job.asked.id),
+            ("route", &job.route.name),
+            ("version", &job.configuration.version),
+            ("model", &name.model),
+            ("ready_ms", &after.as_millis()),
+            ("left_ms", &left.as_millis()),
+        ],
+    );
+}
+
 fn note_cold(job: &Job, backend: &Backend, left: Duration) {
     report::info(
         "cold_wait",
