loader: name the server of a silent engine from the list

Cause: a_stream_moves_off_a_dark_server failed beside load and then in each of four runs with logs: the engine went dark before the loader's second report, so the silence was told for an empty id (event=engine_silent server="") and gateways ignored it. One other run showed a port of two tests taken twice (bind_failed). Change: the id comes from the list when the silence is told; test ports are numbered within a program, below the range of connections.

--- a/src/loader/driver.rs
+++ b/src/loader/driver.rs
@@ -186,10 +186,13 @@
 
     /// Tells gateways that the engine does not answer, long before its entry lapses.
     fn publish_silence(&self) {
+        // The id may have become known after the last report.
+        let Some(server) = self.server() else { return };
         let holdings = self.state.holdings.borrow().clone();
-        if holdings.answers {
-            report::warn("engine_silent", &[("server", &holdings.server)]);
+        if holdings.answers || holdings.server != server.id {
+            report::warn("engine_silent", &[("server", &server.id)]);
             self.state.holdings.send_replace(Rc::new(Holdings {
+                server: server.id,
                 answers: false,
                 ..holdings.as_ref().clone()
             }));
--- a/tests/hosted/world.rs
+++ b/tests/hosted/world.rs
@@ -98,10 +98,19 @@
     pub(crate) metrics: SocketAddr,
 }
 
-/// Returns a port that is free on this address now.
-fn free_port(address: Ipv4Addr) -> u16 {
-    let listener = TcpListener::bind((address, 0)).expect("a free port");
-    listener.local_addr().expect("an address").port()
+/// Returns a port that is free on all addresses and that no other test of this program gets.
+///
+/// The ports lie below the range from which connections take theirs.
+fn free_port() -> u16 {
+    const FIRST: u32 = 12_000;
+    const PORTS: u32 = 18_000;
+    loop {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed) + std::process::id() * 97;
+        let port = (FIRST + number % PORTS) as u16;
+        if TcpListener::bind((Ipv4Addr::UNSPECIFIED, port)).is_ok() {
+            return port;
+        }
+    }
 }
 
 impl World {
@@ -116,9 +125,9 @@
 
     /// Starts the daemons before a site.
     pub(crate) fn unconfigured(site: Site) -> Self {
-        let peer_port = free_port(Ipv4Addr::new(127, 0, 1, 1));
-        let callers = SocketAddr::from((Ipv4Addr::LOCALHOST, free_port(Ipv4Addr::LOCALHOST)));
-        let ready = SocketAddr::from((Ipv4Addr::LOCALHOST, free_port(Ipv4Addr::LOCALHOST)));
+        let peer_port = free_port();
+        let callers = SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()));
+        let ready = SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()));
         let mut loaders = Vec::new();
         for index in 0..site.engines() {
             let engine = site.engine_addr(index);
@@ -127,7 +136,7 @@
             loaders.push(Daemon::start("loader", &settings));
         }
         let mut settings = settings(&site, "front-1", callers, peer_port);
-        let metrics_port = free_port(Ipv4Addr::LOCALHOST);
+        let metrics_port = free_port();
         settings["metrics_port"] = json!(metrics_port);
         settings["listen"] = json!({ "callers": callers.to_string(), "ready": ready.to_string() });
         let gateway = Daemon::start("gateway", &settings);
@@ -162,7 +171,7 @@
         "regions": { "z1": "r1" },
         "peer_ip": address.ip().to_string(),
         "peer_port": peer_port,
-        "metrics_port": free_port(Ipv4Addr::LOCALHOST),
+        "metrics_port": free_port(),
         "store_addr": site.store_addr().to_string(),
         "grace_ms": 8e3,
         "retry": { "ratio": 0.2, "slack": 54, "window_ms": 10e3 },
