gateway: decide sends, verdicts and resumption in pure code; add a fault soak

Change: dispatch::Attempts, gateway::verdict and gateway::Events hold these decisions; the forwarding code asks them. tests/soak starts two gateways and three loaders before the emulated site, with a loopback proxy on every link, and plays a seeded table of kills, stops, freezes, cuts, stalls, lost answers, late orders, store outages, drains and configurations against five clients; each answer is compared with what the servers ran. The support code of the end-to-end tests moves to tests/site_support.

--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -1,9 +1,15 @@
 //! Sending: which server gets a request, and when it may be sent once more.
 
+mod attempts;
 mod budget;
 mod choose;
 mod prefix;
 
+pub use attempts::{
+    Attempts,
+    Ending,
+    Outcome, //
+};
 pub use budget::{
     Budget,
     Share, //
--- a/src/emulator/site/mod.rs
+++ b/src/emulator/site/mod.rs
@@ -96,11 +96,32 @@
     store: Arc<store::Store>,
     store_faults: Arc<Faults>,
     store_addr: SocketAddr,
-    engines: Vec<(Arc<engine::Engine>, Arc<Faults>, SocketAddr)>,
-    services: Vec<(String, Arc<Faults>, SocketAddr)>,
+    engines: Vec<Served<Arc<engine::Engine>>>,
+    services: Vec<Served<String>>,
     records: Arc<Mutex<Records>>,
 }
 
+/// A server and how it is reached.
+#[derive(Debug)]
+struct Served<T> {
+    server: T,
+    faults: Arc<Faults>,
+    addr: SocketAddr,
+    /// Address in the server's description.
+    public_addr: SocketAddr,
+}
+
+impl<T> Served<T> {
+    fn new(server: T, faults: Arc<Faults>, addr: SocketAddr) -> Self {
+        Self {
+            server,
+            faults,
+            addr,
+            public_addr: addr,
+        }
+    }
+}
+
 /// Name of the service of the model engines.
 pub const ENGINES: &str = "llm";
 /// Name of the plain service.
@@ -153,7 +174,7 @@
         let served = engine.clone();
         let handler = move |call| engine::handle(served.clone(), call);
         spawn(&self._runtime, listener, faults.clone(), handler)?;
-        self.engines.push((engine, faults, address));
+        self.engines.push(Served::new(engine, faults, address));
         self.describe_engine(index, "ready");
         Ok(())
     }
@@ -166,7 +187,7 @@
         let service = Arc::new(service::Service::new(&id, plan.pace, self.records.clone()));
         let handler = move |call| service::handle(service.clone(), call);
         spawn(&self._runtime, listener, faults.clone(), handler)?;
-        self.services.push((id, faults, address));
+        self.services.push(Served::new(id, faults, address));
         self.describe_service(index, "ready");
         Ok(())
     }
@@ -178,7 +199,29 @@
 
     /// Returns the address of an engine.
     pub fn engine_addr(&self, index: usize) -> SocketAddr {
-        self.engines[index].2
+        self.engines[index].addr
+    }
+
+    /// Returns the address of a server of the plain service.
+    pub fn service_addr(&self, index: usize) -> SocketAddr {
+        self.services[index].addr
+    }
+
+    /// Returns the number of servers of the plain service.
+    pub fn services(&self) -> usize {
+        self.services.len()
+    }
+
+    /// Describes an engine at another address from now on, as that of a proxy before it.
+    pub fn publish_engine_at(&mut self, index: usize, address: SocketAddr) {
+        self.engines[index].public_addr = address;
+        self.describe_engine(index, "ready");
+    }
+
+    /// Describes a server of the plain service at another address from now on.
+    pub fn publish_service_at(&mut self, index: usize, address: SocketAddr) {
+        self.services[index].public_addr = address;
+        self.describe_service(index, "ready");
     }
 
     /// Writes a configuration into the store.
@@ -188,23 +231,26 @@
 
     /// Writes the description of an engine into the store.
     pub fn describe_engine(&self, index: usize, state: &str) {
-        let (engine, _, address) = &self.engines[index];
-        let description = engine.description(ENGINES, *address, state);
+        let served = &self.engines[index];
+        let engine = &served.server;
+        let description = engine.description(ENGINES, served.public_addr, state);
         self.store.put("keyed.servers", engine.id(), &description);
     }
 
     /// Writes the description of a server that is gone, at the address of an engine.
     pub fn describe_former_engine(&self, index: usize, id: &str) {
-        let (engine, _, address) = &self.engines[index];
-        let description = engine.description(ENGINES, *address, "ready");
+        let served = &self.engines[index];
+        let address = served.public_addr;
+        let description = served.server.description(ENGINES, address, "ready");
         self.store.put("keyed.servers", id, &description);
     }
 
     /// Writes the description of a server of the plain service into the store.
     pub fn describe_service(&self, index: usize, state: &str) {
-        let (id, _, address) = &self.services[index];
+        let served = &self.services[index];
+        let id = &served.server;
         let description = json!({
-            "service": SERVICE, "address": address.to_string(), "zone": "z1", "version": "v1",
+            "service": SERVICE, "address": served.public_addr.to_string(), "zone": "z1", "version": "v1",
             "slots": 6, "state": state, "coldLeftMs": 0, "seq": 1, "born": 1,
         });
         self.store.put("keyed.servers", id, &description);
@@ -212,12 +258,12 @@
 
     /// Adds a fault, described as in the emulators' control calls, to an engine.
     pub fn engine_fault(&self, index: usize, fault: Value) {
-        add(&self.engines[index].1, fault);
+        add(&self.engines[index].faults, fault);
     }
 
     /// Adds a fault to a server of the plain service.
     pub fn service_fault(&self, index: usize, fault: Value) {
-        add(&self.services[index].1, fault);
+        add(&self.services[index].faults, fault);
     }
 
     /// Adds a fault to the store.
@@ -225,6 +271,16 @@
         add(&self.store_faults, fault);
     }
 
+    /// Clears the faults of the store and of all servers.
+    pub fn clear_faults(&self) {
+        self.store_faults.clear();
+        self.engines.iter().for_each(|engine| engine.faults.clear());
+        self.services
+            .iter()
+            .for_each(|server| server.faults.clear());
+        self.clear_breaks();
+    }
+
     /// Clears the store's faults.
     pub fn clear_store_faults(&self) {
         self.store_faults.clear();
@@ -247,19 +303,19 @@
 
     /// Returns the number of streams that an engine runs.
     pub fn running(&self, index: usize) -> u32 {
-        self.engines[index].0.running()
+        self.engines[index].server.running()
     }
 
     /// Lets all engines finish their streams again.
     pub fn clear_breaks(&self) {
-        for (engine, ..) in &self.engines {
-            engine.clear_break();
+        for engine in &self.engines {
+            engine.server.clear_break();
         }
     }
 
     /// Makes an engine break off its next stream after some events.
     pub fn break_next_stream(&self, index: usize, after: u32) {
-        self.engines[index].0.break_next_stream(after);
+        self.engines[index].server.break_next_stream(after);
     }
 }
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -32,9 +32,14 @@
     },
     pick::cache_scope,
     state::State,
+    verdict::{
+        Verdict,
+        verdict, //
+    },
 };
 use crate::{
     deployment::Kind,
+    dispatch::Outcome,
     http::{
         Channel,
         Error, //
@@ -70,6 +75,23 @@
     Unknown(&'static str),
 }
 
+impl Miss {
+    pub(super) const fn outcome(&self) -> Outcome {
+        match self {
+            Self::Replaced => Outcome::Replaced,
+            Self::NotRun(_) => Outcome::NotRun,
+            Self::Unknown(_) => Outcome::Unknown,
+        }
+    }
+
+    pub(super) const fn reason(&self) -> &'static str {
+        match self {
+            Self::Replaced => "another server has its address",
+            Self::NotRun(reason) | Self::Unknown(reason) => reason,
+        }
+    }
+}
+
 /// Sends a request to a server and reads the head of its answer.
 pub(super) async fn attempt(
     state: &State,
@@ -104,7 +126,7 @@
         return Err(Miss::NotRun("the time ran out"));
     }
     let request = outgoing(job, &server.id, left, last_event);
-    let may_repeat = job.route.kind.is_repeatable() && progress.runs + 1 < job.route.attempts;
+    let may_repeat = progress.attempts.may_repeat();
     let patience = match job.route.kind {
         Kind::Idempotent if may_repeat => left.min(job.route.latency_objective * PATIENCE),
         _ => left,
@@ -153,7 +175,7 @@
             ("version", &job.configuration.version),
             ("server", &server),
             ("load", &load),
-            ("sends", &progress.sends),
+            ("sends", &progress.attempts.sends()),
             ("left_ms", &job.left(Time::now()).as_millis()),
         ],
     );
@@ -198,36 +220,32 @@
     progress: &Progress,
     sent: Sent,
 ) -> Result<Sent, Miss> {
-    let answered = &sent.answered;
-    if answered.id.as_ref().is_some_and(|id| *id != job.asked.id) {
-        // Belongs to an earlier request; what became of this one is not known.
-        backend.pool.clear();
-        return Err(Miss::Unknown("an answer to another request"));
-    }
-    if answered.has_not_run {
-        let other = answered.instance.as_ref();
-        let is_replaced = other.is_some_and(|other| *other != backend.server().id);
-        let miss = match answered.status {
-            421 if is_replaced => {
-                backend.note_replaced();
-                state.follower.look_again();
-                Miss::Replaced
-            }
-            421 => Miss::NotRun("the model is not there"),
-            _ => Miss::NotRun("refused"),
-        };
-        finish(sent).await;
-        return Err(miss);
-    }
-    let status = answered.status;
-    if !answered.is_signed {
-        backend.note_end(true);
-        return Err(Miss::Unknown("an answer without signature"));
+    let verdict = verdict(&sent.answered, &job.asked.id, &backend.server().id);
+    match verdict {
+        Verdict::Foreign => {
+            backend.pool.clear();
+            return Err(Miss::Unknown("an answer to another request"));
+        }
+        Verdict::Replaced => {
+            backend.note_replaced();
+            state.follower.look_again();
+            finish(sent).await;
+            return Err(Miss::Replaced);
+        }
+        Verdict::NotRun(reason) => {
+            finish(sent).await;
+            return Err(Miss::NotRun(reason));
+        }
+        Verdict::Unsigned => {
+            backend.note_end(true);
+            return Err(Miss::Unknown("an answer without signature"));
+        }
+        Verdict::Failed | Verdict::Answer => (),
     }
-    let is_failure = status >= 500;
-    backend.note_end(is_failure);
-    let more = progress.runs + 1 < job.route.attempts && job.left(Time::now()) > RETRY_LEFT;
-    if is_failure && job.route.kind == Kind::Idempotent && more {
+    let has_failed = verdict == Verdict::Failed;
+    backend.note_end(has_failed);
+    let more = progress.attempts.may_repeat() && job.left(Time::now()) > RETRY_LEFT;
+    if has_failed && job.route.kind == Kind::Idempotent && more {
         finish(sent).await;
         return Err(Miss::Unknown("the server failed"));
     }
--- /dev/null
+++ b/src/gateway/events.rs
@@ -0,0 +1,83 @@
+//! The part of a server's answer that the client has.
+
+use bytes::Bytes;
+
+use crate::entry::sse::Splitter;
+
+/// The part of a server's answer that was passed on.
+///
+/// Of a stream that may be resumed only whole events are passed on, so that another server can
+/// continue after the last one; the bytes of any other answer are passed on as they come.
+///
+/// # Examples
+///
+/// ```
+/// use chestnuthub::gateway::Events;
+///
+/// let mut events = Events::new(true, None);
+/// assert_eq!(events.pass_on(b"id: 0\ndata: a\n\nid: 1\nda".as_slice().into()), "id: 0\ndata: a\n\n");
+/// assert_eq!(events.resume_point(), Some(Some("0".to_owned())));
+/// ```
+#[derive(Debug)]
+pub struct Events {
+    is_resumable: bool,
+    splitter: Splitter,
+    last: Option<String>,
+}
+
+impl Events {
+    /// Returns the state before the first event; `last` is the event that the client had before.
+    pub fn new(is_resumable: bool, last: Option<String>) -> Self {
+        Self {
+            is_resumable,
+            splitter: Splitter::default(),
+            last,
+        }
+    }
+
+    /// Returns whether another server may continue the answer.
+    pub fn is_resumable(&self) -> bool {
+        self.is_resumable
+    }
+
+    /// Returns the number of whole events that were passed on, of a stream that may be resumed.
+    pub fn count(&self) -> u64 {
+        self.splitter.events()
+    }
+
+    /// Takes bytes of the answer and returns those to pass on.
+    pub fn pass_on(&mut self, data: Bytes) -> Bytes {
+        if !self.is_resumable {
+            return data;
+        }
+        let whole = self.splitter.push(&data);
+        if let Some(id) = last_id(&whole) {
+            self.last = Some(id);
+        }
+        whole
+    }
+
+    /// Returns the bytes that are left at the end of a complete answer.
+    pub fn rest(&mut self) -> Bytes {
+        self.splitter.rest()
+    }
+
+    /// Returns where another server may continue: after the last event that the client has, or from
+    /// the start; nothing if it may not.
+    pub fn resume_point(&self) -> Option<Option<String>> {
+        let is_known = self.count() == 0 || self.last.is_some();
+        (self.is_resumable && is_known).then(|| self.last.clone())
+    }
+
+    /// Forgets the bytes of an event that its server did not complete.
+    pub fn restart(&mut self) {
+        self.splitter.restart();
+    }
+}
+
+/// Returns the id of the last event.
+fn last_id(events: &[u8]) -> Option<String> {
+    let mut lines = events.split(|byte| *byte == b'\n').rev();
+    let id = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+    Some(String::from_utf8_lossy(id).trim().to_owned())
+}
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -2,12 +2,10 @@
 
 use super::{
     answer::Failure,
-    attempt::{
-        self,
-        Miss, //
-    },
+    attempt,
     backend::Backend,
     job::{
+        self,
         Job,
         Progress,
         Sent, //
@@ -16,13 +14,11 @@
     state::State,
 };
 use crate::{
+    dispatch::Outcome,
     report,
     timer::Time, //
 };
 
-/// Most servers that refuse or fail a request before it is given up.
-const REFUSALS: u32 = 4;
-
 /// Sends a request until a server answers; `last_event` is the last event that was passed on.
 pub(super) async fn send(
     state: &State,
@@ -32,38 +28,21 @@
 ) -> Result<Sent, Failure> {
     loop {
         let backend = pick::pick(state, job, progress).await?;
-        let now = Time::now();
-        if progress.sends > 0 && !state.take_repeat(&job.service, now) {
-            return Err(progress.give_up("the retry budget is used up"));
-        }
-        progress.sends += 1;
+        let take_repeat = || state.take_repeat(&job.service, Time::now());
+        let begun = progress.attempts.begin(take_repeat);
+        begun.map_err(|ending| job::failure(ending, "the retry budget is used up"))?;
         progress.tried.push(backend.server().id.clone());
-        let outcome = attempt::attempt(state, job, &backend, progress, last_event).await;
-        match outcome {
+        let sent = attempt::attempt(state, job, &backend, progress, last_event).await;
+        let miss = match sent {
             Ok(sent) => return Ok(sent),
-            Err(Miss::Replaced) => {
-                note_miss(job, &backend, progress, "another server has its address");
-                continue;
-            }
-            Err(Miss::NotRun(reason)) => {
-                note_miss(job, &backend, progress, reason);
-                progress.refusals += 1;
-            }
-            Err(Miss::Unknown(reason)) => {
-                note_miss(job, &backend, progress, reason);
-                progress.runs += 1;
-                progress.refusals += 1;
-                if job.left(Time::now()).is_zero() {
-                    return Err(Failure::Late);
-                }
-                if !job.route.kind.is_repeatable() || progress.runs >= job.route.attempts {
-                    return Err(Failure::Unknown(reason));
-                }
-            }
-        }
-        if progress.refusals >= REFUSALS {
-            return Err(progress.give_up("servers refuse"));
+            Err(miss) => miss,
+        };
+        note_miss(job, &backend, progress, miss.reason());
+        let next = progress.attempts.note(miss.outcome());
+        if miss.outcome() == Outcome::Unknown && job.left(Time::now()).is_zero() {
+            return Err(Failure::Late);
         }
+        next.map_err(|ending| job::failure(ending, miss.reason()))?;
     }
 }
 
@@ -73,7 +52,7 @@
         &[
             ("request", &job.asked.id),
             ("server", &backend.server().id),
-            ("sends", &progress.sends),
+            ("sends", &progress.attempts.sends()),
             ("left_ms", &job.left(Time::now()).as_millis()),
             ("reason", &reason),
         ],
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -134,7 +134,7 @@
     if let Some(name) = &job.asked.model {
         state.note_asked(&name.model, started);
     }
-    let mut progress = Progress::default();
+    let mut progress = Progress::new(&job.route);
     let last_event = job.asked.last_event.as_deref();
     let sent = forward::send(state, &job, &mut progress, last_event).await;
     let sent = sent.map_err(|failure| (id, failure))?;
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -25,6 +25,10 @@
         Configuration,
         Route, //
     },
+    dispatch::{
+        Attempts,
+        Ending, //
+    },
     http::{
         Channel,
         Response, //
@@ -61,15 +65,11 @@
 }
 
 /// How the sending of a request stands.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Progress {
     /// Servers that are not tried again.
     pub(super) tried: Vec<String>,
-    pub(super) sends: u32,
-    /// Servers that refused or failed the request.
-    pub(super) refusals: u32,
-    /// Servers on which the request may have run.
-    pub(super) runs: u32,
+    pub(super) attempts: Attempts,
 }
 
 impl Job {
@@ -83,22 +83,23 @@
 }
 
 impl Progress {
-    /// Returns whether another server may run the request.
-    pub(super) fn may_run(&self, job: &Job) -> bool {
-        self.runs < job.route.attempts
-    }
-
-    /// Counts a server on which the request has run in part.
-    pub(super) fn note_run(&mut self) {
-        self.runs += 1;
+    pub(super) fn new(route: &Route) -> Self {
+        Self {
+            tried: Vec::new(),
+            attempts: Attempts::new(route.kind.is_repeatable(), route.attempts),
+        }
     }
 
     /// Returns how a request ends for which no further server is tried.
     pub(super) fn give_up(&self, reason: &'static str) -> Failure {
-        if self.runs > 0 {
-            Failure::Unknown(reason)
-        } else {
-            Failure::Refused(reason, FULL)
-        }
+        failure(self.attempts.ending(), reason)
+    }
+}
+
+/// Returns the failure that says what is known of a request.
+pub(super) fn failure(ending: Ending, reason: &'static str) -> Failure {
+    match ending {
+        Ending::NotRun => Failure::Refused(reason, FULL),
+        Ending::Unknown => Failure::Unknown(reason),
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod backend;
 mod cold;
+mod events;
 mod fleet;
 mod forward;
 mod handler;
@@ -15,7 +16,9 @@
 mod relay;
 mod server;
 mod state;
+mod verdict;
 
+pub use events::Events;
 pub use message::{
     Answered,
     Asked,
@@ -24,6 +27,10 @@
     ModelName,
     Outgoing, //
 };
+pub use verdict::{
+    Verdict,
+    verdict, //
+};
 
 use std::{
     rc::Rc,
--- a/src/gateway/pick.rs
+++ b/src/gateway/pick.rs
@@ -28,6 +28,7 @@
     deployment::Engine,
     dispatch::{
         Candidate,
+        Ending,
         choose, //
     },
     report,
@@ -149,7 +150,7 @@
                 Ok(())
             }
             Decision::NoLoader => Err(self.progress.give_up("no loader answers")),
-            Decision::Refuse(_) if self.progress.runs > 0 => {
+            Decision::Refuse(_) if self.progress.attempts.ending() == Ending::Unknown => {
                 Err(Failure::Unknown("no other server has the model"))
             }
             Decision::Refuse(after) => {
@@ -170,11 +171,11 @@
     }
 
     fn late(&self) -> Failure {
-        if self.progress.runs > 0 {
-            Failure::Late
-        } else {
-            self.progress
-                .give_up("the time ran out before a server was found")
+        match self.progress.attempts.ending() {
+            Ending::Unknown => Failure::Late,
+            Ending::NotRun => self
+                .progress
+                .give_up("the time ran out before a server was found"),
         }
     }
 }
--- a/tests/hosted/main.rs
+++ b/tests/hosted/main.rs
@@ -1,5 +1,7 @@
 //! Gateways and loaders as real processes before an emulated site of the users' platform.
 
+#[path = "../site_support/mod.rs"]
+mod site_support;
 mod world;
 
 use std::{
@@ -17,14 +19,17 @@
     Site, //
 };
 use serde_json::json;
-use world::{
-    Request,
-    World,
+use site_support::{
+    ask_raw,
     configuration,
     events,
     eventually,
     is_whole, //
 };
+use world::{
+    Request,
+    World, //
+};
 
 /// Guards against a model that stays absent although requests wait for it, an adapter that is not
 /// fetched, and orders beyond the memory.
@@ -57,7 +62,7 @@
     let world = World::start(&Plan::default());
     let text = "POST /chat/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\nModel: m3\r\n\
                 Deadline-Ms: 400\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
-    let answer = world::ask_raw(world.callers, text);
+    let answer = ask_raw(world.callers, text);
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
     assert!(answer.contains("retry-after: "), "{answer}");
     assert!(!answer.contains("response-signature"), "{answer}");
@@ -204,7 +209,7 @@
             "POST /look/x HTTP/1.1\r\nHost: a.example\r\n{headers}Content-Length: {length}\r\n\
              Connection: close\r\n\r\n{body}"
         );
-        let answer = world::ask_raw(world.callers, &text);
+        let answer = ask_raw(world.callers, &text);
         // The rest of a body that is refused early may end the connection before the answer.
         if !answer.is_empty() {
             assert!(
@@ -280,7 +285,7 @@
             "POST /chat/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: {id}\r\nModel: m1\r\n\
              Deadline-Ms: 6000\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
         );
-        world::ask_raw(callers, &text)
+        ask_raw(callers, &text)
     };
     let early = thread::spawn(move || ask("early"));
     thread::sleep(Duration::from_millis(300));
@@ -292,7 +297,8 @@
         assert!(is_whole(&answer), "{answer}");
         assert_eq!(events(&answer).len(), 120);
     }
-    assert!(world.gateway.wait());
+    eventually("the gateway ends", || world.gateway.ended().is_some());
+    assert_eq!(world.gateway.ended(), Some(true));
 }
 
 /// Guards against a server that can't be used because the loader beside it has ended.
@@ -380,7 +386,7 @@
     world.ask(&Request::new("r1", "/look/x"));
     world.ask(&Request::new("r2", "/nowhere/x"));
     let text = "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
-    let metrics = world::ask_raw(world.metrics, text);
+    let metrics = ask_raw(world.metrics, text);
     for outcome in ["200", "404"] {
         let line = format!("kind=\"request\",outcome=\"{outcome}\"}} 1");
         assert!(metrics.contains(&line), "{metrics}");
@@ -412,7 +418,7 @@
          Deadline-Ms: 20000\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
     );
     let callers = world.callers;
-    thread::spawn(move || world::ask_raw(callers, &text))
+    thread::spawn(move || ask_raw(callers, &text))
 }
 
 /// Returns the engine that runs the only stream.
