dispatch: charge only sends that reached a server; leave superseded addresses out

Change: Attempts counts arrivals and asks the budget only after one; a send that could not connect is Outcome::NotSent. An entry whose address a later start has is not used (Roster::is_superseded). The log line of a send names the model.

--- a/src/dispatch/attempts.rs
+++ b/src/dispatch/attempts.rs
@@ -6,6 +6,8 @@
 /// What became of a send that gave no answer to pass on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
+    /// The server could not be reached; each server is tried once.
+    NotSent,
     /// Another server has the address; each such address is met once.
     Replaced,
     /// The request has not run on this server and will not.
@@ -44,6 +46,8 @@
     is_repeatable: bool,
     most_runs: u32,
     sends: u32,
+    /// Sends that reached a server. Only these count for the retry budget.
+    arrivals: u32,
     refusals: u32,
     runs: u32,
 }
@@ -56,6 +60,7 @@
             is_repeatable,
             most_runs,
             sends: 0,
+            arrivals: 0,
             refusals: 0,
             runs: 0,
         }
@@ -67,7 +72,7 @@
     ///
     /// Returns how the request ends if the budget is used up.
     pub fn begin(&mut self, take_repeat: impl FnOnce() -> bool) -> Result<(), Ending> {
-        if self.sends > 0 && !take_repeat() {
+        if self.arrivals > 0 && !take_repeat() {
             return Err(self.ending());
         }
         self.sends += 1;
@@ -80,8 +85,12 @@
     ///
     /// Returns how the request ends if it must not be sent once more.
     pub fn note(&mut self, outcome: Outcome) -> Result<(), Ending> {
+        if outcome == Outcome::NotSent {
+            return Ok(());
+        }
+        self.arrivals += 1;
         match outcome {
-            Outcome::Replaced => return Ok(()),
+            Outcome::NotSent | Outcome::Replaced => return Ok(()),
             Outcome::NotRun => self.refusals += 1,
             Outcome::Unknown => {
                 self.refusals += 1;
@@ -97,11 +106,16 @@
         Ok(())
     }
 
-    /// Counts a server that has run the request, wholly or in part.
-    pub fn note_run(&mut self) {
+    fn note_run(&mut self) {
         self.runs += 1;
     }
 
+    /// Notes an answer that was passed on in part before its server broke off.
+    pub fn note_broken_off(&mut self) {
+        self.arrivals += 1;
+        self.note_run();
+    }
+
     /// Returns whether one more server may run the request.
     pub fn may_run(&self) -> bool {
         self.runs == 0 || (self.is_repeatable && self.runs < self.most_runs)
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -67,6 +67,8 @@
 /// Why a send gave no answer.
 #[derive(Debug)]
 pub(super) enum Miss {
+    /// The request did not reach the server.
+    NotSent(&'static str),
     /// Another server has the address; each such address is met once.
     Replaced,
     /// The request has not run on this server.
@@ -78,6 +80,7 @@
 impl Miss {
     pub(super) const fn outcome(&self) -> Outcome {
         match self {
+            Self::NotSent(_) => Outcome::NotSent,
             Self::Replaced => Outcome::Replaced,
             Self::NotRun(_) => Outcome::NotRun,
             Self::Unknown(_) => Outcome::Unknown,
@@ -87,7 +90,7 @@
     pub(super) const fn reason(&self) -> &'static str {
         match self {
             Self::Replaced => "another server has its address",
-            Self::NotRun(reason) | Self::Unknown(reason) => reason,
+            Self::NotSent(reason) | Self::NotRun(reason) | Self::Unknown(reason) => reason,
         }
     }
 }
@@ -118,12 +121,12 @@
         backend.note_unreachable(Time::now());
         state.follower.look_again();
         note_error(job, &error);
-        Miss::NotRun("can't connect")
+        Miss::NotSent("can't connect")
     })?;
     let now = Time::now();
     let left = job.left(now);
     if left.is_zero() {
-        return Err(Miss::NotRun("the time ran out"));
+        return Err(Miss::NotSent("the time ran out"));
     }
     let request = outgoing(job, &server.id, left, last_event);
     let may_repeat = progress.attempts.may_repeat();
@@ -173,6 +176,7 @@
             ("request", &job.asked.id),
             ("route", &job.route.name),
             ("version", &job.configuration.version),
+            ("model", &job.model().map_or("", |name| &name.model)),
             ("server", &server),
             ("load", &load),
             ("sends", &progress.attempts.sends()),
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -72,6 +72,8 @@
     /// get answers.
     is_silent: watch::Sender<bool>,
     is_replaced: Cell<bool>,
+    /// Whether a server that started later has the address, as the store's list shows.
+    is_superseded: Cell<bool>,
     /// What the loader told, while the link to it is up.
     pub(super) holdings: RefCell<Option<Holdings>>,
     /// Gateways that the loader knows.
@@ -95,6 +97,7 @@
             rests_until: Cell::new(Time::ZERO),
             is_silent: watch::Sender::new(false),
             is_replaced: Cell::new(false),
+            is_superseded: Cell::new(false),
             holdings: RefCell::default(),
             gateways: Cell::new(0),
             demand_changed: Notify::new(),
@@ -120,7 +123,8 @@
 
     /// Returns whether new requests may be sent to the server.
     pub(super) fn is_usable(&self, now: Time) -> bool {
-        let is_here = !*self.is_silent.borrow() && !self.is_replaced.get();
+        let is_replaced = self.is_replaced.get() || self.is_superseded.get();
+        let is_here = !*self.is_silent.borrow() && !is_replaced;
         self.is_ready() && now >= self.rests_until.get() && is_here
     }
 
@@ -129,6 +133,11 @@
         self.is_replaced.set(true);
     }
 
+    /// Notes whether a server that started later has the address.
+    pub(super) fn note_superseded(&self, is_superseded: bool) {
+        self.is_superseded.set(is_superseded);
+    }
+
     /// Returns whether the server takes new requests by its own word.
     pub(super) fn is_ready(&self) -> bool {
         self.server.borrow().state == State::Ready
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -101,6 +101,9 @@
                     }
                 }
             }
+            for (id, backend) in backends.iter() {
+                backend.note_superseded(roster.is_superseded(id));
+            }
         });
     }
 }
--- a/src/watch/roster.rs
+++ b/src/watch/roster.rs
@@ -54,6 +54,18 @@
         self.is_failing = true;
     }
 
+    /// Returns whether a server that started later has the address of this one.
+    ///
+    /// After a loss of power the entries of the servers before it stay for some seconds beside
+    /// those of their successors.
+    pub fn is_superseded(&self, id: &str) -> bool {
+        let Some(server) = self.servers.get(id) else {
+            return false;
+        };
+        let mut servers = self.servers.values();
+        servers.any(|other| other.address == server.address && other.born > server.born)
+    }
+
     /// Returns the servers by id.
     pub fn servers(&self) -> &BTreeMap<String, Server> {
         &self.servers
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -82,3 +82,22 @@
         assert!(server::decode("a", bad.as_bytes()).is_none(), "{bad}");
     }
 }
+
+/// Guards against requests for servers that lost their power, whose entries stand beside those of
+/// their successors at the same addresses.
+#[test]
+fn a_later_start_at_the_address_supersedes_an_entry() {
+    let mut roster = Roster::default();
+    roster.update(
+        vec![
+            described("before", 100, 7, "ready"),
+            described("after", 200, 1, "ready"),
+        ],
+        START,
+    );
+    assert!(roster.is_superseded("before"));
+    assert!(!roster.is_superseded("after"));
+    assert!(!roster.is_superseded("unknown"));
+    roster.update(vec![described("before", 300, 1, "ready")], START);
+    assert!(!roster.is_superseded("before"));
+}
