loader, link: take the engine's description from gateways; send rates as changes

Every message from a gateway to a loader also named the rates of all models.

Change: loaders do not follow the configuration. A gateway names its version of the engine's description, and a loader asks one gateway for it when it is new (loader::Described). Messages hold only the rates of models asked for since the message before; they decay at the loader. A read of the store ends when it makes no progress, not after a total time. Waits and pauses at the store follow server_drain_ms and settled_after_ms of the settings.

--- a/src/deployment/configuration.rs
+++ b/src/deployment/configuration.rs
@@ -2,6 +2,11 @@
 
 use std::time::Duration;
 
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
 /// What may be repeated of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
@@ -92,7 +97,7 @@
 }
 
 /// A model that an engine can load.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Model {
     /// Name of the model.
     pub name: String,
@@ -109,7 +114,7 @@
 }
 
 /// What all engines of a service have in common.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Engine {
     /// Requests that an engine runs at once.
     pub slots: u32,
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -28,10 +28,8 @@
     dispatch::Prefixes,
     http::Pool,
     link::{
-        Asking,
         Demand,
         Holdings,
-        Loading,
         Usage,
         Wish,
         Workload, //
@@ -78,6 +76,8 @@
     pub(super) holdings: RefCell<Option<Holdings>>,
     /// Gateways that the loader knows.
     pub(super) gateways: Cell<u32>,
+    /// Whether the loader asks for the description of its engine.
+    pub(super) wants_engine: Cell<bool>,
     /// Wakes the link when what the gateway wants has changed.
     pub(super) demand_changed: Notify,
 }
@@ -100,6 +100,7 @@
             is_superseded: Cell::new(false),
             holdings: RefCell::default(),
             gateways: Cell::new(0),
+            wants_engine: Cell::new(false),
             demand_changed: Notify::new(),
         }
     }
@@ -258,8 +259,8 @@
         models
     }
 
-    /// Returns what this gateway wants of the server.
-    pub(super) fn demand(&self, rates: Vec<Asking>, loads: Vec<Loading>) -> Demand {
+    /// Returns what this gateway wants of the server, and nothing that all servers are told.
+    pub(super) fn demand(&self) -> Demand {
         let usage = self.usage.borrow();
         let usage = usage.iter().map(|((model, adapter), in_flight)| Usage {
             model: model.clone(),
@@ -276,8 +277,7 @@
         Demand {
             usage: usage.collect(),
             wishes: wishes.collect(),
-            rates,
-            loads,
+            ..Demand::default()
         }
     }
 }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -141,7 +141,7 @@
     let backends = state.fleet.of_service(service);
     let hosts = backends.iter().map(|backend| host(backend, engine, now));
     let gateways = f64::from(state.fleet.gateways());
-    let rates = state.rates(now).into_iter();
+    let rates = state.rates(0, now).into_iter();
     Pool {
         engine,
         hosts: hosts.collect(),
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -27,6 +27,7 @@
     http,
     link::{
         self,
+        Demand,
         Status, //
     },
     report,
@@ -115,8 +116,19 @@
 }
 
 async fn write(state: &State, backend: &Rc<Backend>, mut writer: OwnedWriteHalf) -> io::Result<()> {
+    let mut told = 0;
     while is_known(state, backend) {
-        let demand = backend.demand(state.rates(Time::now()), state.fleet.loads());
+        let service = backend.server().service.clone();
+        let wants_engine = backend.wants_engine.take();
+        let engine = wants_engine.then(|| state.engine_description(&service));
+        let demand = Demand {
+            rates: state.rates(told, Time::now()),
+            loads: state.fleet.loads(),
+            engine_version: state.engine_version(&service),
+            engine: engine.flatten(),
+            ..backend.demand()
+        };
+        told = state.newest_asked();
         link::write(&mut writer, &demand).await?;
         sleep(GATHER).await;
         // A change of the demand ends the pause.
@@ -127,6 +139,10 @@
 
 fn take(state: &State, backend: &Backend, status: Status) {
     backend.note_workload(status.workload, Time::now());
+    if status.wants_engine {
+        backend.wants_engine.set(true);
+        backend.demand_changed.notify_one();
+    }
     let Some(holdings) = status.holdings else {
         return;
     };
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod backend;
 mod cold;
+mod engines;
 mod events;
 mod fleet;
 mod forward;
@@ -56,11 +57,16 @@
 use server::Server;
 use state::State;
 
-/// How often a gateway reads the store.
-const PERIODS: Periods = Periods {
-    configuration: Duration::from_secs(2),
-    servers: Duration::from_secs(1),
-};
+/// Part of the time for which a server goes on after it said that it leaves; within this the
+/// gateway reads the servers again.
+const SERVERS_PART: f64 = 0.4;
+
+/// Margin before bounds hold again after a disruption, in which a read that the disruption has left
+/// without an answer is given up and repeated.
+const CONFIGURATION_MARGIN: Duration = Duration::from_millis(1_000);
+
+/// Least time for which a read waits for a new configuration.
+const LEAST_WAIT: Duration = Duration::from_millis(500);
 
 /// Time for which new connections are still taken after the signal to stop, until the balancer
 /// has seen twice that the gateway is not ready.
@@ -77,7 +83,7 @@
     mut signals: Signals,
 ) {
     let store = Store::new(settings.store_addr);
-    let follower = Rc::new(Follower::new(store, PERIODS));
+    let follower = Rc::new(Follower::new(store, periods(&settings)));
     let state = Rc::new(State::new(settings.clone(), follower.clone(), metrics));
     let configuration = follower.clone();
     tokio::task::spawn_local(async move { configuration.follow_configuration().await });
@@ -95,3 +101,14 @@
     accepting.abort();
     server.drain(grace - lame_duck).await;
 }
+
+/// Returns how often the store is read.
+fn periods(settings: &Settings) -> Periods {
+    let wait = settings
+        .settled_after()
+        .saturating_sub(CONFIGURATION_MARGIN);
+    Periods {
+        configuration: Some(wait.max(LEAST_WAIT)),
+        servers: settings.server_drain().mul_f64(SERVERS_PART),
+    }
+}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -14,25 +14,28 @@
     watch, //
 };
 
-use super::fleet::Fleet;
+use super::{
+    engines::EngineVersions,
+    fleet::Fleet, //
+};
 use crate::{
     dispatch::{
         Budget,
         Share, //
     },
     hosted::Settings,
-    link::Asking,
+    link::{
+        Asking,
+        EngineDescription,
+        EngineVersion,
+        RATE_S,
+        RECENT_S, //
+    },
     metrics::Metrics,
     timer::Time,
     watch::Follower,
 };
 
-/// Time constant of the rates of models, in seconds.
-const RATE_S: f64 = 12.0;
-
-/// Time constant of the rates that show a shift of demand, in seconds.
-const RECENT_S: f64 = 2.5;
-
 /// Prompt tokens that an engine reads in a millisecond.
 const TOKENS_PER_MS: f64 = 38.0;
 
@@ -43,6 +46,8 @@
     recent_per_s: f64,
     reading_ms: f64,
     at: Time,
+    /// Number of the newest request among all.
+    number: u64,
 }
 
 impl Asked {
@@ -53,6 +58,7 @@
             recent_per_s: self.recent_per_s * (-age_s / RECENT_S).exp(),
             reading_ms: self.reading_ms * (-age_s / RECENT_S).exp(),
             at: now,
+            number: self.number,
         }
     }
 }
@@ -70,6 +76,9 @@
     pub(super) stopping: watch::Sender<bool>,
     budgets: RefCell<BTreeMap<String, Budget>>,
     asked: RefCell<BTreeMap<String, Asked>>,
+    /// Number of the newest change of what is asked.
+    newest_asked: Cell<u64>,
+    engines: RefCell<EngineVersions>,
     in_flight: Cell<usize>,
 }
 
@@ -88,6 +97,8 @@
             stopping: watch::Sender::new(false),
             budgets: RefCell::default(),
             asked: RefCell::default(),
+            newest_asked: Cell::new(0),
+            engines: RefCell::default(),
             in_flight: Cell::new(0),
         }
     }
@@ -160,21 +171,47 @@
             recent_per_s: 0.0,
             reading_ms: 0.0,
             at: now,
+            number: 0,
         };
+        let number = self.newest_asked.get() + 1;
+        self.newest_asked.set(number);
         let mut asked = self.asked.borrow_mut();
         let asked = asked.entry(model.to_owned()).or_insert(start);
         *asked = asked.at(now);
+        asked.number = number;
         add(asked);
     }
 
-    /// Returns what is asked of each model at this gateway.
-    pub(super) fn rates(&self, now: Time) -> Vec<Asking> {
+    /// Returns the version of the description of a service's engines.
+    pub(super) fn engine_version(&self, service: &str) -> Option<EngineVersion> {
+        let configuration = self.follower.configuration();
+        self.engines.borrow_mut().of(&configuration, service)
+    }
+
+    /// Returns the description of a service's engines.
+    pub(super) fn engine_description(&self, service: &str) -> Option<EngineDescription> {
+        let configuration = self.follower.configuration();
+        Some(EngineDescription {
+            version: self.engine_version(service)?,
+            engine: configuration.service(service)?.engine.clone()?,
+        })
+    }
+
+    /// Returns the number of the newest change of what is asked.
+    pub(super) fn newest_asked(&self) -> u64 {
+        self.newest_asked.get()
+    }
+
+    /// Returns what is asked of each model at this gateway that was asked for since the change of
+    /// this number.
+    pub(super) fn rates(&self, since: u64, now: Time) -> Vec<Asking> {
         /// Rates below this are those of models that were not asked for in a minute.
         const LEAST: f64 = 0.0005;
         let mut asked = self.asked.borrow_mut();
         asked.retain(|_, asked| asked.at(now).per_s > LEAST);
         let asked = asked.iter();
         asked
+            .filter(|(_, asked)| asked.number > since)
             .map(|(model, asked)| {
                 let asked = asked.at(now);
                 Asking {
--- a/src/hosted/schema.rs
+++ b/src/hosted/schema.rs
@@ -49,5 +49,7 @@
         ]),
     ),
     required("store_load_window_ms", MILLIS),
+    required("server_drain_ms", MILLIS),
+    required("settled_after_ms", MILLIS),
     Field::optional("log_level", Kind::Text(text::log_level)),
 ]);
--- a/src/hosted/settings.rs
+++ b/src/hosted/settings.rs
@@ -68,6 +68,10 @@
     pub retry: Retry,
     /// Time over which the rate of the weight store is held, in milliseconds.
     pub store_load_window_ms: f64,
+    /// Time for which a server goes on after it said that it leaves, in milliseconds.
+    pub server_drain_ms: f64,
+    /// Time after the end of a disruption from which all bounds hold again, in milliseconds.
+    pub settled_after_ms: f64,
     /// Level of the log: error, warn, info or debug.
     #[serde(default = "default_log_level")]
     pub log_level: String,
@@ -126,6 +130,16 @@
         millis(self.store_load_window_ms)
     }
 
+    /// Returns the time for which a server goes on after it said that it leaves.
+    pub(crate) fn server_drain(&self) -> Duration {
+        millis(self.server_drain_ms)
+    }
+
+    /// Returns the time after the end of a disruption from which all bounds hold again.
+    pub(crate) fn settled_after(&self) -> Duration {
+        millis(self.settled_after_ms)
+    }
+
     /// Returns the length of the window of the budget for sending requests once more.
     pub(crate) fn retry_window(&self) -> Duration {
         millis(self.retry.window_ms)
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -1,15 +1,28 @@
 //! The messages.
 
+use std::{
+    hash::Hasher,
+    time::Duration, //
+};
+
 use serde::{
     Deserialize,
     Serialize, //
 };
+use siphasher::sip::SipHasher13;
 
 use crate::deployment::{
     Copies,
+    Engine,
     Replica, //
 };
 
+/// Time constant of the rates of models, in seconds.
+pub(crate) const RATE_S: f64 = 12.0;
+
+/// Time constant of the rates that show a shift of demand, in seconds.
+pub(crate) const RECENT_S: f64 = 2.5;
+
 /// Requests of a gateway that a server runs.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Usage {
@@ -41,10 +54,46 @@
     pub usage: Vec<Usage>,
     /// What its requests wait for.
     pub wishes: Vec<Wish>,
-    /// What is asked of each model at this gateway; the same for all servers.
+    /// What is asked of each model at this gateway, if it was asked for since the message before.
     pub rates: Vec<Asking>,
     /// Loads under way at all servers.
     pub loads: Vec<Loading>,
+    /// Which description of the server's engine the gateway has.
+    pub engine_version: Option<EngineVersion>,
+    /// That description, if the loader wants it.
+    pub engine: Option<EngineDescription>,
+}
+
+/// Tells descriptions of engines apart.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineVersion {
+    /// Version of the configuration that holds the description.
+    pub configuration: u64,
+    /// Hash of the description, which most new configurations leave as it is.
+    pub digest: u64,
+}
+
+impl EngineVersion {
+    /// Returns the version of a description in a configuration.
+    pub fn new(configuration: u64, engine: &Engine) -> Self {
+        // All numbers and texts of a description have an encoding.
+        let bytes = postcard::to_stdvec(engine).unwrap_or_default();
+        let mut hasher = SipHasher13::new();
+        hasher.write(&bytes);
+        Self {
+            configuration,
+            digest: hasher.finish(),
+        }
+    }
+}
+
+/// A description of the engines of a service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EngineDescription {
+    /// Version of the description.
+    pub version: EngineVersion,
+    /// What the engines have in common.
+    pub engine: Engine,
 }
 
 /// A load under way.
@@ -69,6 +118,38 @@
     pub reading_ms: f32,
 }
 
+impl Asking {
+    /// Returns what is asked for after a time without requests.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use chestnuthub::link::Asking;
+    ///
+    /// let asking = Asking {
+    ///     model: "m".to_owned(),
+    ///     per_s: 1.0,
+    ///     recent_per_s: 1.0,
+    ///     reading_ms: 100.0,
+    /// };
+    /// let later = asking.after(Duration::from_secs(5));
+    /// assert!(later.recent_per_s < later.per_s);
+    /// ```
+    pub fn after(&self, age: Duration) -> Self {
+        let age_s = age.as_secs_f64();
+        let slow = (-age_s / RATE_S).exp() as f32;
+        let fast = (-age_s / RECENT_S).exp() as f32;
+        Self {
+            model: self.model.clone(),
+            per_s: self.per_s * slow,
+            recent_per_s: self.recent_per_s * fast,
+            reading_ms: self.reading_ms * fast,
+        }
+    }
+}
+
 /// An order that a server carries out.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Underway {
@@ -115,4 +196,6 @@
     pub(crate) workload: Workload,
     /// What the server holds, if that changed since the last message.
     pub(crate) holdings: Option<Holdings>,
+    /// Whether the gateway is asked for its description of the engine.
+    pub(crate) wants_engine: bool,
 }
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -12,6 +12,8 @@
 pub use message::{
     Asking,
     Demand,
+    EngineDescription,
+    EngineVersion,
     Holdings,
     Loading,
     Underway,
@@ -19,6 +21,8 @@
     Wish, //
 };
 pub(crate) use message::{
+    RATE_S,
+    RECENT_S,
     Status,
     Workload, //
 };
--- a/src/loader/driver.rs
+++ b/src/loader/driver.rs
@@ -239,11 +239,10 @@
         if server.state != deployment::State::Ready {
             return None;
         }
-        let configuration = self.state.follower.configuration();
-        let engine = configuration.service(&server.service)?.engine.as_ref()?;
-        let pool = self.pool(engine, server, wishes);
+        let engine = self.state.engine()?;
+        let pool = self.pool(&engine, server, wishes);
         let host = pool.hosts.iter().position(|host| host.id == server.id)?;
-        let sharers = self.sharers(engine, server, now);
+        let sharers = self.sharers(&engine, server, now);
         let clock = SystemTime::now().duration_since(UNIX_EPOCH);
         let may_use_store = self.pace.allows(now, clock.unwrap_or_default(), &sharers);
         let is_settled = now - self.joined >= SETTLED;
@@ -415,11 +414,12 @@
         if order.operation == Operation::Unload {
             return Duration::from_millis(500);
         }
-        let configuration = self.state.follower.configuration();
-        let engines = configuration.services.iter();
-        let mut models = engines.filter_map(|service| service.engine.as_ref()?.model(&order.model));
+        let engine = self.state.engine();
+        let model = engine
+            .as_ref()
+            .and_then(|engine| engine.model(&order.model));
         let own = host("", &[], &self.report.copies);
-        models.next().map_or(Duration::ZERO, |model| {
+        model.map_or(Duration::ZERO, |model| {
             Duration::from_secs_f64(own.load_ms(model) / 1_000.0)
         })
     }
--- a/src/loader/mod.rs
+++ b/src/loader/mod.rs
@@ -1,5 +1,6 @@
 //! The loader: gives its server's engine all its orders, for the requests that gateways hold.
 
+mod described;
 mod driver;
 mod engine;
 mod order;
@@ -8,6 +9,7 @@
 mod port;
 mod state;
 
+pub use described::Described;
 pub use order::{
     Operation,
     Order,
@@ -47,7 +49,7 @@
 
 /// How often a loader reads the store.
 const PERIODS: Periods = Periods {
-    configuration: Duration::from_secs(5),
+    configuration: None,
     servers: Duration::from_secs(2),
 };
 
@@ -61,8 +63,6 @@
     let store = Store::new(settings.store_addr);
     let follower = Rc::new(Follower::new(store, PERIODS));
     let state = Rc::new(State::new(follower.clone()));
-    let configuration = follower.clone();
-    tokio::task::spawn_local(async move { configuration.follow_configuration().await });
     tokio::task::spawn_local(async move { follower.follow_servers().await });
     tokio::task::spawn_local(port::serve(settings.peer_addr(), state.clone()));
     tokio::task::spawn_local(driver::run(settings, engine, state, metrics));
--- a/src/loader/port.rs
+++ b/src/loader/port.rs
@@ -61,23 +61,27 @@
     };
     tokio::select! {
         result = read => result,
-        result = write(writer, state) => result,
+        result = write(writer, state, key) => result,
     }
 }
 
-async fn write(mut writer: OwnedWriteHalf, state: &State) -> io::Result<()> {
+async fn write(mut writer: OwnedWriteHalf, state: &State, key: u64) -> io::Result<()> {
     let mut holdings = state.holdings.subscribe();
     let mut workload = state.workload.subscribe();
+    let mut asking = state.asking.subscribe();
     holdings.mark_changed();
     loop {
         let changed = holdings.has_changed().unwrap_or(true);
         let status = Status {
             workload: *workload.borrow_and_update(),
             holdings: changed.then(|| holdings.borrow_and_update().as_ref().clone()),
+            wants_engine: state.wants_engine(key),
         };
         link::write(&mut writer, &status).await?;
         tokio::select! {
             _ = holdings.changed() => holdings.mark_changed(),
+            // The sender lives as long as the state.
+            _ = asking.changed(), if !state.wants_engine(key) => (),
             () = sleep(HEARTBEAT) => (),
         }
     }
--- a/src/loader/state.rs
+++ b/src/loader/state.rs
@@ -14,15 +14,21 @@
     watch, //
 };
 
+use super::Described;
 use crate::{
+    deployment::Engine,
     link::{
+        Asking,
         Demand,
+        EngineDescription,
         Holdings,
         Underway,
         Wish,
         Workload, //
     },
     placement::Rate,
+    report,
+    timer::Time,
     watch::Follower,
 };
 
@@ -32,6 +38,11 @@
     pub(super) follower: Rc<Follower>,
     /// Demand of each connected gateway.
     demands: RefCell<BTreeMap<u64, Demand>>,
+    /// What is asked of each model at each gateway, and when it told so.
+    rates: RefCell<BTreeMap<u64, BTreeMap<String, (Asking, Time)>>>,
+    described: RefCell<Described>,
+    /// Wakes the links when a gateway is asked for the description of the engine.
+    pub(super) asking: watch::Sender<()>,
     next_connection: Cell<u64>,
     /// Wakes the driver.
     pub(super) wake: Notify,
@@ -44,6 +55,9 @@
         Self {
             follower,
             demands: RefCell::default(),
+            rates: RefCell::default(),
+            described: RefCell::default(),
+            asking: watch::Sender::new(()),
             next_connection: Cell::new(0),
             wake: Notify::new(),
             holdings: watch::Sender::new(Rc::new(Holdings::default())),
@@ -60,8 +74,21 @@
     }
 
     /// Replaces what a gateway wants.
-    pub(super) fn demand(&self, key: u64, demand: Demand) {
+    pub(super) fn demand(&self, key: u64, mut demand: Demand) {
+        let now = Time::now();
         let is_urgent = !demand.wishes.is_empty();
+        let mut rates = self.rates.borrow_mut();
+        let rates = rates.entry(key).or_default();
+        for asking in demand.rates.drain(..) {
+            rates.insert(asking.model.clone(), (asking, now));
+        }
+        if let Some(description) = demand.engine.take() {
+            self.learn(description);
+        } else if let Some(version) = demand.engine_version
+            && self.described.borrow_mut().note(key, version, now)
+        {
+            self.asking.send_replace(());
+        }
         self.demands.borrow_mut().insert(key, demand);
         if is_urgent {
             self.wake.notify_one();
@@ -71,6 +98,30 @@
     /// Removes a gateway.
     pub(super) fn disconnect(&self, key: u64) {
         self.demands.borrow_mut().remove(&key);
+        self.rates.borrow_mut().remove(&key);
+        self.described.borrow_mut().forget(key);
+    }
+
+    fn learn(&self, description: EngineDescription) {
+        report::info(
+            "engine_described",
+            &[
+                ("configuration", &description.version.configuration),
+                ("models", &description.engine.models.len()),
+            ],
+        );
+        self.described.borrow_mut().learn(description);
+        self.wake.notify_one();
+    }
+
+    /// Returns whether a gateway is asked for the description of the engine.
+    pub(super) fn wants_engine(&self, key: u64) -> bool {
+        self.described.borrow().is_asked(key)
+    }
+
+    /// Returns the engine, if a gateway has described it.
+    pub(super) fn engine(&self) -> Option<Rc<Engine>> {
+        self.described.borrow().engine()
     }
 
     /// Returns the number of connected gateways.
@@ -99,9 +150,11 @@
 
     /// Returns what is asked of each model, over all gateways.
     pub(super) fn rates(&self) -> BTreeMap<String, Rate> {
+        let now = Time::now();
         let mut rates: BTreeMap<String, Rate> = BTreeMap::new();
-        for asking in self.demands.borrow().values().flat_map(|d| &d.rates) {
-            let rate = rates.entry(asking.model.clone()).or_default();
+        for (asking, at) in self.rates.borrow().values().flat_map(BTreeMap::values) {
+            let asking = asking.after(now - *at);
+            let rate = rates.entry(asking.model).or_default();
             rate.per_s += f64::from(asking.per_s);
             rate.recent_per_s += f64::from(asking.recent_per_s);
             rate.reading_ms += f64::from(asking.reading_ms);
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -9,7 +9,10 @@
     Engine as _,
     engine::general_purpose::STANDARD, //
 };
-use bytes::Bytes;
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
 use http_body_util::{
     BodyExt,
     Full,
@@ -17,7 +20,8 @@
 };
 use hyper::{
     Request,
-    StatusCode, //
+    StatusCode,
+    body::Incoming, //
 };
 use serde::Deserialize;
 use tokio::time::timeout;
@@ -51,6 +55,10 @@
 /// Time for a connection to the store.
 const CONNECT: Duration = Duration::from_millis(500);
 
+/// Longest pause within an answer. A large configuration may take seconds over a busy link, so only
+/// the lack of progress ends its transfer.
+const STALL: Duration = Duration::from_millis(1_000);
+
 /// Time for which an idle connection to the store is kept.
 const KEEP: Duration = Duration::from_secs(10);
 
@@ -174,30 +182,46 @@
     }
 
     async fn get(&self, path: &str, within: Duration) -> Result<(StatusCode, Bytes), Error> {
-        match timeout(within, self.exchange(path)).await {
-            Ok(answer) => answer,
-            Err(_) => {
-                // What hangs one call may hang the kept connections as well.
-                self.pool.clear();
-                Err(Error::Timeout)
-            }
+        let answer = self.exchange(path, within).await;
+        if answer == Err(Error::Timeout) {
+            // What hangs one call may hang the kept connections as well.
+            self.pool.clear();
         }
+        answer
     }
 
-    async fn exchange(&self, path: &str) -> Result<(StatusCode, Bytes), Error> {
+    /// Calls the store; `within` bounds the time until the answer begins.
+    async fn exchange(&self, path: &str, within: Duration) -> Result<(StatusCode, Bytes), Error> {
         let request = Request::get(path)
             .header("host", self.address.to_string())
             .body(Full::default())
             .map_err(|error| Error::Malformed(error.to_string()))?;
         let unreachable = |error: crate::http::Error| Error::Unreachable(error.to_string());
-        let (mut channel, _) = self.pool.take(CONNECT).await.map_err(unreachable)?;
-        let response = channel.send(request).await.map_err(unreachable)?;
+        let begin = async {
+            let (mut channel, _) = self.pool.take(CONNECT).await.map_err(unreachable)?;
+            let response = channel.send(request).await.map_err(unreachable)?;
+            Ok((channel, response))
+        };
+        let begun = timeout(within, begin).await.map_err(|_| Error::Timeout)?;
+        let (channel, response) = begun?;
         let status = response.status();
-        let body = Limited::new(response.into_body(), ANSWER_BYTES);
-        let body = body.collect().await;
-        let body = body.map_err(|error| Error::Unreachable(error.to_string()))?;
+        let body = read(response.into_body()).await?;
         self.pool.put(channel, KEEP);
-        Ok((status, body.to_bytes()))
+        Ok((status, body))
+    }
+}
+
+/// Reads a body as long as it makes progress.
+async fn read(body: Incoming) -> Result<Bytes, Error> {
+    let mut body = Limited::new(body, ANSWER_BYTES);
+    let mut bytes = BytesMut::new();
+    loop {
+        let frame = timeout(STALL, body.frame()).await;
+        match frame.map_err(|_| Error::Timeout)? {
+            None => return Ok(bytes.freeze()),
+            Some(Ok(frame)) => bytes.extend_from_slice(&frame.into_data().unwrap_or_default()),
+            Some(Err(error)) => return Err(Error::Unreachable(error.to_string())),
+        }
     }
 }
 
--- a/src/watch/follower.rs
+++ b/src/watch/follower.rs
@@ -28,7 +28,7 @@
     timer::Time, //
 };
 
-/// Time for a read of the store.
+/// Time until a read of the store is answered; the bytes of the answer may take longer.
 const READ: Duration = Duration::from_millis(1_500);
 
 /// Least pause between reads of the servers.
@@ -54,8 +54,8 @@
 /// How often the store is read.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Periods {
-    /// Longest time that one read waits for a new configuration.
-    pub(crate) configuration: Duration,
+    /// Longest time that one read waits for a new configuration, if it is followed.
+    pub(crate) configuration: Option<Duration>,
     /// Pause between reads of the servers.
     pub(crate) servers: Duration,
 }
@@ -93,9 +93,10 @@
         self.configuration.borrow().clone()
     }
 
-    /// Returns whether configuration and servers have been read.
+    /// Returns whether all that is followed has been read.
     pub(crate) fn is_complete(&self) -> bool {
-        self.has_read_servers.get() && self.configuration.borrow().version > 0
+        let has_configuration = self.configuration.borrow().version > 0;
+        self.has_read_servers.get() && (has_configuration || self.periods.configuration.is_none())
     }
 
     /// Calls `look` with the servers.
@@ -135,11 +136,14 @@
 
     /// Follows the configuration for ever.
     pub(crate) async fn follow_configuration(&self) {
+        let Some(wait) = self.periods.configuration else {
+            return;
+        };
         let mut dependency = Dependency::new("configuration");
         let mut next = None;
         loop {
             let change = match next {
-                Some(from) => self.store.change(from, self.periods.configuration).await,
+                Some(from) => self.store.change(from, wait).await,
                 None => self.store.configuration(READ).await,
             };
             match change {
--- a/tests/hosted_settings.rs
+++ b/tests/hosted_settings.rs
@@ -8,7 +8,7 @@
     "peer_ip": "10.0.0.1", "peer_port": 7000, "metrics_port": 9464,
     "store_addr": "10.0.0.9:80", "engine_addr": "10.0.0.1:81", "grace_ms": 8e3,
     "retry": { "ratio": 0.2, "slack": 54, "window_ms": 10e3 },
-    "store_load_window_ms": 5e3,
+    "store_load_window_ms": 5e3, "server_drain_ms": 2500, "settled_after_ms": 4000,
 }"#;
 
 /// Guards against settings as the deploy template writes them that are refused.
--- a/tests/loader.rs
+++ b/tests/loader.rs
@@ -12,8 +12,14 @@
         Model,
         Replica, //
     },
-    link::Wish,
+    link::{
+        Asking,
+        EngineDescription,
+        EngineVersion,
+        Wish, //
+    },
     loader::{
+        Described,
         Facts,
         Operation,
         Order,
@@ -404,3 +410,63 @@
     facts.pool.rates.insert("m00".to_owned(), busy);
     assert_eq!(ordered(&facts).as_deref(), Some("m00"));
 }
+
+fn described(configuration: u64, slots: u32) -> EngineDescription {
+    let engine = Engine { slots, ..engine() };
+    EngineDescription {
+        version: EngineVersion::new(configuration, &engine),
+        engine,
+    }
+}
+
+/// Guards against a description that every gateway sends to every loader again with each new
+/// configuration, and against one that an older configuration brings back.
+#[test]
+fn only_a_new_description_is_asked_for() {
+    const NOW: Time = Time::from_millis(0);
+    let mut known = Described::default();
+    assert!(known.note(1, described(3, 8).version, NOW));
+    assert!(known.is_asked(1));
+    assert!(!known.note(2, described(3, 8).version, NOW));
+    known.learn(described(3, 8));
+    // The same engine in a newer configuration.
+    assert!(!known.note(2, described(4, 8).version, NOW));
+    // An older configuration.
+    assert!(!known.note(1, described(2, 9).version, NOW));
+    known.learn(described(2, 9));
+    assert_eq!(known.engine().map(|engine| engine.slots), Some(8));
+    assert!(known.note(1, described(5, 9).version, NOW));
+    known.learn(described(5, 9));
+    assert_eq!(known.engine().map(|engine| engine.slots), Some(9));
+}
+
+/// Guards against a loader that waits for ever for a gateway that has gone or hangs.
+#[test]
+fn another_gateway_is_asked_when_one_does_not_answer() {
+    let version = described(3, 8).version;
+    let mut known = Described::default();
+    assert!(known.note(1, version, Time::from_millis(0)));
+    known.forget(1);
+    assert!(known.note(2, version, Time::from_millis(1)));
+    assert!(!known.note(3, version, Time::from_millis(900)));
+    assert!(known.note(3, version, Time::from_millis(1_100)));
+}
+
+/// Guards against rates that a loader takes for new although the gateway tells only of models that
+/// were asked for again.
+#[test]
+fn rates_decay_between_messages() {
+    let asking = Asking {
+        model: "m".to_owned(),
+        per_s: 2.0,
+        recent_per_s: 2.0,
+        reading_ms: 50.0,
+    };
+    assert_eq!(asking.after(Duration::ZERO), asking);
+    let at_once = asking.after(Duration::from_secs(6));
+    let in_steps = asking
+        .after(Duration::from_secs(2))
+        .after(Duration::from_secs(4));
+    assert!((at_once.per_s - in_steps.per_s).abs() < 1e-4);
+    assert!(at_once.recent_per_s < 0.2 && at_once.per_s > 1.0);
+}
--- a/tests/site_support/mod.rs
+++ b/tests/site_support/mod.rs
@@ -121,6 +121,8 @@
         "grace_ms": 8e3,
         "retry": { "ratio": 0.2, "slack": 54, "window_ms": 10e3 },
         "store_load_window_ms": 5e3,
+        "server_drain_ms": 2_500,
+        "settled_after_ms": 4_000,
     })
 }
 
