placement: choose the place of spare loads by facts that all loaders share

Each loader counted the wait for its own running requests against itself and took the others, of which it does not know them, for idle: every loader left the load to another one.

Change: Pool::spare chooses the place without the facts that a server alone knows; the chosen server then weighs the gain against its own eviction with the running requests.

own_requests_do_not_leave_the_load_to_others fails on the code before.

--- a/src/placement/pool.rs
+++ b/src/placement/pool.rs
@@ -265,9 +265,11 @@
     ///
     /// All servers are given models in the same order, each the model that it loads at the least
     /// cost; so servers with the same facts neither load a model twice nor leave one to a server
-    /// that is busy with others.
+    /// that is busy with others. What only a server itself knows has no part in the choice of the
+    /// place: its own running requests would make each server leave the load to the others. It
+    /// decides only whether the load is worth it there.
     pub fn spare(&self, host: usize) -> Option<(&Model, f64)> {
-        let mut planned = self.clone();
+        let mut planned = self.without_own_facts();
         let mut store_loads = self.store_loads();
         for (model, gain_ms) in self.wanting() {
             let Some(best) = planned.rank(&model.name).into_iter().next() else {
@@ -289,13 +291,28 @@
             }
             store_loads += usize::from(from_store);
             if best.host == host {
-                return Some((model, gain_ms - eviction_ms - store_ms));
+                let own = evict(self, host, model.weights_mb)?;
+                let net_ms = gain_ms - SPARE_FACTOR * (own.cost_ms + own.wait_ms) - store_ms;
+                return (net_ms >= SPARE_GAIN_MS).then_some((model, net_ms));
             }
             planned.hosts[best.host].backlog_ms += best.ready_ms;
         }
         None
     }
 
+    /// Returns the pool without what servers know of themselves only.
+    fn without_own_facts(&self) -> Self {
+        let mut shared = self.clone();
+        for host in &mut shared.hosts {
+            host.backlog_ms = 0.0;
+            host.queue_ms = 0.0;
+            host.resident.values_mut().for_each(|resident| {
+                *resident = Resident::default();
+            });
+        }
+        shared
+    }
+
     /// Returns the number of loads from the weight store under way.
     fn store_loads(&self) -> usize {
         let hosts = self.hosts.iter();
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -182,3 +182,31 @@
     let cheap = losses.iter().filter(|loss| **loss < reload_ms).count();
     assert_eq!(cheap, 1, "{losses:?}");
 }
+
+/// Guards against a busy model that keeps its only replica since each server sees requests running
+/// on itself, takes the others for idle, and leaves the load to them.
+#[test]
+fn own_requests_do_not_leave_the_load_to_others() {
+    let engine = engine(&[("busy", 40.0), ("a", 80.0), ("b", 80.0), ("c", 80.0)]);
+    let rates = [("busy", 12.0), ("a", 0.2), ("b", 0.2), ("c", 0.2)];
+    let hosts = || {
+        vec![
+            host("s0", &["busy"], &["busy"]),
+            host("s1", &["a"], &["a", "busy"]),
+            host("s2", &["b"], &["b", "busy"]),
+            host("s3", &["c"], &["c", "busy"]),
+        ]
+    };
+    let mut loading = Vec::new();
+    for own in 0..4 {
+        let mut pool = pool(&engine, hosts(), &rates);
+        for resident in pool.hosts[own].resident.values_mut() {
+            resident.in_use = 3;
+        }
+        if let Some((model, _)) = pool.spare(own) {
+            assert_eq!(model.name, "busy");
+            loading.push(own);
+        }
+    }
+    assert_eq!(loading.len(), 1, "{loading:?}");
+}
