cli: add trace, which shows what became of a request

Cause: docs/OPERATIONS.md leads from a request's id to the cause by several searches through the logs; what happened to the servers and models of the request had to be looked up by hand, in other daemons' logs.

REQUEST prints the lines that name the request in their order, and between them the orders, losses and states of the servers and models that these lines name.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -11,6 +11,7 @@
 mod stream;
 mod table;
 mod token;
+mod trace;
 
 use std::process::ExitCode;
 
@@ -40,6 +41,7 @@
     Settings(settings::Command),
     Status(status::Command),
     Token(token::Command),
+    Trace(trace::Command),
 }
 
 impl Command {
@@ -51,6 +53,7 @@
             Self::Settings(command) => command.json(),
             Self::Status(command) => command.json,
             Self::Token(command) => command.json,
+            Self::Trace(command) => command.json,
         }
     }
 
@@ -62,6 +65,7 @@
             Self::Settings(command) => command.run(),
             Self::Status(command) => command.run(),
             Self::Token(command) => command.run(),
+            Self::Trace(command) => command.run(),
         }
     }
 }
@@ -111,7 +115,12 @@
         .to_options()
         .descr("Makes a random bearer token and shows the digest that settings hold")
         .command("token");
-    construct!([drain, keys, release, settings, status, token])
+    let trace = trace::options().map(Command::Trace);
+    let trace = trace
+        .to_options()
+        .descr("Shows what became of a request, from the log lines of daemons")
+        .command("trace");
+    construct!([drain, keys, release, settings, status, token, trace])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Operates a chestnuthub fleet")
--- /dev/null
+++ b/src/cli/trace.rs
@@ -0,0 +1,195 @@
+//! `chestnuthub trace`.
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    fs,
+    path::PathBuf, //
+};
+
+use bpaf::{
+    Parser,
+    construct,
+    long,
+    positional, //
+};
+use serde_json::{
+    Value,
+    json, //
+};
+
+use super::exit::{
+    Error,
+    Report, //
+};
+
+/// Time before the first line of a request from which other lines on its servers are of interest,
+/// in milliseconds.
+const BEFORE_MS: u64 = 5_000;
+
+/// Time after its last line until which they are, in milliseconds.
+const AFTER_MS: u64 = 1_000;
+
+/// Events that tell what became of a server or a model.
+const CONTEXT: [&str; 6] = [
+    "engine_silent",
+    "loader_lost",
+    "order",
+    "server_gone",
+    "server_new",
+    "server_state",
+];
+
+/// Shows what became of a request, from the log lines of daemons.
+#[derive(Debug, Clone)]
+pub(super) struct Command {
+    pub(super) json: bool,
+    request: String,
+    logs: Vec<PathBuf>,
+}
+
+pub(super) fn options() -> impl Parser<Command> {
+    let json = super::json();
+    let logs = long("log")
+        .help("File with log lines of one daemon or of several; may be given more than once")
+        .argument("FILE")
+        .some("no log is named");
+    let request = positional("REQUEST").help("Id of the request");
+    construct!(Command {
+        json,
+        logs,
+        request
+    })
+}
+
+/// A log line.
+#[derive(Debug, Clone)]
+struct Line {
+    ts_ms: u64,
+    instance: String,
+    event: String,
+    /// The other pairs, as they stand in the line.
+    rest: String,
+    pairs: BTreeMap<String, String>,
+}
+
+impl Line {
+    /// Reads a line; what stands before the first pair is left out.
+    fn parse(text: &str) -> Option<Self> {
+        let text = &text[text.find("ts_ms=")?..];
+        let mut pairs: BTreeMap<String, String> = pairs(text).into_iter().collect();
+        let ts_ms = pairs.remove("ts_ms")?.parse().ok()?;
+        let (instance, event) = (pairs.remove("instance")?, pairs.remove("event")?);
+        let rest = text.split_once(&format!("event={event}"))?.1;
+        Some(Self {
+            ts_ms,
+            instance,
+            event,
+            rest: rest.trim().to_owned(),
+            pairs,
+        })
+    }
+
+    fn get(&self, key: &str) -> Option<&str> {
+        self.pairs.get(key).map(String::as_str)
+    }
+
+    /// Returns whether the line tells of a server or a model of the request.
+    fn is_context(&self, own: &Own<'_>) -> bool {
+        let names = |names: &BTreeSet<&str>, key| self.get(key).is_some_and(|n| names.contains(n));
+        let is_near =
+            self.ts_ms + BEFORE_MS >= own.first_ms && self.ts_ms <= own.last_ms + AFTER_MS;
+        let is_seen = self.event != "loader_lost" || own.instances.contains(self.instance.as_str());
+        let is_named = names(&own.servers, "server") || names(&own.models, "model");
+        is_near && is_seen && is_named && CONTEXT.contains(&self.event.as_str())
+    }
+}
+
+/// Splits a line into its pairs.
+fn pairs(text: &str) -> Vec<(String, String)> {
+    let mut pairs = Vec::new();
+    let mut rest = text;
+    while let Some((key, after)) = rest.split_once('=') {
+        let end = match after.strip_prefix('"') {
+            Some(quoted) => quoted.find('"').map_or(after.len(), |end| end + 2),
+            None => after.find(' ').unwrap_or(after.len()),
+        };
+        let value = after[..end].trim_matches('"');
+        pairs.push((key.trim().to_owned(), value.to_owned()));
+        rest = &after[end..];
+    }
+    pairs
+}
+
+/// What a request's own lines name.
+struct Own<'a> {
+    first_ms: u64,
+    last_ms: u64,
+    instances: BTreeSet<&'a str>,
+    servers: BTreeSet<&'a str>,
+    models: BTreeSet<&'a str>,
+}
+
+impl<'a> Own<'a> {
+    fn new(lines: &[&'a Line]) -> Option<Self> {
+        let named = |key| lines.iter().filter_map(|line| line.get(key)).collect();
+        Some(Self {
+            first_ms: lines.iter().map(|line| line.ts_ms).min()?,
+            last_ms: lines.iter().map(|line| line.ts_ms).max()?,
+            instances: lines.iter().map(|line| line.instance.as_str()).collect(),
+            servers: named("server"),
+            models: named("model"),
+        })
+    }
+}
+
+impl Command {
+    pub(super) fn run(&self) -> Result<Report, Error> {
+        let lines = self.read()?;
+        let is_own = |line: &&Line| line.get("request") == Some(&self.request);
+        let own: Vec<_> = lines.iter().filter(is_own).collect();
+        let named = Own::new(&own)
+            .ok_or_else(|| Error::failed(format!("no line names request {}", self.request)))?;
+        let mut shown: Vec<_> = lines
+            .iter()
+            .filter(|line| is_own(line) || line.is_context(&named))
+            .collect();
+        // The sort is stable, so lines of one instance keep their order.
+        shown.sort_by_key(|line| line.ts_ms);
+        let text = shown.iter().map(|line| {
+            let after_ms = line.ts_ms as i64 - named.first_ms as i64;
+            let mark = if is_own(line) { ' ' } else { '|' };
+            let Line {
+                instance,
+                event,
+                rest,
+                ..
+            } = line;
+            format!("{after_ms:>8} ms {mark} {instance} {event} {rest}\n")
+        });
+        Ok(Report::done(text.collect(), json(&shown)))
+    }
+
+    fn read(&self) -> Result<Vec<Line>, Error> {
+        let mut lines = Vec::new();
+        for path in &self.logs {
+            let text = fs::read(path)
+                .map_err(|error| Error::failed(format!("{}: {error}", path.display())))?;
+            let text = String::from_utf8_lossy(&text);
+            lines.extend(text.lines().filter_map(Line::parse));
+        }
+        Ok(lines)
+    }
+}
+
+fn json(lines: &[&Line]) -> Value {
+    let lines = lines.iter().map(|line| {
+        json!({
+            "ts_ms": line.ts_ms, "instance": line.instance, "event": line.event,
+            "pairs": line.pairs,
+        })
+    });
+    lines.collect()
+}
--- /dev/null
+++ b/tests/trace.rs
@@ -0,0 +1,74 @@
+//! `chestnuthub trace`: from a request's id to what became of it.
+
+use std::{
+    fs,
+    path::PathBuf,
+    process::{
+        Command,
+        Output, //
+    },
+};
+
+const GATEWAY: &str = r#"
+ts_ms=9000 level=info instance=front-1 event=server_state server=s2 state=Ready
+ts_ms=10000 level=info instance=front-1 event=cold_wait request=r1 server=s1 model=m1 left_ms=5000
+ts_ms=10000 level=info instance=front-1 event=send request=r2 route=a version=3 model=m2 server=s2 load=1 sends=1 left_ms=5000
+ts_ms=10400 level=info instance=front-1 event=send request=r1 route=a version=3 model=m1 server=s1 load=1 sends=1 left_ms=4600
+ts_ms=10900 level=info instance=front-1 event=send_missed request=r1 server=s1 sends=1 left_ms=4100 reason="no answer"
+ts_ms=10901 level=info instance=front-1 event=failed request=r1 status=502 reason="no answer"
+ts_ms=11000 level=warn instance=front-1 event=loader_lost server=s1 error="timed out"
+ts_ms=60000 level=warn instance=front-1 event=loader_lost server=s1 error="timed out"
+"#;
+
+/// With the simulated time and the machine before each line, as the users' bench prints it.
+const LOADER: &str = "  10.1 side-1 ts_ms=10100 level=info instance=side-1 event=order operation=load \
+                      server=s1 model=m1 adapter=\"\" outcome=accepted\n";
+
+fn trace(name: &str, arguments: &[&str]) -> Output {
+    let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    fs::create_dir_all(&directory).expect("the directory is made");
+    fs::write(directory.join("gateway.log"), GATEWAY).expect("the log is written");
+    fs::write(directory.join("loader.log"), LOADER).expect("the log is written");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_chestnuthub"));
+    command.current_dir(directory).arg("trace");
+    command.args(["--log", "gateway.log", "--log", "loader.log"]);
+    command.args(arguments).output().expect("the command runs")
+}
+
+/// Guards against a story with lines of other requests, out of order, or without what became of
+/// the server and the model.
+#[test]
+fn a_request_is_followed_through_all_logs() {
+    let output = trace("trace-story", &["r1"]);
+    assert!(output.status.success());
+    let text = String::from_utf8_lossy(&output.stdout);
+    let expected = [
+        "0 ms   front-1 cold_wait request=r1",
+        "100 ms | side-1 order operation=load",
+        "400 ms   front-1 send request=r1",
+        "900 ms   front-1 send_missed request=r1",
+        "901 ms   front-1 failed request=r1 status=502 reason=\"no answer\"",
+        "1000 ms | front-1 loader_lost server=s1",
+    ];
+    let lines: Vec<_> = text.lines().map(str::trim).collect();
+    assert_eq!(lines.len(), expected.len(), "{text}");
+    for (line, expected) in lines.iter().zip(expected) {
+        assert!(line.starts_with(expected), "{line}");
+    }
+}
+
+/// Guards against JSON that scripts can't read, and against an unknown id or file that looks like
+/// a request without a story.
+#[test]
+fn json_and_failures() {
+    let output = trace("trace-json", &["r2", "--json"]);
+    let lines: serde_json::Value = serde_json::from_slice(&output.stdout).expect("JSON");
+    assert_eq!(lines[1]["event"], "send");
+    assert_eq!(lines[1]["pairs"]["server"], "s2");
+    let output = trace("trace-unknown", &["r9"]);
+    assert_eq!(output.status.code(), Some(1));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("no line names request r9"));
+    let output = trace("trace-missing", &["r1", "--log", "nowhere.log"]);
+    assert_eq!(output.status.code(), Some(1));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("nowhere.log"));
+}
