cli: trace shows only the request's own gateway between its lines

Cause: with the logs of 78 daemons, every gateway's news of a server stood in the story.

Change: of gateways' lines without a request, only those of the gateway that had it are shown; loaders' lines on its servers and models stay.

--- a/src/cli/trace.rs
+++ b/src/cli/trace.rs
@@ -32,15 +32,11 @@
 /// Time after its last line until which they are, in milliseconds.
 const AFTER_MS: u64 = 1_000;
 
-/// Events that tell what became of a server or a model.
-const CONTEXT: [&str; 6] = [
-    "engine_silent",
-    "loader_lost",
-    "order",
-    "server_gone",
-    "server_new",
-    "server_state",
-];
+/// Events of loaders that tell what became of a server or a model.
+const LOADER: [&str; 2] = ["engine_silent", "order"];
+
+/// Events of gateways that do; only those of the request's own gateway are shown.
+const GATEWAY: [&str; 4] = ["loader_lost", "server_gone", "server_new", "server_state"];
 
 /// Shows what became of a request, from the log lines of daemons.
 #[derive(Debug, Clone)]
@@ -101,9 +97,11 @@
         let names = |names: &BTreeSet<&str>, key| self.get(key).is_some_and(|n| names.contains(n));
         let is_near =
             self.ts_ms + BEFORE_MS >= own.first_ms && self.ts_ms <= own.last_ms + AFTER_MS;
-        let is_seen = self.event != "loader_lost" || own.instances.contains(self.instance.as_str());
+        let event = self.event.as_str();
+        let is_own_gateway = own.instances.contains(self.instance.as_str());
+        let tells = LOADER.contains(&event) || (is_own_gateway && GATEWAY.contains(&event));
         let is_named = names(&own.servers, "server") || names(&own.models, "model");
-        is_near && is_seen && is_named && CONTEXT.contains(&self.event.as_str())
+        is_near && is_named && tells
     }
 }
 
--- a/tests/trace.rs
+++ b/tests/trace.rs
@@ -21,7 +21,7 @@
 "#;
 
 /// With the simulated time and the machine before each line, as the users' bench prints it.
-const LOADER: &str = "  10.1 side-1 ts_ms=10100 level=info instance=side-1 event=order operation=load \
+const LOADER: &str = "ts_ms=10150 level=warn instance=front-2 event=loader_lost server=s1 error=x\n  10.1 side-1 ts_ms=10100 level=info instance=side-1 event=order operation=load \
                       server=s1 model=m1 adapter=\"\" outcome=accepted\n";
 
 fn trace(name: &str, arguments: &[&str]) -> Output {
