placement: loads from the store wait for servers that come back with copies

After the loss of power gateways asked for loads from the store within 0.3 s, three of them of one model, while loaders whose disks held the models were still starting; before, further replicas of loaded models were taken from the store. Spare loads of models without any replica then waited behind four loads under way: one model was refused 124 times over 50 s.

Change: a gateway holds a request for at most 2.5 s after it lost a loader if that server has the weights and all others would use the store (Pool::awaits_copy). A further replica is taken from the store only when it brings nothing else. A server that declines a spare load looks at the next model.

--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -46,6 +46,9 @@
 /// Age at which a load that the server told counts no longer.
 const LOAD_AGE: Duration = Duration::from_millis(1_500);
 
+/// Time within which a loader that can't be reached is expected back, as after a start.
+const LOADER_RETURN: Duration = Duration::from_millis(2_500);
+
 /// Key of what requests use or wait for.
 type Key = (String, Option<String>);
 
@@ -74,6 +77,8 @@
     is_superseded: Cell<bool>,
     /// What the loader told, while the link to it is up.
     pub(super) holdings: RefCell<Option<Holdings>>,
+    /// Since when the loader is not reachable.
+    loader_lost: Cell<Time>,
     /// Gateways that the loader knows.
     pub(super) gateways: Cell<u32>,
     /// Whether the loader asks for the description of its engine.
@@ -99,6 +104,7 @@
             is_replaced: Cell::new(false),
             is_superseded: Cell::new(false),
             holdings: RefCell::default(),
+            loader_lost: Cell::new(Time::now()),
             gateways: Cell::new(0),
             wants_engine: Cell::new(false),
             demand_changed: Notify::new(),
@@ -161,6 +167,17 @@
         self.holdings.borrow().is_some()
     }
 
+    /// Notes that the loader is not reachable any more.
+    pub(super) fn note_loader_lost(&self, now: Time) {
+        self.loader_lost.set(now);
+    }
+
+    /// Returns whether the loader is not reachable, but expected to be soon.
+    pub(super) fn expects_loader(&self, now: Time) -> bool {
+        let is_recent = now - self.loader_lost.get() < LOADER_RETURN;
+        is_recent && !self.has_loader() && self.is_ready() && !self.is_superseded.get()
+    }
+
     /// Calls `look` with a loaded model that is not being unloaded.
     pub(super) fn replica<T>(&self, model: &str, look: impl FnOnce(&Replica) -> T) -> Option<T> {
         if let Some(holdings) = self.holdings.borrow().as_ref() {
--- a/src/gateway/cold.rs
+++ b/src/gateway/cold.rs
@@ -27,6 +27,8 @@
     Wait(Rc<Backend>),
     /// The load takes too long; come back after this time.
     Refuse(Duration),
+    /// Decide again soon: a server that is expected back has the weights.
+    Hold,
     /// No loader can be reached.
     NoLoader,
 }
@@ -62,6 +64,9 @@
     if let Some(backend) = joined {
         return Decision::Wait(backend.clone());
     }
+    if pool.awaits_copy(&name.model, best) {
+        return Decision::Hold;
+    }
     let ready = Duration::from_secs_f64(best.ready_ms / 1_000.0);
     if ready + RUN > left {
         return Decision::Refuse(ready);
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -180,6 +180,7 @@
     let mut host = Host {
         id: server.id.clone(),
         reachable: backend.has_loader() && backend.is_usable(now),
+        expected: backend.expects_loader(now),
         resident: replicas
             .iter()
             .map(|replica| (replica.model.clone(), resident(replica)))
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -61,6 +61,9 @@
             // A process that ended leaves a machine that refuses connections at once.
             backend.note_silence(ended.kind() == io::ErrorKind::TimedOut);
             let is_up = backend.holdings.take().is_some();
+            if is_up {
+                backend.note_loader_lost(Time::now());
+            }
             if is_up || was_up {
                 let server = backend.server();
                 report::warn("loader_lost", &[("server", &server.id), ("error", &ended)]);
--- a/src/gateway/pick.rs
+++ b/src/gateway/pick.rs
@@ -145,6 +145,7 @@
                 self.want(&backend);
                 Ok(())
             }
+            Decision::Hold => Ok(()),
             Decision::NoLoader if now - self.started < RETURN && left > RETURN => {
                 self.state.follower.look_again();
                 Ok(())
--- a/src/loader/driver.rs
+++ b/src/loader/driver.rs
@@ -432,6 +432,7 @@
     Host {
         id: id.to_owned(),
         reachable: true,
+        expected: false,
         resident: resident
             .map(|replica| (replica.model.clone(), Resident::default()))
             .collect(),
--- a/src/placement/pool.rs
+++ b/src/placement/pool.rs
@@ -89,6 +89,8 @@
     pub id: String,
     /// Whether its agent takes wishes for loads.
     pub reachable: bool,
+    /// Whether its agent is not reachable, but expected to be soon.
+    pub expected: bool,
     /// Models in accelerator memory.
     pub resident: BTreeMap<String, Resident>,
     /// Models in main memory.
@@ -260,6 +262,17 @@
         })
     }
 
+    /// Returns whether a load from the weight store at a candidate should wait, since a server that
+    /// is expected soon has the weights.
+    ///
+    /// After a loss of power the agents come back one after the other. Loads from the store in that
+    /// second take the store's rate from models of which no server has a copy.
+    pub fn awaits_copy(&self, model: &str, candidate: &Candidate) -> bool {
+        let from_store = self.hosts[candidate.host].loads_from_store(model);
+        let mut expected = self.hosts.iter().filter(|host| host.expected);
+        from_store && expected.any(|host| !host.loads_from_store(model))
+    }
+
     /// Returns the model that a server should load although nobody waits for it, if any, and what
     /// that gains beyond its costs in ms.
     ///
@@ -286,14 +299,20 @@
             if gain_ms < SPARE_FACTOR * eviction_ms + store_ms + SPARE_GAIN_MS {
                 continue;
             }
-            if from_store && store_loads >= MOST_STORE_LOADS {
+            // A further replica waits until the store has nothing else to do: all loads share its
+            // bandwidth, and models without any replica need it first.
+            let most = if is_first { MOST_STORE_LOADS } else { 1 };
+            if from_store && store_loads >= most {
                 continue;
             }
             store_loads += usize::from(from_store);
-            if best.host == host {
-                let own = evict(self, host, model.weights_mb)?;
+            if best.host == host
+                && let Some(own) = evict(self, host, model.weights_mb)
+            {
                 let net_ms = gain_ms - SPARE_FACTOR * (own.cost_ms + own.wait_ms) - store_ms;
-                return (net_ms >= SPARE_GAIN_MS).then_some((model, net_ms));
+                if net_ms >= SPARE_GAIN_MS {
+                    return Some((model, net_ms));
+                }
             }
             planned.hosts[best.host].backlog_ms += best.ready_ms;
         }
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -210,3 +210,52 @@
     }
     assert_eq!(loading.len(), 1, "{loading:?}");
 }
+
+/// Guards against a load from the store while the server that has the weights on its disk starts
+/// again, and against a wait for a server that would not help.
+#[test]
+fn a_copy_that_is_expected_back_is_awaited() {
+    let engine = engine(&[("cold", 40.0)]);
+    let mut starting = host("s1", &[], &["cold"]);
+    starting.reachable = false;
+    starting.expected = true;
+    let mut pool = pool(&engine, vec![starting, host("s2", &[], &[])], &[]);
+    let best = pool.rank("cold").remove(0);
+    assert_eq!(best.host, 1);
+    assert!(pool.awaits_copy("cold", &best));
+    pool.hosts[0].expected = false;
+    assert!(!pool.awaits_copy("cold", &best));
+    pool.hosts[0].expected = true;
+    pool.hosts[0].on_disk.clear();
+    assert!(!pool.awaits_copy("cold", &best));
+    pool.hosts[1].on_disk.insert("cold".to_owned());
+    assert!(!pool.awaits_copy("cold", &best));
+}
+
+/// Guards against further replicas of loaded models that keep the store busy while a model without
+/// any replica waits for it.
+#[test]
+fn further_replicas_leave_the_store_to_models_without_one() {
+    let engine = engine(&[("busy", 40.0), ("lost", 40.0), ("other", 40.0)]);
+    let mut loading = host("s2", &[], &[]);
+    loading.busy = Some(Busy {
+        model: "other".to_owned(),
+        is_load: true,
+        remaining_ms: 5_000.0,
+    });
+    let hosts = vec![
+        host("s1", &["busy"], &["busy"]),
+        loading,
+        host("s3", &[], &[]),
+    ];
+    let loads = |rates: &[(&str, f64)]| {
+        let pool = pool(&engine, hosts.clone(), rates);
+        let spare = (0..3).find_map(|host| pool.spare(host));
+        spare.map(|(model, _)| model.name.clone())
+    };
+    assert_eq!(loads(&[("busy", 20.0)]).as_deref(), Some("lost"));
+    assert_eq!(
+        loads(&[("busy", 20.0), ("lost", 1.0)]).as_deref(),
+        Some("lost")
+    );
+}
