placement: replicas follow the requests in flight

Another replica had to come from the store, which further replicas leave alone while it brings anything else.

Change: gateways tell the requests in flight for each model (gateway::Rates, split from the state). Rate adds the delay for which no slot is free, by Little's law, from an occupancy of 0.7 on. A model whose replicas are full may use the store beside other loads.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -111,10 +111,7 @@
         overlap
     });
     let tokens = job.asked.prompt_tokens.saturating_sub(overlap);
-    if let Some(name) = job.model() {
-        state.note_reading(&name.model, tokens, Time::now());
-    }
-    let in_flight = backend.begin(job.model(), tokens);
+    let in_flight = backend.begin(job.model(), tokens, &state.rates);
     note_send(job, &server.id, progress, backend.load(Time::now()));
     let within = CONNECT.min(job.left(Time::now()));
     let (mut channel, _) = backend.pool.take(within).await.map_err(|error| {
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -15,9 +15,12 @@
     watch, //
 };
 
-use super::message::{
-    Load,
-    ModelName, //
+use super::{
+    message::{
+        Load,
+        ModelName, //
+    },
+    rates::Rates,
 };
 use crate::{
     deployment::{
@@ -234,15 +237,22 @@
     }
 
     /// Counts a request at the server until the guard is dropped.
-    pub(super) fn begin(self: &Rc<Self>, model: Option<&ModelName>, tokens: u64) -> InFlight {
+    pub(super) fn begin(
+        self: &Rc<Self>,
+        model: Option<&ModelName>,
+        tokens: u64,
+        rates: &Rc<Rates>,
+    ) -> InFlight {
         self.in_flight.set(self.in_flight.get() + 1);
         self.pending_tokens.set(self.pending_tokens.get() + tokens);
         let key = model.map(|name| (name.model.clone(), name.adapter.clone()));
         if let Some(key) = &key {
+            rates.note_begin(&key.0, tokens, Time::now());
             *self.usage.borrow_mut().entry(key.clone()).or_default() += 1;
         }
         InFlight {
             backend: self.clone(),
+            rates: rates.clone(),
             key,
             tokens,
         }
@@ -303,6 +313,7 @@
 #[derive(Debug)]
 pub(super) struct InFlight {
     pub(super) backend: Rc<Backend>,
+    rates: Rc<Rates>,
     key: Option<Key>,
     tokens: u64,
 }
@@ -322,6 +333,7 @@
         let in_flight = &self.backend.in_flight;
         in_flight.set(in_flight.get().saturating_sub(1));
         if let Some(key) = &self.key {
+            self.rates.note_end(&key.0, Time::now());
             let mut usage = self.backend.usage.borrow_mut();
             if let Some(count) = usage.get_mut(key) {
                 *count -= 1;
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -141,7 +141,7 @@
     let backends = state.fleet.of_service(service);
     let hosts = backends.iter().map(|backend| host(backend, engine, now));
     let gateways = f64::from(state.fleet.gateways());
-    let rates = state.rates(0, now).into_iter();
+    let rates = state.rates.since(0, now).into_iter();
     Pool {
         engine,
         hosts: hosts.collect(),
@@ -155,6 +155,7 @@
         per_s: f64::from(asking.per_s) * gateways,
         recent_per_s: f64::from(asking.recent_per_s) * gateways,
         reading_ms: f64::from(asking.reading_ms) * gateways,
+        in_flight: f64::from(asking.in_flight) * gateways,
     };
     (asking.model, rate)
 }
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -132,7 +132,7 @@
     let job = Rc::new(job.map_err(|failure| (id.clone(), failure))?);
     state.count(&job.service, started);
     if let Some(name) = &job.asked.model {
-        state.note_asked(&name.model, started);
+        state.rates.note_asked(&name.model, started);
     }
     let mut progress = Progress::new(&job.route);
     let last_event = job.asked.last_event.as_deref();
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -125,13 +125,13 @@
         let wants_engine = backend.wants_engine.take();
         let engine = wants_engine.then(|| state.engine_description(&service));
         let demand = Demand {
-            rates: state.rates(told, Time::now()),
+            rates: state.rates.since(told, Time::now()),
             loads: state.fleet.loads(),
             engine_version: state.engine_version(&service),
             engine: engine.flatten(),
             ..backend.demand()
         };
-        told = state.newest_asked();
+        told = state.rates.newest();
         link::write(&mut writer, &demand).await?;
         sleep(GATHER).await;
         // A change of the demand ends the pause.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod link;
 mod message;
 mod pick;
+mod rates;
 mod ready;
 mod relay;
 mod server;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -16,7 +16,8 @@
 
 use super::{
     engines::EngineVersions,
-    fleet::Fleet, //
+    fleet::Fleet,
+    rates::Rates, //
 };
 use crate::{
     dispatch::{
@@ -25,44 +26,14 @@
     },
     hosted::Settings,
     link::{
-        Asking,
         EngineDescription,
-        EngineVersion,
-        RATE_S,
-        RECENT_S, //
+        EngineVersion, //
     },
     metrics::Metrics,
     timer::Time,
     watch::Follower,
 };
 
-/// Prompt tokens that an engine reads in a millisecond.
-const TOKENS_PER_MS: f64 = 38.0;
-
-/// What is asked of a model, with weights that decay.
-#[derive(Debug, Clone, Copy)]
-struct Asked {
-    per_s: f64,
-    recent_per_s: f64,
-    reading_ms: f64,
-    at: Time,
-    /// Number of the newest request among all.
-    number: u64,
-}
-
-impl Asked {
-    fn at(self, now: Time) -> Self {
-        let age_s = (now - self.at).as_secs_f64();
-        Self {
-            per_s: self.per_s * (-age_s / RATE_S).exp(),
-            recent_per_s: self.recent_per_s * (-age_s / RECENT_S).exp(),
-            reading_ms: self.reading_ms * (-age_s / RECENT_S).exp(),
-            at: now,
-            number: self.number,
-        }
-    }
-}
-
 /// What the parts of a gateway share.
 #[derive(Debug)]
 pub(super) struct State {
@@ -70,14 +41,13 @@
     pub(super) follower: Rc<Follower>,
     pub(super) fleet: Fleet,
     pub(super) metrics: Rc<Metrics>,
+    /// What is asked of each model.
+    pub(super) rates: Rc<Rates>,
     /// Wakes requests that wait for a model.
     pub(super) residency_changed: Notify,
     /// Becomes true when the gateway was told to stop.
     pub(super) stopping: watch::Sender<bool>,
     budgets: RefCell<BTreeMap<String, Budget>>,
-    asked: RefCell<BTreeMap<String, Asked>>,
-    /// Number of the newest change of what is asked.
-    newest_asked: Cell<u64>,
     engines: RefCell<EngineVersions>,
     in_flight: Cell<usize>,
 }
@@ -96,8 +66,7 @@
             residency_changed: Notify::new(),
             stopping: watch::Sender::new(false),
             budgets: RefCell::default(),
-            asked: RefCell::default(),
-            newest_asked: Cell::new(0),
+            rates: Rc::default(),
             engines: RefCell::default(),
             in_flight: Cell::new(0),
         }
@@ -149,39 +118,6 @@
         budget.take(now, &share)
     }
 
-    /// Counts a request for a model.
-    pub(super) fn note_asked(&self, model: &str, now: Time) {
-        self.note(model, now, |asked| {
-            asked.per_s += 1.0 / RATE_S;
-            asked.recent_per_s += 1.0 / RECENT_S;
-        });
-    }
-
-    /// Counts the tokens of a prompt that a server reads for a model.
-    pub(super) fn note_reading(&self, model: &str, tokens: u64, now: Time) {
-        let reading_ms = tokens as f64 / TOKENS_PER_MS;
-        self.note(model, now, |asked| {
-            asked.reading_ms += reading_ms / RECENT_S;
-        });
-    }
-
-    fn note(&self, model: &str, now: Time, add: impl FnOnce(&mut Asked)) {
-        let start = Asked {
-            per_s: 0.0,
-            recent_per_s: 0.0,
-            reading_ms: 0.0,
-            at: now,
-            number: 0,
-        };
-        let number = self.newest_asked.get() + 1;
-        self.newest_asked.set(number);
-        let mut asked = self.asked.borrow_mut();
-        let asked = asked.entry(model.to_owned()).or_insert(start);
-        *asked = asked.at(now);
-        asked.number = number;
-        add(asked);
-    }
-
     /// Returns the version of the description of a service's engines.
     pub(super) fn engine_version(&self, service: &str) -> Option<EngineVersion> {
         let configuration = self.follower.configuration();
@@ -196,31 +132,4 @@
             engine: configuration.service(service)?.engine.clone()?,
         })
     }
-
-    /// Returns the number of the newest change of what is asked.
-    pub(super) fn newest_asked(&self) -> u64 {
-        self.newest_asked.get()
-    }
-
-    /// Returns what is asked of each model at this gateway that was asked for since the change of
-    /// this number.
-    pub(super) fn rates(&self, since: u64, now: Time) -> Vec<Asking> {
-        /// Rates below this are those of models that were not asked for in a minute.
-        const LEAST: f64 = 0.0005;
-        let mut asked = self.asked.borrow_mut();
-        asked.retain(|_, asked| asked.at(now).per_s > LEAST);
-        let asked = asked.iter();
-        asked
-            .filter(|(_, asked)| asked.number > since)
-            .map(|(model, asked)| {
-                let asked = asked.at(now);
-                Asking {
-                    model: model.clone(),
-                    per_s: asked.per_s as f32,
-                    recent_per_s: asked.recent_per_s as f32,
-                    reading_ms: asked.reading_ms as f32,
-                }
-            })
-            .collect()
-    }
 }
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -116,9 +116,22 @@
     pub recent_per_s: f32,
     /// Time that engines read prompts for them over the same short time, in ms a second.
     pub reading_ms: f32,
+    /// Requests at servers.
+    pub in_flight: u32,
 }
 
 impl Asking {
+    /// Returns that nothing is asked of a model.
+    pub(crate) fn new(model: &str) -> Self {
+        Self {
+            model: model.to_owned(),
+            per_s: 0.0,
+            recent_per_s: 0.0,
+            reading_ms: 0.0,
+            in_flight: 0,
+        }
+    }
+
     /// Returns what is asked for after a time without requests.
     ///
     /// # Examples
@@ -133,6 +146,7 @@
     ///     per_s: 1.0,
     ///     recent_per_s: 1.0,
     ///     reading_ms: 100.0,
+    ///     in_flight: 0,
     /// };
     /// let later = asking.after(Duration::from_secs(5));
     /// assert!(later.recent_per_s < later.per_s);
@@ -146,6 +160,7 @@
             per_s: self.per_s * slow,
             recent_per_s: self.recent_per_s * fast,
             reading_ms: self.reading_ms * fast,
+            in_flight: self.in_flight,
         }
     }
 }
--- a/src/placement/pool.rs
+++ b/src/placement/pool.rs
@@ -33,11 +33,38 @@
     pub recent_per_s: f64,
     /// Time that engines read prompts for them over the same short time, in ms a second.
     pub reading_ms: f64,
+    /// Requests at servers.
+    pub in_flight: f64,
 }
 
 impl Rate {
+    /// Returns the delay of a request behind others with `replicas` on engines of so many slots, in
+    /// ms.
+    fn delay_ms(self, replicas: usize, slots: u32) -> f64 {
+        self.reading_delay_ms(replicas) + self.slot_delay_ms(replicas, slots)
+    }
+
+    /// Returns the part of the slots of `replicas` that the requests occupy.
+    fn occupancy(self, replicas: usize, slots: u32) -> f64 {
+        self.in_flight / (replicas as f64 * f64::from(slots.max(1)))
+    }
+
+    /// Returns the delay of a request for which no slot is free, in ms.
+    fn slot_delay_ms(self, replicas: usize, slots: u32) -> f64 {
+        /// Occupancy from which requests wait: they spread unevenly over the replicas.
+        const FULL: f64 = 0.7;
+        const LONGEST_MS: f64 = 3_000.0;
+        let over = self.occupancy(replicas, slots) - FULL;
+        if over <= 0.0 || self.recent_per_s <= 0.0 {
+            return 0.0;
+        }
+        // By Little's law, the mean time of a request at its server.
+        let run_ms = 1_000.0 * self.in_flight / self.recent_per_s;
+        (over * run_ms).min(LONGEST_MS)
+    }
+
     /// Returns the delay of a request behind the prompts of others with `replicas`, in ms.
-    fn delay_ms(self, replicas: usize) -> f64 {
+    fn reading_delay_ms(self, replicas: usize) -> f64 {
         /// Share of an engine's time from which the delay counts as the longest.
         const FULL: f64 = 0.95;
         const LONGEST_MS: f64 = 3_000.0;
@@ -54,9 +81,9 @@
     }
 
     /// Returns what one more replica than `replicas` saves each request, in ms.
-    fn spread_ms(self, replicas: usize) -> f64 {
+    fn spread_ms(self, replicas: usize, slots: u32) -> f64 {
         let crash_ms = if replicas == 1 { CRASH_MS } else { 0.0 };
-        self.delay_ms(replicas) - self.delay_ms(replicas + 1) + crash_ms
+        self.delay_ms(replicas, slots) - self.delay_ms(replicas + 1, slots) + crash_ms
     }
 }
 
@@ -177,6 +204,12 @@
             .count()
     }
 
+    /// Returns whether requests occupy all slots of a model's replicas.
+    fn is_full(&self, model: &str) -> bool {
+        let replicas = self.replicas(model).max(1);
+        self.rate(model).occupancy(replicas, self.engine.slots) >= 1.0
+    }
+
     /// Returns the shortest time of a load over all servers but one, in ms.
     fn shortest_load_ms(&self, model: &Model, except: Option<usize>) -> f64 {
         let hosts = self.hosts.iter().enumerate();
@@ -207,7 +240,7 @@
         let rate = self.rate(&model.name);
         if self.is_dispensable(&model.name, host) {
             let others = self.replicas(&model.name).saturating_sub(1).max(1);
-            return rate.recent_per_s * HORIZON_S * rate.spread_ms(others);
+            return rate.recent_per_s * HORIZON_S * rate.spread_ms(others, self.engine.slots);
         }
         // The evicted copy stays on the disk of its server.
         let reload_ms = self.shortest_load_ms(model, Some(host));
@@ -219,7 +252,7 @@
         let rate = self.rate(&model.name);
         match self.replicas(&model.name) {
             0 => rate.per_s * HORIZON_S * self.shortest_load_ms(model, None),
-            replicas => rate.recent_per_s * HORIZON_S * rate.spread_ms(replicas),
+            replicas => rate.recent_per_s * HORIZON_S * rate.spread_ms(replicas, self.engine.slots),
         }
     }
 
@@ -299,9 +332,10 @@
             if gain_ms < SPARE_FACTOR * eviction_ms + store_ms + SPARE_GAIN_MS {
                 continue;
             }
-            // A further replica waits until the store has nothing else to do: all loads share its
-            // bandwidth, and models without any replica need it first.
-            let most = if is_first { MOST_STORE_LOADS } else { 1 };
+            // A further replica waits until the store has nothing else to do, unless the others
+            // are full: all loads share its bandwidth, and models without a replica need it first.
+            let is_urgent = is_first || self.is_full(&model.name);
+            let most = if is_urgent { MOST_STORE_LOADS } else { 1 };
             if from_store && store_loads >= most {
                 continue;
             }
--- a/tests/loader.rs
+++ b/tests/loader.rs
@@ -406,6 +406,7 @@
         per_s: 5.0,
         recent_per_s: 5.0,
         reading_ms: 1_200.0,
+        in_flight: 0.0,
     };
     facts.pool.rates.insert("m00".to_owned(), busy);
     assert_eq!(ordered(&facts).as_deref(), Some("m00"));
@@ -461,6 +462,7 @@
         per_s: 2.0,
         recent_per_s: 2.0,
         reading_ms: 50.0,
+        in_flight: 3,
     };
     assert_eq!(asking.after(Duration::ZERO), asking);
     let at_once = asking.after(Duration::from_secs(6));
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -66,6 +66,7 @@
                     per_s: *per_s,
                     recent_per_s: *per_s,
                     reading_ms: 150.0 * per_s,
+                    in_flight: 0.0,
                 };
                 ((*name).to_owned(), rate)
             })
@@ -259,3 +260,34 @@
         Some("lost")
     );
 }
+
+/// Guards against a model whose replica is full of long answers, of which the prompts are read
+/// quickly, and that gets no further replica.
+#[test]
+fn full_replicas_get_another_one_even_from_the_store() {
+    let engine = engine(&[("full", 40.0), ("other", 40.0)]);
+    let mut loading = host("s2", &[], &[]);
+    loading.busy = Some(Busy {
+        model: "other".to_owned(),
+        is_load: true,
+        remaining_ms: 5_000.0,
+    });
+    let hosts = vec![
+        host("s1", &["full"], &["full"]),
+        loading,
+        host("s3", &[], &[]),
+    ];
+    let spare = |in_flight| {
+        let mut pool = pool(&engine, hosts.clone(), &[]);
+        let rate = Rate {
+            per_s: 12.0,
+            recent_per_s: 12.0,
+            reading_ms: 250.0,
+            in_flight,
+        };
+        pool.rates.insert("full".to_owned(), rate);
+        (0..3).find_map(|host| pool.spare(host).map(|(model, _)| model.name.clone()))
+    };
+    assert_eq!(spare(20.0), None);
+    assert_eq!(spare(150.0).as_deref(), Some("full"));
+}
