hosted: settings that can change take effect at a hangup

Cause: at SIGHUP the settings were only checked; a changed retry budget, grace period, window of the weight store or map of regions waited for the next start.

Change: hosted::Live holds the settings in force. A hangup puts these fields in force and logs the names of those that are bound to the start of the process.

--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -91,7 +91,7 @@
 /// The loader runs on the server's machine and listens on the same port everywhere.
 fn loader_addr(state: &State, backend: &Backend) -> SocketAddr {
     let server = backend.server();
-    SocketAddr::new(server.address.ip(), state.settings.peer_port)
+    SocketAddr::new(server.address.ip(), state.settings.get().peer_port)
 }
 
 async fn run(state: &State, backend: &Rc<Backend>, loader: SocketAddr) -> io::Error {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -44,6 +44,7 @@
 use crate::{
     hosted::{
         Listen,
+        Live,
         Settings,
         Signals, //
     },
@@ -78,14 +79,15 @@
 
 /// Runs a gateway until it is told to stop.
 pub(crate) async fn run(
-    settings: Rc<Settings>,
+    live: Rc<Live>,
     listen: Listen,
     metrics: Rc<Metrics>,
     mut signals: Signals,
 ) {
+    let settings = live.get();
     let store = Store::new(settings.store_addr);
     let follower = Rc::new(Follower::new(store, periods(&settings)));
-    let state = Rc::new(State::new(settings.clone(), follower.clone(), metrics));
+    let state = Rc::new(State::new(live.clone(), follower.clone(), metrics));
     let configuration = follower.clone();
     tokio::task::spawn_local(async move { configuration.follow_configuration().await });
     tokio::task::spawn_local(async move { follower.follow_servers().await });
@@ -96,7 +98,7 @@
     signals.stop().await;
     report::info("stopping", &[("in_flight", &state.in_flight())]);
     state.stop();
-    let grace = settings.grace().mul_f64(GRACE_PART);
+    let grace = live.get().grace().mul_f64(GRACE_PART);
     let lame_duck = LAME_DUCK.min(grace);
     sleep(lame_duck).await;
     accepting.abort();
--- a/src/gateway/pick.rs
+++ b/src/gateway/pick.rs
@@ -252,7 +252,7 @@
         slots: server.slots,
         pending_tokens: backend.pending_tokens.get(),
         prompt_tokens: job.asked.prompt_tokens.saturating_sub(overlap),
-        distance: state.settings.distance(&server.failure_domain),
+        distance: state.settings.get().distance(&server.failure_domain),
         cold_left: server.cold_left,
         failures: backend.failures(),
         lacks_adapter,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -24,7 +24,7 @@
         Budget,
         Share, //
     },
-    hosted::Settings,
+    hosted::Live,
     link::{
         EngineDescription,
         EngineVersion, //
@@ -37,7 +37,7 @@
 /// What the parts of a gateway share.
 #[derive(Debug)]
 pub(super) struct State {
-    pub(super) settings: Rc<Settings>,
+    pub(super) settings: Rc<Live>,
     pub(super) follower: Rc<Follower>,
     pub(super) fleet: Fleet,
     pub(super) metrics: Rc<Metrics>,
@@ -53,11 +53,7 @@
 }
 
 impl State {
-    pub(super) fn new(
-        settings: Rc<Settings>,
-        follower: Rc<Follower>,
-        metrics: Rc<Metrics>,
-    ) -> Self {
+    pub(super) fn new(settings: Rc<Live>, follower: Rc<Follower>, metrics: Rc<Metrics>) -> Self {
         Self {
             settings,
             follower,
@@ -106,11 +102,12 @@
 
     /// Takes one repeat from the budget of a service; returns false if none is left.
     pub(super) fn take_repeat(&self, service: &str, now: Time) -> bool {
-        let retry = &self.settings.retry;
+        let settings = self.settings.get();
+        let retry = &settings.retry;
         let share = Share {
             ratio: retry.ratio,
             slack: retry.slack,
-            window: self.settings.retry_window(),
+            window: settings.retry_window(),
             processes: self.fleet.gateways(),
         };
         let mut budgets = self.budgets.borrow_mut();
--- a/src/hosted/mod.rs
+++ b/src/hosted/mod.rs
@@ -1,11 +1,13 @@
 //! The daemon on the users' platform: a gateway before the servers, or a loader beside one.
 
 mod error;
+mod live;
 mod schema;
 mod settings;
 mod signal;
 
 pub use error::Error;
+pub use live::Live;
 pub use settings::{
     Listen,
     Settings, //
@@ -60,10 +62,11 @@
     // Fails only when a logger exists already, which then serves as well.
     let _ = report::start_bounded(&settings.log_level, &settings.instance);
     let runtime = Builder::new_current_thread().enable_all().build()?;
-    let settings = Rc::new(settings);
+    let live = Rc::new(Live::new(settings));
+    let settings = live.get();
     let metrics = Rc::new(Metrics::default());
     LocalSet::new().block_on(&runtime, async {
-        let signals = Signals::new(path)?;
+        let signals = Signals::new(path, live.clone())?;
         report::info(
             "started",
             &[
@@ -78,11 +81,11 @@
         match role {
             Role::Gateway => {
                 let listen = settings.listen.clone().ok_or(Error::Missing("listen"))?;
-                gateway::run(settings, listen, metrics, signals).await;
+                gateway::run(live, listen, metrics, signals).await;
             }
             Role::Loader => {
                 let engine = settings.engine_addr.ok_or(Error::Missing("engine_addr"))?;
-                loader::run(settings, engine, metrics, signals).await;
+                loader::run(live, engine, metrics, signals).await;
             }
         }
         report::info("stopped", &[]);
--- a/src/hosted/settings.rs
+++ b/src/hosted/settings.rs
@@ -19,7 +19,7 @@
 };
 
 /// Addresses of a gateway.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Listen {
     /// Address for clients.
--- a/src/hosted/signal.rs
+++ b/src/hosted/signal.rs
@@ -6,6 +6,7 @@
         Path,
         PathBuf, //
     },
+    rc::Rc,
 };
 
 use tokio::signal::unix::{
@@ -14,7 +15,10 @@
     signal, //
 };
 
-use super::Settings;
+use super::{
+    Live,
+    Settings, //
+};
 use crate::report;
 
 /// Signals to this process.
@@ -23,32 +27,37 @@
     terminate: Signal,
     hangup: Signal,
     path: PathBuf,
+    live: Rc<Live>,
 }
 
 impl Signals {
     /// Starts to listen; `path` is the file of the settings.
-    pub(super) fn new(path: &Path) -> io::Result<Self> {
+    pub(super) fn new(path: &Path, live: Rc<Live>) -> io::Result<Self> {
         Ok(Self {
             terminate: signal(SignalKind::terminate())?,
             hangup: signal(SignalKind::hangup())?,
             path: path.to_owned(),
+            live,
         })
     }
 
-    /// Waits for the signal to stop. Settings that changed meanwhile are checked and reported;
-    /// they take effect at the next start.
+    /// Waits for the signal to stop. At a hangup the settings are read again.
     pub(crate) async fn stop(&mut self) {
         loop {
             tokio::select! {
                 _ = self.terminate.recv() => return,
-                _ = self.hangup.recv() => self.check(),
+                _ = self.hangup.recv() => self.reread(),
             }
         }
     }
 
-    fn check(&self) {
+    /// Settings that are wrong change nothing.
+    fn reread(&self) {
         match Settings::load(&self.path) {
-            Ok(settings) => report::info("settings_reread", &[("instance", &settings.instance)]),
+            Ok(settings) => {
+                let waiting = self.live.replace(settings).join(",");
+                report::info("settings_reread", &[("at_next_start", &waiting)]);
+            }
             Err(findings) => report::warn("settings_wrong", &[("findings", &findings)]),
         }
     }
--- a/src/loader/driver.rs
+++ b/src/loader/driver.rs
@@ -37,7 +37,7 @@
         self,
         Server, //
     },
-    hosted::Settings,
+    hosted::Live,
     link::{
         Holdings,
         Underway,
@@ -76,13 +76,13 @@
 
 /// Runs the driver for ever.
 pub(super) async fn run(
-    settings: Rc<Settings>,
+    settings: Rc<Live>,
     engine: SocketAddr,
     state: Rc<State>,
     metrics: Rc<Metrics>,
 ) {
     let mut driver = Driver {
-        engine: Engine::new(engine, &settings.instance),
+        engine: Engine::new(engine, &settings.get().instance),
         address: engine,
         settings,
         state,
@@ -115,7 +115,7 @@
 struct Driver {
     engine: Engine,
     address: SocketAddr,
-    settings: Rc<Settings>,
+    settings: Rc<Live>,
     state: Rc<State>,
     metrics: Rc<Metrics>,
     report: Report,
@@ -272,7 +272,7 @@
 
     /// Counts the servers that may have begun a load within the window: also those that left in it.
     fn sharers(&mut self, engine: &deployment::Engine, own: &Server, now: Time) -> Sharers {
-        let window = self.settings.store_load_window();
+        let window = self.settings.get().store_load_window();
         let (seen, joined) = (&mut self.seen, &mut self.joined);
         self.state.follower.with_roster(|roster| {
             let servers = roster.servers().values();
--- a/src/loader/mod.rs
+++ b/src/loader/mod.rs
@@ -34,7 +34,7 @@
 
 use crate::{
     hosted::{
-        Settings,
+        Live,
         Signals, //
     },
     metrics::Metrics,
@@ -55,17 +55,18 @@
 
 /// Runs a loader until it is told to stop.
 pub(crate) async fn run(
-    settings: Rc<Settings>,
+    live: Rc<Live>,
     engine: SocketAddr,
     metrics: Rc<Metrics>,
     mut signals: Signals,
 ) {
+    let settings = live.get();
     let store = Store::new(settings.store_addr);
     let follower = Rc::new(Follower::new(store, PERIODS));
     let state = Rc::new(State::new(follower.clone()));
     tokio::task::spawn_local(async move { follower.follow_servers().await });
     tokio::task::spawn_local(port::serve(settings.peer_addr(), state.clone()));
-    tokio::task::spawn_local(driver::run(settings, engine, state, metrics));
+    tokio::task::spawn_local(driver::run(live, engine, state, metrics));
     signals.stop().await;
     report::info("stopping", &[]);
 }
--- a/tests/hosted/main.rs
+++ b/tests/hosted/main.rs
@@ -301,6 +301,21 @@
     assert_eq!(world.gateway.ended(), Some(true));
 }
 
+/// Guards against a hangup that ends the process or cuts a request.
+#[test]
+fn a_hangup_disturbs_no_request() {
+    let world = World::start(&Plan::default());
+    let callers = world.callers;
+    let ask = Request::model("r1", "/chat/x", "m1").text();
+    let running = thread::spawn(move || ask_raw(callers, &ask));
+    for daemon in world.loaders.iter().chain([&world.gateway]) {
+        daemon.signal("HUP");
+    }
+    assert!(is_whole(&running.join().expect("the client ends")));
+    let answer = world.ask(&Request::model("r2", "/chat/x", "m3"));
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
 /// Guards against a server that can't be used because the loader beside it has ended.
 #[test]
 fn a_server_without_its_loader_serves_what_it_holds() {
--- a/tests/hosted/world.rs
+++ b/tests/hosted/world.rs
@@ -115,7 +115,7 @@
         }
     }
 
-    fn text(&self) -> String {
+    pub(crate) fn text(&self) -> String {
         let model = self
             .model
             .map_or(String::new(), |model| format!("Model: {model}\r\n"));
--- a/tests/hosted_settings.rs
+++ b/tests/hosted_settings.rs
@@ -1,6 +1,9 @@
 //! Settings of daemons on the users' platform.
 
-use chestnuthub::hosted::Settings;
+use chestnuthub::hosted::{
+    Live,
+    Settings, //
+};
 
 const SETTINGS: &str = r#"{
     // An instance with an engine.
@@ -36,3 +39,26 @@
         "{lines}"
     );
 }
+
+/// Guards against changed settings that wait for a restart without need, and against addresses that
+/// are said to be in force although the process listens elsewhere.
+#[test]
+fn changed_settings_take_effect_as_far_as_they_can() {
+    let parse = |text: &str| Settings::parse("node.jsonc", text).expect("proper settings");
+    let live = Live::new(parse(SETTINGS));
+    let changed = SETTINGS
+        .replace("\"slack\": 54", "\"slack\": 20")
+        .replace("\"grace_ms\": 8e3", "\"grace_ms\": 5e3")
+        .replace("10.0.0.9:80", "10.0.0.8:80")
+        .replace("9464", "9465");
+    assert_eq!(
+        live.replace(parse(&changed)),
+        ["metrics_port", "store_addr"]
+    );
+    let settings = live.get();
+    assert!((settings.retry.slack - 20.0).abs() < 1e-9);
+    assert!((settings.grace_ms - 5_000.0).abs() < 1e-9);
+    assert_eq!(settings.metrics_port, 9_464);
+    assert_eq!(settings.store_addr.to_string(), "10.0.0.9:80");
+    assert!(live.replace(parse(SETTINGS)).is_empty());
+}
