gateway: refuse what no server has before a stopping gateway ends

Result: a_stop_refuses_what_still_waits_for_its_model fails without the change (empty answer after 8 s) and passes with it.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -51,6 +51,7 @@
     metrics::Metrics,
     platform::store::Store,
     report,
+    timer::Time,
     watch::{
         Follower,
         Periods, //
@@ -77,6 +78,10 @@
 /// Part of the grace period within which requests in flight may end.
 const GRACE_PART: f64 = 0.95;
 
+/// Time before that end at which requests that no server has are refused, so that their clients can
+/// still read the answer.
+const LAST_ANSWERS: Duration = Duration::from_millis(700);
+
 /// Runs a gateway until it is told to stop.
 pub(crate) async fn run(
     live: Rc<Live>,
@@ -97,8 +102,8 @@
     let accepting = tokio::task::spawn_local(server.clone().accept(listen.callers));
     signals.stop().await;
     report::info("stopping", &[("in_flight", &state.in_flight())]);
-    state.stop();
     let grace = live.get().grace().mul_f64(GRACE_PART);
+    state.stop(Time::now() + grace.saturating_sub(LAST_ANSWERS));
     let lame_duck = LAME_DUCK.min(grace);
     sleep(lame_duck).await;
     accepting.abort();
--- a/src/gateway/pick.rs
+++ b/src/gateway/pick.rs
@@ -60,6 +60,9 @@
         if left.is_zero() {
             return Err(search.late());
         }
+        if state.is_ending(now) {
+            return Err(progress.give_up("the gateway stops"));
+        }
         if let Some(backend) = search.step(now)? {
             return Ok(backend);
         }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -50,6 +50,8 @@
     budgets: RefCell<BTreeMap<String, Budget>>,
     engines: RefCell<EngineVersions>,
     in_flight: Cell<usize>,
+    /// When requests that no server has are refused, once the gateway was told to stop.
+    searches_end: Cell<Option<Time>>,
 }
 
 impl State {
@@ -65,6 +67,7 @@
             rates: Rc::default(),
             engines: RefCell::default(),
             in_flight: Cell::new(0),
+            searches_end: Cell::new(None),
         }
     }
 
@@ -77,10 +80,17 @@
         *self.stopping.borrow()
     }
 
-    pub(super) fn stop(&self) {
+    /// Begins to stop; requests look for a server until `searches_end` at the latest.
+    pub(super) fn stop(&self, searches_end: Time) {
+        self.searches_end.set(Some(searches_end));
         self.stopping.send_replace(true);
     }
 
+    /// Returns whether the gateway ends before a request that no server has could be served.
+    pub(super) fn is_ending(&self, now: Time) -> bool {
+        self.searches_end.get().is_some_and(|end| now >= end)
+    }
+
     /// Returns the number of requests in flight.
     pub(super) fn in_flight(&self) -> usize {
         self.in_flight.get()
--- a/tests/hosted/main.rs
+++ b/tests/hosted/main.rs
@@ -316,6 +316,31 @@
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
 }
 
+/// Guards against a request that still waits for its model when its gateway stops, and whose
+/// connection ends without an answer.
+#[test]
+fn a_stop_refuses_what_still_waits_for_its_model() {
+    let plan = Plan {
+        load: Duration::from_secs(60),
+        ..Plan::default()
+    };
+    let mut world = World::start(&plan);
+    let callers = world.callers;
+    let waiting = thread::spawn(move || {
+        let text = "POST /chat/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\nModel: m4\r\n\
+                    Deadline-Ms: 19000\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+        ask_raw(callers, text)
+    });
+    thread::sleep(Duration::from_millis(500));
+    world.gateway.signal("TERM");
+    let answer = waiting.join().expect("the client ends");
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("retry-after: "), "{answer}");
+    assert!(world.site.runs().is_empty());
+    eventually("the gateway ends", || world.gateway.ended().is_some());
+    assert_eq!(world.gateway.ended(), Some(true));
+}
+
 /// Guards against a server that can't be used because the loader beside it has ended.
 #[test]
 fn a_server_without_its_loader_serves_what_it_holds() {
