--- a/src/loader/state.rs
+++ b/src/loader/state.rs
@@ -32,14 +32,17 @@
     watch::Follower,
 };
 
+/// What is asked of each model at a gateway, and when it told so.
+type Rates = BTreeMap<String, (Asking, Time)>;
+
 /// What a loader knows.
 #[derive(Debug)]
 pub(super) struct State {
     pub(super) follower: Rc<Follower>,
     /// Demand of each connected gateway.
     demands: RefCell<BTreeMap<u64, Demand>>,
-    /// What is asked of each model at each gateway, and when it told so.
-    rates: RefCell<BTreeMap<u64, BTreeMap<String, (Asking, Time)>>>,
+    /// What is asked at each connected gateway.
+    rates: RefCell<BTreeMap<u64, Rates>>,
     described: RefCell<Described>,
     /// Wakes the links when a gateway is asked for the description of the engine.
     pub(super) asking: watch::Sender<()>,
