gateway: a server that refused a request may get it again

An engine refuses a request while it drops or loads the model, and the gateway then asks the loader beside the same engine for that model; but servers that had the request once were left out for good, so it waited for a load that it could not use until its time ran out.

Change: Progress keeps, for a server that could not be reached or has refused, from when it may get the request again (0.3 s). A server that may have run it stays left out, and no load is asked for there (cold::decide).

--- a/src/emulator/site/engine.rs
+++ b/src/emulator/site/engine.rs
@@ -111,6 +111,10 @@
         self.lock().running
     }
 
+    pub(super) fn drop_model(&self, name: &str) {
+        self.lock().models.retain(|model| model.name != name);
+    }
+
     pub(super) fn clear_break(&self) {
         self.lock().break_after = None;
     }
--- a/src/emulator/site/mod.rs
+++ b/src/emulator/site/mod.rs
@@ -306,6 +306,11 @@
         self.engines[index].server.running()
     }
 
+    /// Makes an engine drop a model without an order, as after an order that was carried out late.
+    pub fn drop_model(&self, index: usize, model: &str) {
+        self.engines[index].server.drop_model(model);
+    }
+
     /// Lets all engines finish their streams again.
     pub fn clear_breaks(&self) {
         for engine in &self.engines {
--- a/src/gateway/cold.rs
+++ b/src/gateway/cold.rs
@@ -9,6 +9,10 @@
 use super::{
     backend::Backend,
     fleet,
+    job::{
+        Job,
+        Progress, //
+    },
     message::ModelName,
     state::State, //
 };
@@ -33,25 +37,28 @@
     NoLoader,
 }
 
-/// Decides where to load the model of a request with `left` until its deadline.
+/// Decides where to load the model of a request, at a server that it may be sent to.
 pub(super) fn decide(
     state: &State,
-    service: &str,
+    job: &Job,
+    progress: &Progress,
     engine: &Engine,
     name: &ModelName,
-    left: Duration,
     current: Option<&Rc<Backend>>,
 ) -> Decision {
     let now = Time::now();
-    let pool = fleet::pool(state, service, engine, now);
-    let ranked = pool.rank(&name.model);
-    let backends = state.fleet.of_service(service);
+    let pool = fleet::pool(state, &job.service, engine, now);
+    let backends = state.fleet.of_service(&job.service);
+    let is_spent = |backend: &Rc<Backend>| progress.is_spent(&backend.server().id);
     // Requests that wait stay together: a second load helps none of them.
     let is_joined = |backend: &&Rc<Backend>| {
-        backend.is_wanted(&name.model) && backend.has_loader() && backend.is_usable(now)
+        let is_wanted = backend.is_wanted(&name.model) && backend.has_loader();
+        is_wanted && backend.is_usable(now) && !is_spent(backend)
     };
     let joined = backends.iter().find(is_joined);
-    let best = ranked.first();
+    let ranked = pool.rank(&name.model);
+    let mut ranked = ranked.iter();
+    let best = ranked.find(|candidate| !is_spent(&backends[candidate.host]));
     let Some(best) = best else {
         return match joined {
             Some(backend) => Decision::Wait(backend.clone()),
@@ -68,7 +75,7 @@
         return Decision::Hold;
     }
     let ready = Duration::from_secs_f64(best.ready_ms / 1_000.0);
-    if ready + RUN > left {
+    if ready + RUN > job.left(now) {
         return Decision::Refuse(ready);
     }
     Decision::Wait(backends[best.host].clone())
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -31,13 +31,17 @@
         let take_repeat = || state.take_repeat(&job.service, Time::now());
         let begun = progress.attempts.begin(take_repeat);
         begun.map_err(|ending| job::failure(ending, "the retry budget is used up"))?;
-        progress.tried.push(backend.server().id.clone());
+        let server = backend.server().id.clone();
+        progress.note_send(&server);
         let sent = attempt::attempt(state, job, &backend, progress, last_event).await;
         let miss = match sent {
             Ok(sent) => return Ok(sent),
             Err(miss) => miss,
         };
         note_miss(job, &backend, progress, miss.reason());
+        if matches!(miss.outcome(), Outcome::NotSent | Outcome::NotRun) {
+            progress.note_not_run(&server, Time::now());
+        }
         let next = progress.attempts.note(miss.outcome());
         if miss.outcome() == Outcome::Unknown && job.left(Time::now()).is_zero() {
             return Err(Failure::Late);
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -1,6 +1,7 @@
 //! A request on its way through the gateway.
 
 use std::{
+    collections::BTreeMap,
     rc::Rc,
     time::Duration, //
 };
@@ -39,6 +40,10 @@
 /// Time to come back when all servers are full.
 const FULL: Duration = Duration::from_millis(300);
 
+/// Time after which a server that could not be reached or has refused a request may get it again:
+/// a server that refuses while it drops or loads the model can hold it soon after.
+const ASK_AGAIN: Duration = Duration::from_millis(300);
+
 /// A request that was read from a client.
 #[derive(Debug)]
 pub(super) struct Job {
@@ -67,8 +72,8 @@
 /// How the sending of a request stands.
 #[derive(Debug)]
 pub(super) struct Progress {
-    /// Servers that are not tried again.
-    pub(super) tried: Vec<String>,
+    /// Servers that the request was sent to, and from when it may be sent there again, if it may.
+    asked: BTreeMap<String, Option<Time>>,
     pub(super) attempts: Attempts,
 }
 
@@ -85,11 +90,32 @@
 impl Progress {
     pub(super) fn new(route: &Route) -> Self {
         Self {
-            tried: Vec::new(),
+            asked: BTreeMap::new(),
             attempts: Attempts::new(route.kind.is_repeatable(), route.attempts),
         }
     }
 
+    /// Notes that the request is sent to a server.
+    pub(super) fn note_send(&mut self, server: &str) {
+        self.asked.insert(server.to_owned(), None);
+    }
+
+    /// Notes that a server has not run the request and may be asked again.
+    pub(super) fn note_not_run(&mut self, server: &str, now: Time) {
+        self.asked.insert(server.to_owned(), Some(now + ASK_AGAIN));
+    }
+
+    /// Returns whether the request may be sent to a server now.
+    pub(super) fn may_ask(&self, server: &str, now: Time) -> bool {
+        let asked = self.asked.get(server);
+        asked.is_none_or(|from| from.is_some_and(|from| now >= from))
+    }
+
+    /// Returns whether the request must not be sent to a server any more.
+    pub(super) fn is_spent(&self, server: &str) -> bool {
+        self.asked.get(server).is_some_and(Option::is_none)
+    }
+
     /// Returns how a request ends for which no further server is tried.
     pub(super) fn give_up(&self, reason: &'static str) -> Failure {
         failure(self.attempts.ending(), reason)
--- a/src/gateway/pick.rs
+++ b/src/gateway/pick.rs
@@ -111,8 +111,7 @@
     fn able(&self, engine: Option<&Engine>, now: Time) -> Vec<Rc<Backend>> {
         let backends = self.state.fleet.of_service(&self.job.service).into_iter();
         let usable = backends.filter(|backend| {
-            let is_tried = self.progress.tried.contains(&backend.server().id);
-            !is_tried && backend.is_usable(now)
+            self.progress.may_ask(&backend.server().id, now) && backend.is_usable(now)
         });
         usable
             .filter(|backend| match (engine, self.job.model()) {
@@ -140,7 +139,7 @@
     ) -> Result<(), Failure> {
         let left = self.job.left(now);
         let current = self.wanted.as_ref().map(|(backend, _)| backend);
-        match cold::decide(self.state, &self.job.service, engine, name, left, current) {
+        match cold::decide(self.state, self.job, self.progress, engine, name, current) {
             Decision::Wait(backend) => {
                 if !current.is_some_and(|current| Rc::ptr_eq(current, &backend)) {
                     note_cold(self.job, &backend, left);
--- a/tests/hosted/main.rs
+++ b/tests/hosted/main.rs
@@ -381,6 +381,24 @@
     });
 }
 
+/// Guards against a request that waits for its model at a server which refused it, and is not sent
+/// there when the model is loaded.
+#[test]
+fn a_server_that_refused_gets_the_request_once_it_holds_the_model() {
+    let plan = Plan {
+        engines: vec![vec!["m1"]],
+        ..Plan::default()
+    };
+    let world = World::start(&plan);
+    for number in 0..3 {
+        // The gateway learns of this with the loader's next report, after the request was sent.
+        world.site.drop_model(0, "m1");
+        let id = format!("r{number}");
+        let answer = world.ask(&Request::model(&id, "/chat/x", "m1"));
+        assert!(answer.starts_with("HTTP/1.1 200"), "{id}: {answer}");
+    }
+}
+
 /// Guards against requests that keep going to the address of a server that was replaced, and
 /// against refusals for that reason while its successor could answer.
 #[test]
