dispatch: a budget forgets requests that lie before its window

Requests were forgotten only when a repeat was asked for, so a service whose requests never fail took 8 bytes of memory for each of them for ever. The tokens that an engine reads in a millisecond stood twice, and Attempts::note told apart outcomes twice.

Change: Budget::count forgets as well; one constant; one match. Names of the events in cli::trace say that they are events.

--- a/src/cli/trace.rs
+++ b/src/cli/trace.rs
@@ -33,10 +33,10 @@
 const AFTER_MS: u64 = 1_000;
 
 /// Events of loaders that tell what became of a server or a model.
-const LOADER: [&str; 2] = ["engine_silent", "order"];
+const LOADER_EVENTS: [&str; 2] = ["engine_silent", "order"];
 
 /// Events of gateways that do; only those of the request's own gateway are shown.
-const GATEWAY: [&str; 4] = ["loader_lost", "server_gone", "server_new", "server_state"];
+const GATEWAY_EVENTS: [&str; 4] = ["loader_lost", "server_gone", "server_new", "server_state"];
 
 /// Shows what became of a request, from the log lines of daemons.
 #[derive(Debug, Clone)]
@@ -99,7 +99,8 @@
             self.ts_ms + BEFORE_MS >= own.first_ms && self.ts_ms <= own.last_ms + AFTER_MS;
         let event = self.event.as_str();
         let is_own_gateway = own.instances.contains(self.instance.as_str());
-        let tells = LOADER.contains(&event) || (is_own_gateway && GATEWAY.contains(&event));
+        let tells =
+            LOADER_EVENTS.contains(&event) || (is_own_gateway && GATEWAY_EVENTS.contains(&event));
         let is_named = names(&own.servers, "server") || names(&own.models, "model");
         is_near && is_named && tells
     }
--- a/src/dispatch/attempts.rs
+++ b/src/dispatch/attempts.rs
@@ -85,35 +85,31 @@
     ///
     /// Returns how the request ends if it must not be sent once more.
     pub fn note(&mut self, outcome: Outcome) -> Result<(), Ending> {
-        if outcome == Outcome::NotSent {
-            return Ok(());
-        }
-        self.arrivals += 1;
         match outcome {
-            Outcome::NotSent | Outcome::Replaced => return Ok(()),
-            Outcome::NotRun => self.refusals += 1,
+            Outcome::NotSent => return Ok(()),
+            Outcome::Replaced => {
+                self.arrivals += 1;
+                return Ok(());
+            }
+            Outcome::NotRun => self.arrivals += 1,
             Outcome::Unknown => {
-                self.refusals += 1;
                 self.note_run();
                 if !self.may_run() {
                     return Err(Ending::Unknown);
                 }
             }
         }
+        self.refusals += 1;
         if self.refusals >= MOST_REFUSALS {
             return Err(self.ending());
         }
         Ok(())
     }
 
-    fn note_run(&mut self) {
-        self.runs += 1;
-    }
-
-    /// Notes an answer that was passed on in part before its server broke off.
-    pub fn note_broken_off(&mut self) {
+    /// Notes a server that has run the request, at least in part.
+    pub fn note_run(&mut self) {
         self.arrivals += 1;
-        self.note_run();
+        self.runs += 1;
     }
 
     /// Returns whether one more server may run the request.
--- a/src/dispatch/budget.rs
+++ b/src/dispatch/budget.rs
@@ -33,11 +33,17 @@
 }
 
 impl Budget {
-    /// Counts a request that is sent for the first time.
-    pub fn count(&mut self, now: Time) {
+    /// Counts a request; what lies before the window is forgotten.
+    pub fn count(&mut self, now: Time, window: Duration) {
+        self.forget(now, window);
         self.requests.push_back(now);
     }
 
+    /// Returns the number of requests and repeats that are remembered.
+    pub fn remembered(&self) -> usize {
+        self.requests.len() + self.repeats.len()
+    }
+
     /// Takes one repeat from the budget; returns false if none is left.
     ///
     /// # Examples
--- a/src/dispatch/choose.rs
+++ b/src/dispatch/choose.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 /// Prompt tokens that an engine reads in a millisecond.
-const PREFILL_TOKENS_PER_MS: f64 = 38.0;
+pub(crate) const PREFILL_TOKENS_PER_MS: f64 = 38.0;
 
 /// Delay of a request for each further one that an engine runs or queues, in ms.
 const ENGINE_REQUEST_MS: f64 = 4.0;
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -14,11 +14,14 @@
     Budget,
     Share, //
 };
-pub(crate) use choose::ENGINE_WAITING_MS;
 pub use choose::{
     Candidate,
     choose, //
 };
+pub(crate) use choose::{
+    ENGINE_WAITING_MS,
+    PREFILL_TOKENS_PER_MS, //
+};
 pub use prefix::{
     Part,
     Prefixes, //
--- a/src/gateway/rates.rs
+++ b/src/gateway/rates.rs
@@ -9,6 +9,7 @@
 };
 
 use crate::{
+    dispatch::PREFILL_TOKENS_PER_MS,
     link::{
         Asking,
         RATE_S,
@@ -17,9 +18,6 @@
     timer::Time,
 };
 
-/// Prompt tokens that an engine reads in a millisecond.
-const TOKENS_PER_MS: f64 = 38.0;
-
 /// Rates below this are those of models that were not asked for in a minute.
 const LEAST: f32 = 0.0005;
 
@@ -56,7 +54,7 @@
 
     /// Counts a request that is sent to a server, and the tokens of its prompt that are read there.
     pub(super) fn note_begin(&self, model: &str, tokens: u64, now: Time) {
-        let reading_ms = tokens as f64 / TOKENS_PER_MS;
+        let reading_ms = tokens as f64 / PREFILL_TOKENS_PER_MS;
         self.note(model, now, |asking| {
             asking.reading_ms += (reading_ms / RECENT_S) as f32;
             asking.in_flight += 1;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -107,7 +107,8 @@
     /// Counts a request for the budget of its service.
     pub(super) fn count(&self, service: &str, now: Time) {
         let mut budgets = self.budgets.borrow_mut();
-        budgets.entry(service.to_owned()).or_default().count(now);
+        let budget = budgets.entry(service.to_owned()).or_default();
+        budget.count(now, self.settings.get().retry_window());
     }
 
     /// Takes one repeat from the budget of a service; returns false if none is left.
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -35,7 +35,7 @@
             continue;
         }
         let budget = &mut budgets[random.usize(..PROCESSES as usize)];
-        budget.count(now);
+        budget.count(now, WINDOW);
         requests.push(now);
         // Each request fails and asks for three more sends.
         for _ in 0..3 {
@@ -113,3 +113,14 @@
     };
     assert_eq!(choose(&[queued, streaming], 0.0), Some(1));
 }
+
+/// Guards against memory that grows with every request of a service whose requests never fail.
+#[test]
+fn a_budget_forgets_requests_before_its_window() {
+    const WINDOW: Duration = Duration::from_secs(10);
+    let mut budget = Budget::default();
+    for second in 0..1_000 {
+        budget.count(Time::from_millis(second * 1_000), WINDOW);
+    }
+    assert!(budget.remembered() <= 11, "{}", budget.remembered());
+}
