gateway, loader, watch: respect leaving and resting servers and a store that came back older

Cause: a server that announces its leaving in responses (Server-Leaving) still got requests until the store listed it as draining; one that asks for rest (Retry-After on a 503) got the next request at once; a store that came back from a copy gave out offsets again, so a follower missed configurations and took up servers that had left; the turns for loads from the weight store went by the time of day, which jumps. Change: Backend owns both announcements of a server until it starts anew; a request is refused at once when all servers of its service rest for longer than it may wait. The loader gives no orders on a server that leaves and makes no calls during a rest. watch::Cursor starts over when the store's era rises; responses of an earlier era are dropped; Roster remembers the last description of servers that left. The limit on loads is an equal share for each server, without turns.

--- a/src/emulator/site/engine.rs
+++ b/src/emulator/site/engine.rs
@@ -136,11 +136,17 @@
     }
 
     /// Returns the description of the engine that the store holds.
-    pub(super) fn description(&self, service: &str, address: SocketAddr, state: &str) -> Value {
+    pub(super) fn description(
+        &self,
+        service: &str,
+        address: SocketAddr,
+        state: &str,
+        seq: u64,
+    ) -> Value {
         let models = self.models();
         json!({
             "service": service, "address": address.to_string(), "zone": "z1", "version": "v1",
-            "slots": 8, "state": state, "coldLeftMs": 0, "seq": 1, "born": 1, "models": models,
+            "slots": 8, "state": state, "coldLeftMs": 0, "seq": seq, "born": 1, "models": models,
             "cachedModels": { "inMemory": [], "onDisk": self.lock().on_disk },
         })
     }
--- a/src/emulator/site/mod.rs
+++ b/src/emulator/site/mod.rs
@@ -98,7 +98,7 @@
     store_faults: Arc<Faults>,
     store_addr: SocketAddr,
     engines: Vec<Endpoint<Arc<engine::Engine>>>,
-    services: Vec<Endpoint<String>>,
+    services: Vec<Endpoint<Arc<service::Service>>>,
     records: Arc<Mutex<Records>>,
 }
 
@@ -190,9 +190,10 @@
             plan.event_interval,
             self.records.clone(),
         ));
-        let handler = move |call| service::handle(service.clone(), call);
+        let handler_service = service.clone();
+        let handler = move |call| service::handle(handler_service.clone(), call);
         spawn(&self._runtime, listener, faults.clone(), handler)?;
-        self.services.push(Endpoint::new(id, faults, address));
+        self.services.push(Endpoint::new(service, faults, address));
         self.publish_service(index, "ready");
         Ok(())
     }
@@ -240,7 +241,8 @@
     pub fn publish_engine(&self, index: usize, state: &str) {
         let endpoint = &self.engines[index];
         let engine = &endpoint.server;
-        let description = engine.description(ENGINES, endpoint.public_addr, state);
+        let seq = self.store.record_count();
+        let description = engine.description(ENGINES, endpoint.public_addr, state, seq);
         self.store.put("keyed.servers", engine.id(), &description);
     }
 
@@ -249,21 +251,41 @@
     pub fn publish_former_engine(&self, index: usize, id: &str) {
         let endpoint = &self.engines[index];
         let address = endpoint.public_addr;
-        let description = endpoint.server.description(ENGINES, address, "ready");
+        let seq = self.store.record_count();
+        let description = endpoint.server.description(ENGINES, address, "ready", seq);
         self.store.put("keyed.servers", id, &description);
     }
 
     /// Writes the description of a server of the plain service with the state into the store.
     pub fn publish_service(&self, index: usize, state: &str) {
         let endpoint = &self.services[index];
-        let id = &endpoint.server;
+        let id = endpoint.server.id();
         let description = json!({
             "service": SERVICE, "address": endpoint.public_addr.to_string(), "zone": "z1",
-            "version": "v1", "slots": 6, "state": state, "coldLeftMs": 0, "seq": 1, "born": 1,
+            "version": "v1", "slots": 6, "state": state, "coldLeftMs": 0,
+            "seq": self.store.record_count(), "born": 1,
         });
         self.store.put("keyed.servers", id, &description);
     }
 
+    /// Makes a server of the plain service announce in all its responses that it leaves. Its
+    /// description in the store stays.
+    pub fn announce_leaving(&self, index: usize) {
+        self.services[index].server.leave();
+    }
+
+    /// Makes a server of the plain service refuse its next request and ask for rest, for the time in
+    /// seconds that `text` states.
+    pub fn ask_for_rest(&self, index: usize, text: &str) {
+        self.services[index].server.ask_for_rest(text);
+    }
+
+    /// Replaces the store's content by a copy that lacks the newest `lost` records of each topic, and
+    /// raises its era.
+    pub fn restore_store(&self, lost: usize) {
+        self.store.restore(lost);
+    }
+
     /// Adds a fault to an engine. The JSON is that of `POST /faults`.
     ///
     /// # Panics
--- a/src/emulator/site/service.rs
+++ b/src/emulator/site/service.rs
@@ -2,10 +2,16 @@
 
 use std::{
     sync::{
-        Arc,
-        Mutex, //
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+    },
+    time::{
+        Duration,
+        Instant, //
     },
-    time::Duration,
 };
 
 use bytes::Bytes;
@@ -26,6 +32,12 @@
 pub(super) struct Service {
     id: String,
     call_time: Duration,
+    /// Whether all responses announce that the server leaves.
+    is_leaving: AtomicBool,
+    /// End of the time for which the server has asked for rest.
+    resting_until: Mutex<Option<Instant>>,
+    /// Time for which the next response asks for rest, as the text of its header.
+    next_rest: Mutex<Option<String>>,
     records: Arc<Mutex<Records>>,
 }
 
@@ -34,13 +46,63 @@
         Self {
             id: id.to_owned(),
             call_time,
+            is_leaving: AtomicBool::new(false),
+            resting_until: Mutex::default(),
+            next_rest: Mutex::default(),
             records,
         }
     }
+
+    pub(super) fn id(&self) -> &str {
+        &self.id
+    }
+
+    pub(super) fn leave(&self) {
+        self.is_leaving.store(true, Ordering::Relaxed);
+    }
+
+    pub(super) fn ask_for_rest(&self, text: &str) {
+        *guard(&self.next_rest) = Some(text.to_owned());
+    }
+
+    /// Returns the refusal of the request if the server asks for rest. A request during a rest is a
+    /// violation.
+    fn refusal(&self) -> Option<Response> {
+        let now = Instant::now();
+        let is_resting = guard(&self.resting_until).is_some_and(|until| now < until);
+        if is_resting {
+            let violation = format!("a request reached {} while it rests", self.id);
+            lock(&self.records).violations.push(violation);
+        }
+        let text = guard(&self.next_rest).take()?;
+        if let Ok(seconds) = text.parse() {
+            *guard(&self.resting_until) = Some(now + Duration::from_secs_f64(seconds));
+        }
+        let response = Response::error(503, "overloaded");
+        Some(
+            response
+                .with_header("Not-Executed", "1".to_owned())
+                .with_header("Retry-After", text),
+        )
+    }
 }
 
-/// Runs a call and returns its own body as the response.
+fn guard<T>(value: &Mutex<T>) -> MutexGuard<'_, T> {
+    value.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Handles a call. A server that leaves announces it in every response.
 pub(super) async fn handle(service: Arc<Service>, call: Call) -> Response {
+    let is_leaving = service.is_leaving.load(Ordering::Relaxed);
+    let response = run(service, call).await;
+    if is_leaving {
+        return response.with_header("Server-Leaving", "1".to_owned());
+    }
+    response
+}
+
+/// Runs a call and returns its own body as the response.
+async fn run(service: Arc<Service>, call: Call) -> Response {
     let Some(request) = call.header("Request-Id").map(str::to_owned) else {
         return Response::error(400, "no Request-Id header")
             .with_header("Not-Executed", "1".to_owned());
@@ -52,6 +114,9 @@
         return Response::error(421, "addressed to another server")
             .with_header("Instance-Id", service.id.clone());
     }
+    if let Some(refusal) = service.refusal() {
+        return refusal;
+    }
     let run = Run {
         server: service.id.clone(),
         request: request.clone(),
--- a/src/emulator/site/store.rs
+++ b/src/emulator/site/store.rs
@@ -3,10 +3,11 @@
 use std::{
     collections::BTreeMap,
     sync::{
-        Arc,
-        Mutex,
-        MutexGuard,
-        PoisonError, //
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        },
     },
     time::Duration,
 };
@@ -39,6 +40,8 @@
     topics: Mutex<BTreeMap<String, Vec<Record>>>,
     /// Number of records appended to all topics; wakes waiting reads.
     append_count: watch::Sender<u64>,
+    /// Number of times that the store came back from a copy.
+    era: AtomicU64,
 }
 
 impl Store {
@@ -56,6 +59,20 @@
         self.append_count.send_modify(|count| *count += 1);
     }
 
+    /// Returns the number of records appended so far, including lost ones.
+    pub(super) fn record_count(&self) -> u64 {
+        *self.append_count.borrow()
+    }
+
+    /// Drops the newest `lost` records of each topic and raises the era.
+    pub(super) fn restore(&self, lost: usize) {
+        for records in self.lock().values_mut() {
+            records.truncate(records.len().saturating_sub(lost));
+        }
+        self.era.fetch_add(1, Ordering::Relaxed);
+        self.append_count.send_modify(|_| ());
+    }
+
     /// Returns the newest record of each key, and the offset after the last record.
     fn newest(&self, topic: &str) -> Response {
         let topics = self.lock();
@@ -78,6 +95,11 @@
         )
     }
 
+    /// Returns the offset after the last record of a topic.
+    fn end(&self, topic: &str) -> usize {
+        self.lock().get(topic).map_or(0, Vec::len)
+    }
+
     /// Returns the response body of a read: the header and the records from an offset on. Returns
     /// `None` if there are none.
     fn read(&self, topic: &str, from: usize) -> Option<Vec<u8>> {
@@ -108,13 +130,21 @@
 
 /// Handles a call.
 pub(super) async fn handle(store: Arc<Store>, call: Call) -> Response {
+    let response = read(&store, &call).await;
+    response.with_header("Store-Era", store.era.load(Ordering::Relaxed).to_string())
+}
+
+async fn read(store: &Store, call: &Call) -> Response {
     let topic = call.query.get("topic").cloned().unwrap_or_default();
     match call.path.as_str() {
         "/api/log-newest" => store.newest(&topic),
         "/api/log-read" => {
             let from = call.number("from").unwrap_or_default() as usize;
             let wait = Duration::from_millis(call.number("waitMs").unwrap_or_default());
-            let body = read_or_wait(&store, &topic, from, wait).await;
+            if from > store.end(&topic) {
+                return Response::error(410, "no such offset");
+            }
+            let body = read_or_wait(store, &topic, from, wait).await;
             Response::buffered(200, "application/octet-stream", Bytes::from(body))
         }
         _ => Response::error(404, "no such path"),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -28,7 +28,8 @@
     },
     message::{
         Outgoing,
-        ResponseHead, //
+        ResponseHead,
+        Rest, //
     },
     pick::cache_scope,
     state::State,
@@ -129,6 +130,11 @@
     if remaining.is_zero() {
         return Err(SendError::NotSent("the time ran out"));
     }
+    if backend.is_leaving() || backend.rest_remaining(now).is_some() {
+        // The server announced this while the connection was made.
+        backend.pool.put(channel, DEFAULT_KEEP_ALIVE);
+        return Err(SendError::NotSent("the server takes no requests"));
+    }
     let request = outgoing(job, &server.id, remaining, last_event);
     let may_retry = progress.attempts.may_retry();
     let max_wait = match job.route.kind {
@@ -150,9 +156,7 @@
         SendError::Unknown("no answer")
     })?;
     let response_head = header::decode_response(response.status().as_u16(), response.headers());
-    if let Some(load) = response_head.load {
-        backend.record_load(load, now);
-    }
+    record_announcements(job, backend, &response_head);
     let exchange = Exchange {
         in_flight,
         channel,
@@ -162,6 +166,30 @@
     check(state, job, backend, progress, exchange).await
 }
 
+/// Records what a server says of itself in the head of a response.
+fn record_announcements(job: &Job, backend: &Backend, head: &ResponseHead) {
+    let now = Time::now();
+    if let Some(load) = head.load {
+        backend.record_load(load, now);
+    }
+    // Another server at the same address speaks only for itself.
+    let instance = head.instance.as_deref();
+    if instance.is_some_and(|id| id != backend.server().id) {
+        return;
+    }
+    if head.is_leaving {
+        backend.mark_leaving();
+    }
+    match &head.rest {
+        Some(Rest::For(rest)) => backend.record_rest(*rest, now),
+        Some(Rest::Unreadable(text)) => report::warn(
+            "rest_unreadable",
+            &[("request", &job.head.id), ("text", text)],
+        ),
+        None => (),
+    }
+}
+
 fn log_error(job: &Job, error: &Error) {
     report::event(
         log::Level::Debug,
@@ -281,7 +309,7 @@
         .keep_alive
         .unwrap_or(DEFAULT_KEEP_ALIVE)
         .saturating_sub(KEEP_ALIVE_MARGIN);
-    if !response_head.closes && !idle_time.is_zero() {
+    if !response_head.closes && !backend.is_leaving() && !idle_time.is_zero() {
         backend.pool.put(channel, idle_time);
     }
 }
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -37,6 +37,7 @@
         Usage,
         Workload, //
     },
+    report,
     timer::Time,
 };
 
@@ -80,6 +81,10 @@
     /// respond to its loader.
     is_unresponsive: watch::Sender<bool>,
     is_replaced: Cell<bool>,
+    /// Whether the server has announced in a response that it leaves.
+    is_leaving: Cell<bool>,
+    /// End of the time for which the server wants no requests.
+    resting_until: Cell<Time>,
     /// Whether the store lists a server at the same address that started later.
     is_superseded: Cell<bool>,
     /// What the loader reported, while the link to it is up.
@@ -109,6 +114,8 @@
             cooldown_until: Cell::new(Time::ZERO),
             is_unresponsive: watch::Sender::new(false),
             is_replaced: Cell::new(false),
+            is_leaving: Cell::new(false),
+            resting_until: Cell::new(Time::ZERO),
             is_superseded: Cell::new(false),
             holdings: RefCell::default(),
             loader_lost_at: Cell::new(Time::now()),
@@ -128,6 +135,8 @@
         let known = self.server();
         if known.started_ms != server.started_ms {
             self.is_replaced.set(false);
+            self.is_leaving.set(false);
+            self.resting_until.set(Time::ZERO);
             self.prefixes.borrow_mut().clear();
             self.pool.clear();
         }
@@ -140,7 +149,8 @@
     pub(super) fn is_usable(&self, now: Time) -> bool {
         let is_replaced = self.is_replaced.get() || self.is_superseded.get();
         let is_present = !*self.is_unresponsive.borrow() && !is_replaced;
-        self.is_ready() && now >= self.cooldown_until.get() && is_present
+        let is_open = now >= self.cooldown_until.get() && !self.is_resting(now);
+        self.is_ready() && is_open && is_present
     }
 
     /// Records that another server has the address. This server gets no requests until it is seen
@@ -154,9 +164,49 @@
         self.is_superseded.set(is_superseded);
     }
 
-    /// Returns whether the server has registered as ready for requests.
+    /// Returns whether the server has registered as ready for requests and has not announced that
+    /// it leaves.
     pub(super) fn is_ready(&self) -> bool {
-        self.server.borrow().state == State::Ready
+        self.server.borrow().state == State::Ready && !self.is_leaving.get()
+    }
+
+    /// Records that the server has announced that it leaves. It gets no requests until it is seen
+    /// to have restarted, whatever its entry in the store says.
+    pub(super) fn mark_leaving(&self) {
+        if !self.is_leaving.replace(true) {
+            report::info("server_leaving", &[("server", &self.server().id)]);
+            self.pool.clear();
+            self.demand_changed.notify_one();
+        }
+    }
+
+    /// Returns whether the server has announced that it leaves.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.is_leaving.get()
+    }
+
+    /// Records that the server wants no requests from this gateway for a time.
+    pub(super) fn record_rest(&self, rest: Duration, now: Time) {
+        self.resting_until
+            .set(self.resting_until.get().max(now + rest));
+        let rest_ms = rest.as_millis();
+        let server = self.server();
+        report::info(
+            "server_rests",
+            &[("server", &server.id), ("rest_ms", &rest_ms)],
+        );
+    }
+
+    /// Returns whether the server wants no requests from this gateway at present.
+    fn is_resting(&self, now: Time) -> bool {
+        now < self.resting_until.get()
+    }
+
+    /// Returns the remaining time for which the server wants no requests from this gateway, if it
+    /// would take them otherwise.
+    pub(super) fn rest_remaining(&self, now: Time) -> Option<Duration> {
+        let is_resting = self.is_resting(now) && self.is_ready();
+        is_resting.then(|| self.resting_until.get().remaining(now))
     }
 
     /// Records whether the server is unresponsive.
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -167,6 +167,8 @@
         Some(holdings) => (&holdings.replicas, &holdings.copies),
         None => (&server.replicas, &server.copies),
     };
+    // The replicas of a server that leaves do not count as replicas of their models.
+    let replicas = replicas.iter().filter(|_| backend.is_ready());
     let resident = |replica: &deployment::Replica| Resident {
         in_flight: 0,
         wanted: backend.has_backlog(&replica.model),
@@ -183,7 +185,6 @@
         reachable: backend.has_loader() && backend.is_usable(now),
         expected: backend.expects_loader(now),
         resident: replicas
-            .iter()
             .map(|replica| (replica.model.clone(), resident(replica)))
             .collect(),
         in_memory: names(&copies.in_memory),
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -124,6 +124,15 @@
     pub(super) fn final_failure(&self, reason: &'static str) -> Failure {
         failure(self.attempts.ending(), reason)
     }
+
+    /// Returns the failure of a request that is sent to no further server. If it has not run, the
+    /// client may retry after this time.
+    pub(super) fn final_failure_after(&self, reason: &'static str, after: Duration) -> Failure {
+        match self.final_failure(reason) {
+            Failure::Refused(reason, _) => Failure::Refused(reason, after),
+            failure => failure,
+        }
+    }
 }
 
 /// Returns the failure that tells the client whether the request may have run.
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -156,6 +156,9 @@
     // about this one.
     let is_own = holdings.server == backend.server().id;
     backend.set_unresponsive(is_own && !holdings.is_responsive);
+    if is_own && holdings.is_leaving && holdings.started_ms == backend.server().started_ms {
+        backend.mark_leaving();
+    }
     *backend.holdings.borrow_mut() = is_own.then_some(holdings);
     state.residency_changed.notify_waiters();
 }
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -74,6 +74,19 @@
     pub keep_alive: Option<Duration>,
     /// Whether the server closes the connection after the response.
     pub closes: bool,
+    /// Whether the server announces that it leaves.
+    pub is_leaving: bool,
+    /// Time for which the server wants no requests.
+    pub rest: Option<Rest>,
+}
+
+/// Time for which a server that is overloaded wants no requests from this process.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Rest {
+    /// The server states this time.
+    For(Duration),
+    /// The server states a time that can't be read; this is its text.
+    Unreadable(String),
 }
 
 /// Why a request is refused as malformed: it lacks a required header or can be read in two ways.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,7 +27,8 @@
     ModelName,
     Outgoing,
     RequestHead,
-    ResponseHead, //
+    ResponseHead,
+    Rest, //
 };
 pub use verdict::{
     Verdict,
--- a/src/gateway/pick.rs
+++ b/src/gateway/pick.rs
@@ -162,7 +162,10 @@
                 self.state.follower.refresh_servers();
                 Ok(())
             }
-            Decision::NoLoader => Err(self.progress.final_failure("no loader answers")),
+            Decision::NoLoader => {
+                self.refuse_if_all_rest(Duration::ZERO, now)?;
+                Err(self.progress.final_failure("no loader answers"))
+            }
             Decision::Refuse(_) if self.progress.attempts.ending() == Ending::Unknown => {
                 Err(Failure::Unknown("no other server has the model"))
             }
@@ -174,9 +177,10 @@
     }
 
     /// Lets the search for a server of a plain service continue, or refuses the request if the
-    /// search has taken too long.
+    /// search has taken too long or no server wants requests for longer than it may take.
     fn wait_for_server(&self, now: Time) -> Result<(), Failure> {
         let max_wait = RECOVERY_TIMEOUT.min(self.job.remaining(now) / 4);
+        self.refuse_if_all_rest(max_wait, now)?;
         if now - self.started >= max_wait {
             return Err(self.progress.final_failure("no server takes requests"));
         }
@@ -184,6 +188,22 @@
         Ok(())
     }
 
+    /// Refuses the request if all servers of the service that take requests want none for longer
+    /// than `max_wait` from the start of the search.
+    fn refuse_if_all_rest(&self, max_wait: Duration, now: Time) -> Result<(), Failure> {
+        let backends = self.state.fleet.of_service(&self.job.service);
+        let ready = backends.iter().filter(|backend| backend.is_ready());
+        let rests = ready.map(|backend| backend.rest_remaining(now));
+        let rests: Option<Vec<_>> = rests.collect();
+        let earliest = rests.and_then(|rests| rests.into_iter().min());
+        match earliest.filter(|rest| now - self.started + *rest > max_wait) {
+            Some(rest) => Err(self
+                .progress
+                .final_failure_after("all servers ask for rest", rest)),
+            None => Ok(()),
+        }
+    }
+
     fn timeout_failure(&self) -> Failure {
         match self.progress.attempts.ending() {
             Ending::Unknown => Failure::TimedOut,
--- a/src/gateway/verdict.rs
+++ b/src/gateway/verdict.rs
@@ -37,6 +37,8 @@
 ///     load: None,
 ///     keep_alive: None,
 ///     closes: false,
+///     is_leaving: false,
+///     rest: None,
 /// };
 /// assert_eq!(verdict(&head, "r1", "server-1"), Verdict::Response);
 /// assert_eq!(verdict(&head, "r2", "server-1"), Verdict::Mismatched);
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -193,6 +193,9 @@
     /// Whether the server responds to its loader.
     #[serde(rename = "answers")]
     pub is_responsive: bool,
+    /// Whether the server has announced that it leaves.
+    #[serde(rename = "leaves")]
+    pub is_leaving: bool,
     /// Models loaded in accelerator memory.
     pub replicas: Vec<Replica>,
     /// Copies of weights in the server's main memory and on its disk.
--- a/src/loader/driver.rs
+++ b/src/loader/driver.rs
@@ -7,11 +7,7 @@
     },
     net::SocketAddr,
     rc::Rc,
-    time::{
-        Duration,
-        SystemTime,
-        UNIX_EPOCH, //
-    },
+    time::Duration,
 };
 
 use tokio::time::{
@@ -75,6 +71,9 @@
 /// no reply.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// Time between checks whether an engine that wants no calls has started anew.
+const REST_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Runs the driver; never returns.
 pub(super) async fn run(
     settings: Rc<Live>,
@@ -147,6 +146,11 @@
     /// Reads a report and sends the next order, if any. Returns whether to poll again after the
     /// shorter interval.
     async fn poll(&mut self) -> bool {
+        let rest = self.engine.rest_remaining(Time::now());
+        if !rest.is_zero() && !self.has_restarted() {
+            sleep(rest.min(REST_CHECK_INTERVAL)).await;
+            return false;
+        }
         let Some(report) = self.engine.report().await else {
             self.publish_unresponsive();
             sleep(RETRY_DELAY).await;
@@ -178,6 +182,12 @@
         self.report.is_busy || !backlogs.is_empty()
     }
 
+    /// Returns whether the roster lists a later start of the engine than its latest report.
+    fn has_restarted(&self) -> bool {
+        let server = self.server();
+        server.is_some_and(|server| server.started_ms > self.report.started_ms)
+    }
+
     /// Returns the roster's entry of the engine, which contains the engine's id.
     fn server(&self) -> Option<Server> {
         self.state.follower.with_roster(|roster| {
@@ -222,6 +232,7 @@
             server: server.map(|server| server.id.clone()).unwrap_or_default(),
             started_ms: self.report.started_ms,
             is_responsive: true,
+            is_leaving: self.report.is_leaving,
             replicas: self.report.replicas.clone(),
             copies: self.report.copies.clone(),
             current_order,
@@ -234,6 +245,7 @@
             old.server == holdings.server
                 && old.started_ms == holdings.started_ms
                 && old.is_responsive == holdings.is_responsive
+                && old.is_leaving == holdings.is_leaving
                 && old.replicas == holdings.replicas
                 && old.copies == holdings.copies
                 && model(old) == model(&holdings)
@@ -249,17 +261,14 @@
     }
 
     fn decide(&mut self, server: &Server, backlogs: &[Backlog], now: Time) -> Option<Order> {
-        if server.state != deployment::State::Ready {
+        if server.state != deployment::State::Ready || self.report.is_leaving {
             return None;
         }
         let engine = self.state.engine()?;
         let pool = self.pool(&engine, server, backlogs);
         let host = pool.hosts.iter().position(|host| host.id == server.id)?;
         let store_limit = self.store_limit(&engine, server, now);
-        let wall_clock = SystemTime::now().duration_since(UNIX_EPOCH);
-        let may_use_store = self
-            .limiter
-            .allows(now, wall_clock.unwrap_or_default(), &store_limit);
+        let may_use_store = self.limiter.allows(now, &store_limit);
         let is_settled = now - self.last_join >= SETTLING_TIME;
         if !is_settled {
             self.state.follower.refresh_servers();
--- a/src/loader/engine.rs
+++ b/src/loader/engine.rs
@@ -1,6 +1,7 @@
 //! HTTP client of the engine on this machine.
 
 use std::{
+    cell::Cell,
     net::SocketAddr,
     time::Duration, //
 };
@@ -20,11 +21,17 @@
     Report, //
 };
 use crate::{
+    gateway::Rest,
     http::{
         Channel,
         Pool, //
     },
-    platform::engine,
+    platform::{
+        engine,
+        header, //
+    },
+    report,
+    timer::Time,
 };
 
 /// Timeout for a call to the engine, which responds within milliseconds on the same machine.
@@ -42,6 +49,17 @@
     pool: Pool,
     host: String,
     holder: String,
+    /// Start time of the engine that has announced that it leaves.
+    leaving_since: Cell<Option<u64>>,
+    /// End of the time for which the engine wants no calls.
+    resting_until: Cell<Time>,
+}
+
+/// Answer of the engine to a call.
+struct Answer {
+    status: u16,
+    is_leaving: bool,
+    body: Bytes,
 }
 
 impl Engine {
@@ -51,34 +69,57 @@
             pool: Pool::new(address),
             host: address.to_string(),
             holder: holder.to_owned(),
+            leaving_since: Cell::new(None),
+            resting_until: Cell::new(Time::ZERO),
         }
     }
 
     /// Reads the engine's report; returns `None` if the call fails.
     pub(super) async fn report(&self) -> Option<Report> {
         let request = engine::report_request(&self.host).ok()?;
-        let (status, body) = timeout(CALL_TIMEOUT, self.call(request)).await.ok()??;
-        if status != 200 {
+        let answer = timeout(CALL_TIMEOUT, self.call(request)).await.ok()??;
+        if answer.status != 200 {
             return None;
         }
-        engine::decode_report(&body).ok()
+        let mut report = engine::decode_report(&answer.body).ok()?;
+        if answer.is_leaving {
+            self.leaving_since.set(Some(report.started_ms));
+        }
+        // An engine that has started anew no longer leaves.
+        report.is_leaving = self.leaving_since.get() == Some(report.started_ms);
+        Some(report)
+    }
+
+    /// Returns the remaining time for which the engine wants no calls.
+    pub(super) fn rest_remaining(&self, now: Time) -> Duration {
+        self.resting_until.get().remaining(now)
     }
 
     /// Sends an order to the engine with the id `server`. Returns `None` if no reply arrived; the
     /// engine may then still execute the order later.
     pub(super) async fn order(&self, order: &Order, server: &str) -> Option<Reply> {
         let request = engine::order_request(order, &self.host, server, &self.holder).ok()?;
-        let (status, _) = timeout(CALL_TIMEOUT, self.call(request)).await.ok()??;
-        Some(engine::decode_reply(status))
+        let answer = timeout(CALL_TIMEOUT, self.call(request)).await.ok()??;
+        Some(engine::decode_reply(answer.status))
     }
 
-    async fn call(&self, request: Request<Full<Bytes>>) -> Option<(u16, Bytes)> {
+    async fn call(&self, request: Request<Full<Bytes>>) -> Option<Answer> {
         let (mut channel, _): (Channel, _) = self.pool.take(CALL_TIMEOUT).await.ok()?;
         let response = channel.send(request).await.ok()?;
         let status = response.status().as_u16();
+        let is_leaving = header::is_leaving(response.headers());
+        match header::rest(status, response.headers()) {
+            Some(Rest::For(rest)) => self.resting_until.set(Time::now() + rest),
+            Some(Rest::Unreadable(text)) => report::warn("rest_unreadable", &[("text", &text)]),
+            None => (),
+        }
         let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
         let body = body.collect().await.ok()?.to_bytes();
         self.pool.put(channel, IDLE_TIMEOUT);
-        Some((status, body))
+        Some(Answer {
+            status,
+            is_leaving,
+            body,
+        })
     }
 }
--- a/src/loader/limiter.rs
+++ b/src/loader/limiter.rs
@@ -26,19 +26,32 @@
     pub window: Duration,
 }
 
+impl Limit {
+    /// Returns the number of loads that this server may start in a window.
+    fn share(&self) -> usize {
+        let window_loads = self.loads_per_s * self.window.as_secs_f64() + BURST_LOADS;
+        let servers = self.servers.max(1);
+        let share = (USED_FRACTION * window_loads / servers as f64) as usize;
+        // One load each needs no reserve for servers that do not know of each other: each of them
+        // is busy with its load for longer than the window.
+        let may_start_one = self.index < window_loads as usize;
+        share.max(usize::from(may_start_one))
+    }
+}
+
 /// Limits the loads that this server starts from the weight store.
 ///
 /// Each server gets an equal share of the loads that the store allows. All servers together thus
-/// stay below the limit without coordination, whatever they know of each other's loads. If a share
-/// is less than one load per window, the servers take turns, one at a time, by the wall clock.
+/// stay below the limit without coordination and without a common clock, whatever they know of each
+/// other's loads. If there are more servers than the store allows loads in a window, as many of
+/// them as it allows, the first in `index`, may start one load each.
 #[derive(Debug, Default)]
 pub struct Limiter {
     started: VecDeque<Time>,
 }
 
 impl Limiter {
-    /// Returns whether a load may start now. `wall_clock` is the time since a moment that is the
-    /// same for all servers, such as the Unix epoch.
+    /// Returns whether a load may start now.
     ///
     /// # Examples
     ///
@@ -55,27 +68,17 @@
     ///     window: Duration::from_secs(5),
     /// };
     /// let mut limiter = Limiter::default();
-    /// assert!(limiter.allows(Time::from_millis(0), Duration::ZERO, &limit));
+    /// assert!(limiter.allows(Time::from_millis(0), &limit));
     /// limiter.record(Time::from_millis(0));
-    /// assert!(!limiter.allows(Time::from_millis(100), Duration::ZERO, &limit));
-    /// assert!(limiter.allows(Time::from_millis(6_000), Duration::ZERO, &limit));
+    /// assert!(!limiter.allows(Time::from_millis(100), &limit));
+    /// assert!(limiter.allows(Time::from_millis(6_000), &limit));
     /// ```
-    pub fn allows(&mut self, now: Time, wall_clock: Duration, limit: &Limit) -> bool {
+    pub fn allows(&mut self, now: Time, limit: &Limit) -> bool {
         if !limit.loads_per_s.is_finite() {
             return true;
         }
-        let window_loads = limit.loads_per_s * limit.window.as_secs_f64() + BURST_LOADS;
-        let share = USED_FRACTION * window_loads / limit.servers.max(1) as f64;
-        if share >= 1.0 {
-            self.expire(now, limit.window);
-            return self.started.len() < share as usize;
-        }
-        let cycle_s = limit.window.as_secs_f64() / share.max(0.001);
-        let turn_s = cycle_s / limit.servers.max(1) as f64;
-        let turn = (wall_clock.as_secs_f64() % cycle_s / turn_s) as usize;
-        // A load in the current turn was started less than half a cycle ago.
-        self.expire(now, Duration::from_secs_f64(cycle_s / 2.0));
-        turn == limit.index && self.started.is_empty()
+        self.expire(now, limit.window);
+        self.started.len() < limit.share()
     }
 
     fn expire(&mut self, now: Time, span: Duration) {
--- a/src/loader/order.rs
+++ b/src/loader/order.rs
@@ -17,6 +17,8 @@
     pub accepted_orders: u64,
     /// Whether it is executing an order.
     pub is_busy: bool,
+    /// Whether the server has announced that it leaves.
+    pub is_leaving: bool,
     /// Number of running requests.
     pub running: u32,
     /// Number of requests that wait for a slot.
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -71,6 +71,7 @@
         started_ms: wire.born.unwrap_or_default(),
         accepted_orders: wire.seq,
         is_busy: wire.busy,
+        is_leaving: false,
         running: wire.running as u32,
         queued: wire.queued as u32,
         replicas: wire.models.into_iter().map(Into::into).collect(),
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -19,7 +19,8 @@
         ModelName,
         Outgoing,
         RequestHead,
-        ResponseHead, //
+        ResponseHead,
+        Rest, //
     },
 };
 
@@ -38,6 +39,10 @@
 const SERVER_LOAD: HeaderName = HeaderName::from_static("server-load");
 const INSTANCE: HeaderName = HeaderName::from_static("instance-id");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+const RETRY_AFTER: HeaderName = HeaderName::from_static("retry-after");
+
+/// Set to 1 in all responses of a server that leaves.
+const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 
 /// Headers that may occur only once. If one were repeated, two readers could use different values.
 const SINGLE_VALUED: [HeaderName; 8] = [
@@ -143,9 +148,26 @@
         load: text(headers, &SERVER_LOAD).and_then(load),
         keep_alive: text(headers, &KEEP_ALIVE).and_then(idle_timeout),
         closes: has_connection_option(headers, "close"),
+        is_leaving: is_leaving(headers),
+        rest: rest(status, headers),
     }
 }
 
+/// Returns whether a server announces in a response that it leaves.
+pub(crate) fn is_leaving(headers: &HeaderMap) -> bool {
+    text(headers, &LEAVING) == Some("1")
+}
+
+/// Returns the time for which a server wants no requests. Only a response with the status 503
+/// states it, in seconds, which may have a fraction.
+pub(crate) fn rest(status: u16, headers: &HeaderMap) -> Option<Rest> {
+    let value = headers.get(RETRY_AFTER).filter(|_| status == 503)?;
+    let text = String::from_utf8_lossy(value.as_bytes()).trim().to_owned();
+    let seconds = text.parse().ok();
+    let time = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+    Some(time.map_or(Rest::Unreadable(text), Rest::For))
+}
+
 /// Returns the headers without the hop-by-hop headers.
 pub fn forwarded(headers: &HeaderMap) -> HeaderMap {
     let mut forwarded = headers.clone();
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,6 +1,7 @@
 //! Client for reads from the platform's store.
 
 use std::{
+    cell::Cell,
     net::SocketAddr,
     time::Duration, //
 };
@@ -19,9 +20,11 @@
     Limited, //
 };
 use hyper::{
+    HeaderMap,
     Request,
     StatusCode,
-    body::Incoming, //
+    body::Incoming,
+    header::HeaderName, //
 };
 use serde::Deserialize;
 use tokio::time::timeout;
@@ -38,7 +41,8 @@
     http::Pool,
     watch::{
         Change,
-        Error, //
+        Error,
+        Listing, //
     },
 };
 
@@ -49,6 +53,10 @@
 /// Topic of the servers' descriptions. The key of a record is the server's id.
 const SERVERS_TOPIC: &str = "keyed.servers";
 
+/// Number that rises by one each time the store comes back from a copy that lacks the newest
+/// records.
+const ERA: HeaderName = HeaderName::from_static("store-era");
+
 /// Maximum size of a response of the store in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
@@ -83,6 +91,24 @@
 pub(crate) struct Store {
     pool: Pool,
     address: SocketAddr,
+    /// Highest era that a response stated.
+    newest_era: Cell<u64>,
+}
+
+/// Response of the store to a read.
+struct Answer {
+    status: StatusCode,
+    era: u64,
+    body: Bytes,
+}
+
+/// The newest record of each key of a topic.
+struct Newest {
+    /// Keys with their values.
+    records: Vec<(String, Vec<u8>)>,
+    /// Offset after the last record of the topic.
+    end: u64,
+    era: u64,
 }
 
 impl Store {
@@ -91,20 +117,23 @@
         Self {
             pool: Pool::new(address),
             address,
+            newest_era: Cell::new(0),
         }
     }
 
     /// Reads the newest configuration and the offset from which to read changes.
     pub(crate) async fn configuration(&self, response_timeout: Duration) -> Result<Change, Error> {
-        let (items, next) = self.newest(CONFIGURATION_TOPIC, response_timeout).await?;
-        let newest = items.into_iter().find(|(key, _)| key == CONFIGURATION_KEY);
-        let configuration = match newest {
+        let newest = self.newest(CONFIGURATION_TOPIC, response_timeout).await?;
+        let mut records = newest.records.into_iter();
+        let record = records.find(|(key, _)| key == CONFIGURATION_KEY);
+        let configuration = match record {
             Some((_, value)) => Some(decode(&value)?),
             None => None,
         };
         Ok(Change {
             configuration,
-            next,
+            next: newest.end,
+            era: newest.era,
         })
     }
 
@@ -118,13 +147,13 @@
             "/api/log-read?topic={CONFIGURATION_TOPIC}&part=0&from={from}&waitMs={}",
             wait.as_millis()
         );
-        let (status, body) = self.get(&path, wait + CONNECT_TIMEOUT).await?;
-        match status {
+        let answer = self.get(&path, wait + CONNECT_TIMEOUT).await?;
+        match answer.status {
             StatusCode::OK => (),
             StatusCode::GONE => return Err(Error::Expired),
-            _ => return Err(Error::Status(status.as_u16())),
+            status => return Err(Error::Status(status.as_u16())),
         }
-        let (next, records) = records(&body, from)?;
+        let (next, records) = records(&answer.body, from)?;
         let mut newest = None;
         for record in records {
             let Some((key, value)) = split_key(record) else {
@@ -137,70 +166,73 @@
         Ok(Change {
             configuration: newest.map(decode).transpose()?,
             next,
+            era: answer.era,
         })
     }
 
     /// Reads the descriptions of all servers. Entries of other writers are skipped.
-    pub(crate) async fn servers(&self, response_timeout: Duration) -> Result<Vec<Server>, Error> {
-        let (items, _) = self.newest(SERVERS_TOPIC, response_timeout).await?;
-        let items = items.iter();
-        Ok(items
+    pub(crate) async fn servers(&self, response_timeout: Duration) -> Result<Listing, Error> {
+        let newest = self.newest(SERVERS_TOPIC, response_timeout).await?;
+        let records = newest.records.iter();
+        let servers: Vec<Server> = records
             .filter_map(|(id, value)| server::decode(id, value))
-            .collect())
+            .collect();
+        Ok(Listing {
+            servers,
+            era: newest.era,
+        })
     }
 
-    /// Reads the newest record of each key of a topic, and the end offset of the topic.
-    async fn newest(
-        &self,
-        topic: &str,
-        response_timeout: Duration,
-    ) -> Result<(Vec<(String, Vec<u8>)>, u64), Error> {
-        let mut newest = Vec::new();
-        let mut end: Option<u64> = None;
+    /// Reads the newest record of each key of a topic.
+    async fn newest(&self, topic: &str, response_timeout: Duration) -> Result<Newest, Error> {
+        let mut records = Vec::new();
+        let mut first: Option<(u64, u64)> = None;
         let mut path = format!("/api/log-newest?topic={topic}&part=0");
         loop {
-            let (status, body) = self.get(&path, response_timeout).await?;
-            if status != StatusCode::OK {
-                return Err(Error::Status(status.as_u16()));
+            let answer = self.get(&path, response_timeout).await?;
+            if answer.status != StatusCode::OK {
+                return Err(Error::Status(answer.status.as_u16()));
             }
-            let page: Page = serde_json::from_slice(&body)
+            let page: Page = serde_json::from_slice(&answer.body)
                 .map_err(|error| Error::Malformed(error.to_string()))?;
             // The pages don't form a snapshot. Changes since the first page are read later, from
             // the end offset of that page.
-            let end = *end.get_or_insert(page.end_offset);
+            let (end, era) = *first.get_or_insert((page.end_offset, answer.era));
+            if era != answer.era {
+                return Err(Error::Outdated);
+            }
             let last = page.items.last().map(|item| escape(&item.key));
             for item in page.items {
                 // A value that is not valid Base64 comes from another writer and is skipped.
                 if let Ok(value) = STANDARD.decode(&item.value) {
-                    newest.push((item.key, value));
+                    records.push((item.key, value));
                 }
             }
             match last.filter(|_| page.has_more) {
                 Some(last) => path = format!("/api/log-newest?topic={topic}&part=0&after={last}"),
-                None => return Ok((newest, end)),
+                None => return Ok(Newest { records, end, era }),
             }
         }
     }
 
-    async fn get(
-        &self,
-        path: &str,
-        response_timeout: Duration,
-    ) -> Result<(StatusCode, Bytes), Error> {
+    /// Sends a request; fails with [`Error::Outdated`] if the response is of an earlier era than
+    /// another one that has been received.
+    async fn get(&self, path: &str, response_timeout: Duration) -> Result<Answer, Error> {
         let result = self.exchange(path, response_timeout).await;
-        if result == Err(Error::Timeout) {
+        if matches!(result, Err(Error::Timeout)) {
             // Whatever made this call hang may affect the idle connections as well.
             self.pool.clear();
         }
-        result
+        let answer = result?;
+        if answer.era < self.newest_era.get() {
+            return Err(Error::Outdated);
+        }
+        self.newest_era.set(answer.era);
+        Ok(answer)
     }
 
     /// Sends a request to the store. The timeout covers the time until the response begins.
-    async fn exchange(
-        &self,
-        path: &str,
-        response_timeout: Duration,
-    ) -> Result<(StatusCode, Bytes), Error> {
+    async fn exchange(&self, path: &str, response_timeout: Duration) -> Result<Answer, Error> {
         let request = Request::get(path)
             .header("host", self.address.to_string())
             .body(Full::default())
@@ -216,12 +248,21 @@
             .map_err(|_| Error::Timeout)?;
         let (channel, response) = begun?;
         let status = response.status();
+        let era = era(response.headers());
         let body = read(response.into_body()).await?;
         self.pool.put(channel, IDLE_TIMEOUT);
-        Ok((status, body))
+        Ok(Answer { status, era, body })
     }
 }
 
+/// Returns the era of the store that responded; 0 if the response states none.
+fn era(headers: &HeaderMap) -> u64 {
+    let value = headers.get(&ERA).and_then(|value| value.to_str().ok());
+    value
+        .and_then(|text| text.trim().parse().ok())
+        .unwrap_or_default()
+}
+
 /// Reads a body; fails if it makes no progress for [`STALL_TIMEOUT`].
 async fn read(body: Incoming) -> Result<Bytes, Error> {
     let mut body = Limited::new(body, MAX_RESPONSE_BYTES);
@@ -258,7 +299,12 @@
 fn records(body: &[u8], from: u64) -> Result<(u64, Vec<&[u8]>), Error> {
     let malformed = || Error::Malformed("a read that ends within a record".to_owned());
     // The response starts with the end offset and the first retained offset, 8 bytes each.
-    let mut rest = body.get(16..).ok_or_else(malformed)?;
+    let (end, rest) = body.split_first_chunk().ok_or_else(malformed)?;
+    if u64::from_be_bytes(*end) < from {
+        // The store came back without the records before this offset.
+        return Err(Error::Expired);
+    }
+    let mut rest = rest.get(8..).ok_or_else(malformed)?;
     let mut records = Vec::new();
     while !rest.is_empty() {
         let (length, after) = rest.split_at_checked(4).ok_or_else(malformed)?;
--- a/src/watch/error.rs
+++ b/src/watch/error.rs
@@ -13,6 +13,8 @@
     Status(u16),
     /// The store no longer holds the requested records.
     Expired,
+    /// The response is of an earlier era of the store than one that was read before.
+    Outdated,
     /// The response can't be decoded.
     Malformed(String),
 }
@@ -24,6 +26,7 @@
             Self::Unreachable(detail) => write!(f, "unreachable: {detail}"),
             Self::Status(status) => write!(f, "status {status}"),
             Self::Expired => f.write_str("the records are no longer held"),
+            Self::Outdated => f.write_str("the answer is of an earlier era"),
             Self::Malformed(detail) => write!(f, "malformed: {detail}"),
         }
     }
--- a/src/watch/follower.rs
+++ b/src/watch/follower.rs
@@ -18,11 +18,15 @@
 };
 
 use super::{
+    Cursor,
     Error,
     Roster, //
 };
 use crate::{
-    deployment::Configuration,
+    deployment::{
+        Configuration,
+        Server, //
+    },
     platform::store::Store,
     report,
     timer::Time, //
@@ -52,6 +56,17 @@
     pub(crate) configuration: Option<Configuration>,
     /// Offset of the next record to read.
     pub(crate) next: u64,
+    /// Era of the store that responded.
+    pub(crate) era: u64,
+}
+
+/// Result of a read of the servers.
+#[derive(Debug)]
+pub(crate) struct Listing {
+    /// The servers.
+    pub(crate) servers: Vec<Server>,
+    /// Era of the store that responded.
+    pub(crate) era: u64,
 }
 
 /// Periods at which the store is polled.
@@ -111,14 +126,25 @@
     /// Polls the servers; never returns.
     pub(crate) async fn follow_servers(&self) {
         let mut dependency = Dependency::new("servers");
+        let mut era = None;
         loop {
             match self.store.servers(RESPONSE_TIMEOUT).await {
-                Ok(found) => {
+                Ok(listing) => {
                     dependency.record_success();
-                    self.roster.borrow_mut().update(found, Time::now());
+                    if era
+                        .replace(listing.era)
+                        .is_some_and(|era| era < listing.era)
+                    {
+                        report::warn("store_era", &[("era", &listing.era)]);
+                        self.roster.borrow_mut().record_failure();
+                    }
+                    self.roster
+                        .borrow_mut()
+                        .update(listing.servers, Time::now());
                     self.has_read_servers.set(true);
                     self.changed.notify_waiters();
                 }
+                Err(Error::Outdated) => (),
                 Err(error) => {
                     dependency.record_failure(&error);
                     self.roster.borrow_mut().record_failure();
@@ -145,9 +171,9 @@
             return;
         };
         let mut dependency = Dependency::new("configuration");
-        let mut next = None;
+        let mut cursor = Cursor::default();
         loop {
-            let change = match next {
+            let change = match cursor.next() {
                 Some(from) => self.store.wait_for_change(from, wait).await,
                 None => self.store.configuration(RESPONSE_TIMEOUT).await,
             };
@@ -158,18 +184,15 @@
                     if let Some(configuration) = change.configuration {
                         self.apply(configuration);
                     }
-                    next = Some(change.next);
+                    cursor.advance(change.era, change.next);
                     if !is_found && self.configuration.borrow().version == 0 {
                         sleep(MIN_BACKOFF).await;
                     }
                 }
+                Err(Error::Expired | Error::Outdated) => cursor.restart(),
                 Err(error) => {
-                    if error == Error::Expired {
-                        next = None;
-                    } else {
-                        dependency.record_failure(&error);
-                        sleep(self.pause(&dependency)).await;
-                    }
+                    dependency.record_failure(&error);
+                    sleep(self.pause(&dependency)).await;
                 }
             }
         }
--- a/src/watch/mod.rs
+++ b/src/watch/mod.rs
@@ -1,13 +1,16 @@
 //! Follows the configuration and the servers in the platform's store.
 
+mod cursor;
 mod error;
 mod follower;
 mod roster;
 
+pub use cursor::Cursor;
 pub(crate) use error::Error;
 pub(crate) use follower::{
     Change,
     Follower,
+    Listing,
     Periods, //
 };
 pub use roster::Roster;
--- a/src/watch/roster.rs
+++ b/src/watch/roster.rs
@@ -14,17 +14,47 @@
 /// expected to be back.
 const RECOVERY: Duration = Duration::from_millis(2_000);
 
+/// Time for which the last description of a server that has left is remembered. It exceeds the age
+/// of a copy from which the store may come back.
+const DEPARTED_RETENTION: Duration = Duration::from_secs(120);
+
 /// The servers by id, as read from the store.
 ///
 /// While the store is unreachable, entries of running servers may expire. A server that is missing
 /// from a read is therefore kept until [`RECOVERY`] after the first read that succeeds again.
+///
+/// A store that came back from a copy may list servers that have left since. A server that was
+/// removed is therefore listed again only by a description newer than its last one.
 #[derive(Debug, Default)]
 pub struct Roster {
     servers: BTreeMap<String, Server>,
+    departed: BTreeMap<String, Departed>,
     is_failing: bool,
     recovered_at: Option<Time>,
 }
 
+/// The last description of a server that has left.
+#[derive(Debug)]
+struct Departed {
+    started_ms: u64,
+    seq: u64,
+    removed_at: Time,
+}
+
+impl Departed {
+    fn new(server: &Server, now: Time) -> Self {
+        Self {
+            started_ms: server.started_ms,
+            seq: server.seq,
+            removed_at: now,
+        }
+    }
+
+    fn is_older_than(&self, server: &Server) -> bool {
+        (self.started_ms, self.seq) < (server.started_ms, server.seq)
+    }
+}
+
 impl Roster {
     /// Replaces the servers by those that a read found.
     ///
@@ -35,8 +65,14 @@
             self.recovered_at = Some(now);
         }
         let is_recovering = self.recovered_at.is_some_and(|at| now - at < RECOVERY);
+        self.departed
+            .retain(|_, departed| now - departed.removed_at < DEPARTED_RETENTION);
         let mut newest = BTreeMap::new();
         for server in found {
+            let departed = self.departed.get(&server.id);
+            if departed.is_some_and(|departed| !departed.is_older_than(&server)) {
+                continue;
+            }
             let known = self.servers.remove(&server.id);
             let newer = match known {
                 Some(known) if (known.started_ms, known.seq) > (server.started_ms, server.seq) => {
@@ -49,10 +85,14 @@
         if is_recovering {
             newest.append(&mut self.servers);
         }
+        for (id, server) in std::mem::take(&mut self.servers) {
+            self.departed.insert(id, Departed::new(&server, now));
+        }
         self.servers = newest;
     }
 
-    /// Records that a read failed.
+    /// Records that a read failed, or that the store came back from a copy: entries of running
+    /// servers may be missing from the next reads.
     pub fn record_failure(&mut self) {
         self.is_failing = true;
     }
--- a/tests/forwarding.rs
+++ b/tests/forwarding.rs
@@ -122,6 +122,8 @@
         load: None,
         keep_alive: None,
         closes: false,
+        is_leaving: false,
+        rest: None,
     }
 }
 
--- a/tests/header.rs
+++ b/tests/header.rs
@@ -7,7 +7,8 @@
     gateway::{
         Malformed,
         ModelName,
-        Outgoing, //
+        Outgoing,
+        Rest, //
     },
     platform::header, //
 };
@@ -173,3 +174,26 @@
     assert!(head.closes);
     assert_eq!(head.keep_alive, Some(Duration::from_secs(7)));
 }
+
+/// Guards against announcements of a server that are missed, or read where it makes none.
+#[test]
+fn leaving_and_rest_are_read_from_responses() {
+    let decode = |status, pairs: &[(&str, &str)]| header::decode_response(status, &headers(pairs));
+    assert!(decode(200, &[("server-leaving", "1")]).is_leaving);
+    assert!(!decode(200, &[("server-leaving", "0")]).is_leaving);
+    assert!(!decode(200, &[]).is_leaving);
+    let rest = |status, text| decode(status, &[("retry-after", text)]).rest;
+    assert_eq!(
+        rest(503, "1.5"),
+        Some(Rest::For(Duration::from_millis(1_500)))
+    );
+    assert_eq!(rest(503, " 2 "), Some(Rest::For(Duration::from_secs(2))));
+    assert_eq!(rest(200, "1.5"), None);
+    for text in ["soon", "-1", "", "1e300", "NaN"] {
+        assert_eq!(
+            rest(503, text),
+            Some(Rest::Unreadable(text.to_owned())),
+            "{text}"
+        );
+    }
+}
--- a/tests/loader.rs
+++ b/tests/loader.rs
@@ -190,6 +190,7 @@
             started_ms: self.started_ms,
             accepted_orders: self.accepted,
             is_busy: self.current_order.is_some(),
+            is_leaving: false,
             replicas: self.replicas.clone(),
             pending_adapters: self
                 .pending
@@ -365,11 +366,37 @@
     }
 }
 
+/// Guards against a server that waits for a turn by a clock, which may jump, while the store is free
+/// and its rate allows each server a load in the window.
+#[test]
+fn an_idle_server_may_load_from_the_store_at_any_time() {
+    for index in 0..160 {
+        let limit = Limit {
+            servers: 160,
+            index,
+            loads_per_s: 33.0,
+            window: Duration::from_secs(5),
+        };
+        for step in 0..100 {
+            let now = Time::from_millis(step * 77);
+            assert!(Limiter::default().allows(now, &limit), "{index} at {step}");
+        }
+    }
+}
+
 /// Guards against servers that together start loads from the weight store faster than it allows.
 #[test]
 fn loads_of_all_servers_stay_within_the_store_limit() {
     const WINDOW: Duration = Duration::from_secs(5);
-    for (servers, loads_per_s) in [(9, 1.6), (9, 2.1), (50, 11.0), (40, 0.5), (3, 4.0)] {
+    let cases = [
+        (9, 1.6),
+        (9, 2.1),
+        (50, 11.0),
+        (40, 0.5),
+        (3, 4.0),
+        (160, 33.0),
+    ];
+    for (servers, loads_per_s) in cases {
         let mut limiters: Vec<Limiter> = (0..servers).map(|_| Limiter::default()).collect();
         let mut started: Vec<Time> = Vec::new();
         for step in 0..600_u64 {
@@ -381,7 +408,7 @@
                     loads_per_s,
                     window: WINDOW,
                 };
-                if limiter.allows(now, now - Time::ZERO, &limit) {
+                if limiter.allows(now, &limit) {
                     limiter.record(now);
                     started.push(now);
                 }
