--- a/src/deployment/server.rs
+++ b/src/deployment/server.rs
@@ -11,7 +11,7 @@
 };
 
 /// State of a server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum State {
     /// Accepts new requests.
     Ready,
@@ -38,7 +38,7 @@
 }
 
 /// A backend server.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Server {
     /// Id of the server.
     pub id: String,
@@ -65,6 +65,21 @@
 }
 
 impl Server {
+    /// Returns whether two descriptions differ in more than what changes with every heartbeat of
+    /// the server.
+    pub fn differs_from(&self, other: &Self) -> bool {
+        let is_same = self.started_ms == other.started_ms
+            && self.address == other.address
+            && self.service == other.service
+            && self.failure_domain == other.failure_domain
+            && self.slots == other.slots
+            && self.state == other.state
+            && self.warmup_remaining.is_zero() == other.warmup_remaining.is_zero()
+            && self.replicas == other.replicas
+            && self.copies == other.copies;
+        !is_same
+    }
+
     /// Finds a loaded model.
     pub fn replica(&self, model: &str) -> Option<&Replica> {
         self.replicas.iter().find(|replica| replica.model == model)
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -121,7 +121,7 @@
     let connect_timeout = CONNECT_TIMEOUT.min(job.remaining(Time::now()));
     let (mut channel, _) = backend.pool.take(connect_timeout).await.map_err(|error| {
         backend.record_unreachable(Time::now());
-        state.follower.refresh_servers();
+        state.refresh_servers();
         log_error(job, &error);
         SendError::NotSent("can't connect")
     })?;
@@ -261,7 +261,7 @@
         }
         Verdict::Replaced => {
             backend.mark_replaced();
-            state.follower.refresh_servers();
+            state.refresh_servers();
             drain(exchange).await;
             return Err(SendError::Replaced);
         }
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -5,17 +5,18 @@
         Cell,
         RefCell, //
     },
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     rc::Rc,
     time::Duration,
 };
 
-use tokio::sync::{
-    Notify,
-    watch, //
-};
+use tokio::sync::watch;
 
 use super::{
+    link::Link,
     message::{
         Load,
         ModelName, //
@@ -32,10 +33,11 @@
     http::Pool,
     link::{
         Backlog,
-        Demand,
+        Contact,
         Holdings,
-        Usage,
-        Workload, //
+        ServerDemand,
+        ServerState,
+        Usage, //
     },
     report,
     timer::Time,
@@ -93,14 +95,16 @@
     loader_lost_at: Cell<Time>,
     /// Number of gateways connected to the loader.
     pub(super) gateways: Cell<u32>,
-    /// Whether the loader has requested the description of its engine.
-    pub(super) wants_engine: Cell<bool>,
-    /// Wakes the link when the gateway's demand has changed.
-    pub(super) demand_changed: Notify,
+    /// Link to the hub that is sent the demand at this server.
+    link: Rc<Link>,
+    /// Whether the demand has changed since it was last sent.
+    pub(super) is_demand_changed: Cell<bool>,
+    /// Models under which the server is indexed.
+    pub(super) indexed: RefCell<BTreeSet<String>>,
 }
 
 impl Backend {
-    pub(super) fn new(server: Server) -> Self {
+    pub(super) fn new(server: Server, link: Rc<Link>) -> Self {
         Self {
             pool: Pool::new(server.address),
             server: RefCell::new(Rc::new(server)),
@@ -120,8 +124,9 @@
             holdings: RefCell::default(),
             loader_lost_at: Cell::new(Time::now()),
             gateways: Cell::new(0),
-            wants_engine: Cell::new(false),
-            demand_changed: Notify::new(),
+            link,
+            is_demand_changed: Cell::new(false),
+            indexed: RefCell::default(),
         }
     }
 
@@ -176,7 +181,6 @@
         if !self.is_leaving.replace(true) {
             report::info("server_leaving", &[("server", &self.server().id)]);
             self.pool.clear();
-            self.demand_changed.notify_one();
         }
     }
 
@@ -270,11 +274,43 @@
         self.load.set(Some((load, now)));
     }
 
-    pub(super) fn record_workload(&self, workload: Workload, now: Time) {
-        self.gateways.set(workload.gateways);
-        let running = workload.running;
-        let waiting = workload.queued;
-        self.record_load(Load { running, waiting }, now);
+    /// Replaces what is known from the loader; `None` if no hub knows the loader. Returns the models
+    /// for which this matters.
+    pub(super) fn apply_state(&self, state: Option<&ServerState>, now: Time) -> BTreeSet<String> {
+        let own = state.filter(|state| state.holdings.server == self.server.borrow().id);
+        let connected = own.filter(|state| state.contact == Contact::Connected);
+        let is_silent = own.is_some_and(|state| state.contact == Contact::Silent);
+        let is_unresponsive = connected.is_some_and(|state| !state.holdings.is_responsive);
+        self.set_unresponsive(is_silent || is_unresponsive);
+        if let Some(state) = connected {
+            self.gateways.set(state.workload.gateways);
+            let (running, waiting) = (state.workload.running, state.workload.queued);
+            self.record_load(Load { running, waiting }, now);
+            let holdings = &state.holdings;
+            if holdings.is_leaving && holdings.started_ms == self.server.borrow().started_ms {
+                self.mark_leaving();
+            }
+        }
+        let new = connected.map(|state| state.holdings.clone());
+        let old = self.holdings.replace(new);
+        let new = self.holdings.borrow();
+        if old.is_some() && new.is_none() {
+            report::warn("loader_lost", &[("server", &self.server.borrow().id)]);
+            self.record_loader_lost(now);
+        }
+        changed_models(old.as_ref(), new.as_ref())
+            .into_iter()
+            .chain(self.backlog_models().into_iter().filter(|_| is_silent))
+            .collect()
+    }
+
+    /// Returns the models that the server holds, as far as is known.
+    pub(super) fn models(&self) -> BTreeSet<String> {
+        let names = |replicas: &[Replica]| replicas.iter().map(|r| r.model.clone()).collect();
+        match self.holdings.borrow().as_ref() {
+            Some(holdings) => names(&holdings.replicas),
+            None => names(&self.server.borrow().replicas),
+        }
     }
 
     /// Records whether a request at the server failed.
@@ -308,6 +344,7 @@
         if let Some(key) = &key {
             rates.record_send(&key.0, tokens, Time::now());
             *self.usage.borrow_mut().entry(key.clone()).or_default() += 1;
+            self.is_demand_changed.set(true);
         }
         InFlight {
             backend: self.clone(),
@@ -324,13 +361,19 @@
         let entry = backlog.entry(key.clone()).or_insert((0, priority));
         entry.0 += 1;
         entry.1 = entry.1.min(priority);
-        self.demand_changed.notify_one();
+        self.notify_demand();
         BacklogEntry {
             backend: self.clone(),
             key,
         }
     }
 
+    /// Records that the demand has changed, and wakes the link to send it.
+    fn notify_demand(&self) {
+        self.is_demand_changed.set(true);
+        self.link.demand_changed.notify_one();
+    }
+
     /// Returns whether requests of this gateway wait for a model at this server.
     pub(super) fn has_backlog(&self, model: &str) -> bool {
         let backlog = self.backlog.borrow();
@@ -345,8 +388,8 @@
         models
     }
 
-    /// Returns the part of the gateway's message that concerns this server only.
-    pub(super) fn demand(&self) -> Demand {
+    /// Returns what the gateway's requests need at the server.
+    pub(super) fn demand(&self) -> ServerDemand {
         let usage = self.usage.borrow();
         let usage = usage.iter().map(|((model, adapter), in_flight)| Usage {
             model: model.clone(),
@@ -360,14 +403,34 @@
             waiting: entry.0,
             priority: entry.1,
         });
-        Demand {
+        ServerDemand {
+            server: self.server.borrow().id.clone(),
             usage: usage.collect(),
             backlogs: backlog.collect(),
-            ..Demand::default()
         }
     }
 }
 
+/// Returns the models whose replica or order differs between two descriptions of a server.
+fn changed_models(old: Option<&Holdings>, new: Option<&Holdings>) -> BTreeSet<String> {
+    let replicas = |holdings: Option<&Holdings>| -> Vec<Replica> {
+        holdings.map_or(Vec::new(), |holdings| holdings.replicas.clone())
+    };
+    let order = |holdings: Option<&Holdings>| {
+        let order = holdings.and_then(|holdings| holdings.current_order.as_ref());
+        order.map(|order| (order.model.clone(), order.is_load))
+    };
+    let (old_replicas, new_replicas) = (replicas(old), replicas(new));
+    let lost = old_replicas.iter().filter(|r| !new_replicas.contains(r));
+    let gained = new_replicas.iter().filter(|r| !old_replicas.contains(r));
+    let mut models: BTreeSet<String> = lost.chain(gained).map(|r| r.model.clone()).collect();
+    if order(old) != order(new) {
+        let orders = [order(old), order(new)].into_iter().flatten();
+        models.extend(orders.map(|(model, _)| model));
+    }
+    models
+}
+
 /// Guard of a request in flight at a server.
 #[derive(Debug)]
 pub(super) struct InFlight {
@@ -394,6 +457,7 @@
         in_flight.set(in_flight.get().saturating_sub(1));
         if let Some(key) = &self.key {
             self.rates.record_end(&key.0, Time::now());
+            self.backend.is_demand_changed.set(true);
             let mut usage = self.backend.usage.borrow_mut();
             if let Some(count) = usage.get_mut(key) {
                 *count -= 1;
@@ -421,6 +485,6 @@
                 backlog.remove(&self.key);
             }
         }
-        self.backend.demand_changed.notify_one();
+        self.backend.notify_demand();
     }
 }
--- a/src/gateway/cold.rs
+++ b/src/gateway/cold.rs
@@ -47,7 +47,6 @@
     current: Option<&Rc<Backend>>,
 ) -> Decision {
     let now = Time::now();
-    let pool = fleet::pool(state, &job.service, engine, now);
     let backends = state.fleet.of_service(&job.service);
     let is_excluded = |backend: &Rc<Backend>| progress.is_excluded(&backend.server().id);
     // Requests for a model wait at one server, since a second load would not speed up any of them.
@@ -55,22 +54,19 @@
         let has_backlog = backend.has_backlog(&name.model) && backend.has_loader();
         has_backlog && backend.is_usable(now) && !is_excluded(backend)
     };
-    let joinable = backends.iter().find(can_join);
-    let ranked = pool.rank(&name.model);
-    let mut ranked = ranked.iter();
-    let best = ranked.find(|candidate| !is_excluded(&backends[candidate.host]));
-    let Some(best) = best else {
-        return match joinable {
-            Some(backend) => Decision::Wait(backend.clone()),
-            None => Decision::NoLoader,
-        };
-    };
     if let Some(current) = current.filter(|current| can_join(current)) {
         return Decision::Wait(current.clone());
     }
-    if let Some(backend) = joinable {
+    if let Some(backend) = backends.iter().find(can_join) {
         return Decision::Wait(backend.clone());
     }
+    let pool = fleet::pool(state, &job.service, engine, now);
+    let ranked = pool.rank(&name.model);
+    let mut ranked = ranked.iter();
+    let best = ranked.find(|candidate| !is_excluded(&backends[candidate.host]));
+    let Some(best) = best else {
+        return Decision::NoLoader;
+    };
     if pool.should_wait_for_copy(&name.model, best) {
         return Decision::Defer;
     }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -6,6 +6,7 @@
         BTreeMap,
         BTreeSet, //
     },
+    net::IpAddr,
     rc::Rc,
 };
 
@@ -20,10 +21,7 @@
         Engine, //
     },
     dispatch::ENGINE_WAITING_MS,
-    link::{
-        Loading,
-        Traffic, //
-    },
+    link::Traffic,
     placement::{
         CurrentOrder,
         Host,
@@ -39,32 +37,65 @@
 #[derive(Debug, Default)]
 pub(super) struct Fleet {
     backends: RefCell<BTreeMap<String, Rc<Backend>>>,
+    by_service: RefCell<BTreeMap<String, Rc<Vec<Rc<Backend>>>>>,
+    /// Servers that hold a model, by model.
+    holders: RefCell<BTreeMap<String, Vec<Rc<Backend>>>>,
 }
 
 impl Fleet {
     /// Returns the servers of a service.
-    pub(super) fn of_service(&self, service: &str) -> Vec<Rc<Backend>> {
-        let backends = self.backends.borrow();
-        let backends = backends.values();
-        let of_service = backends.filter(|backend| backend.server.borrow().service == service);
+    pub(super) fn of_service(&self, service: &str) -> Rc<Vec<Rc<Backend>>> {
+        let by_service = self.by_service.borrow();
+        by_service.get(service).cloned().unwrap_or_default()
+    }
+
+    /// Returns the servers of a service that hold a model.
+    pub(super) fn holders(&self, service: &str, model: &str) -> Vec<Rc<Backend>> {
+        let holders = self.holders.borrow();
+        let holders = holders.get(model).into_iter().flatten();
+        let of_service = holders.filter(|backend| backend.server.borrow().service == service);
         of_service.cloned().collect()
     }
 
-    /// Finds a server by its id.
-    pub(super) fn get(&self, id: &str) -> Option<Rc<Backend>> {
-        self.backends.borrow().get(id).cloned()
+    /// Updates the index of servers by model after a change of what a server holds.
+    pub(super) fn index(&self, backend: &Rc<Backend>) {
+        let models = backend.models();
+        let known = backend.indexed.replace(models.clone());
+        let mut holders = self.holders.borrow_mut();
+        for model in known.difference(&models) {
+            if let Some(servers) = holders.get_mut(model) {
+                servers.retain(|server| !Rc::ptr_eq(server, backend));
+                if servers.is_empty() {
+                    holders.remove(model);
+                }
+            }
+        }
+        for model in models.difference(&known) {
+            let servers = holders.entry(model.clone()).or_default();
+            servers.push(backend.clone());
+        }
     }
 
-    /// Returns the loads in progress that the loaders reported.
-    pub(super) fn loads(&self) -> Vec<Loading> {
+    /// Records that the machine with this address does not respond.
+    pub(super) fn mark_unresponsive(&self, ip: IpAddr) {
         let backends = self.backends.borrow();
-        let loads = backends.iter().filter_map(|(id, backend)| {
-            let holdings = backend.holdings.borrow();
-            let order = holdings.as_ref()?.current_order.clone()?;
-            let server = id.clone();
-            order.is_load.then_some(Loading { server, order })
-        });
-        loads.collect()
+        let mut backends = backends.values();
+        if let Some(backend) = backends.find(|backend| backend.server().address.ip() == ip) {
+            backend.set_unresponsive(true);
+        }
+    }
+
+    /// Returns the failure domain of the server with this address.
+    pub(super) fn failure_domain(&self, ip: IpAddr) -> Option<String> {
+        let backends = self.backends.borrow();
+        let mut backends = backends.values();
+        let backend = backends.find(|backend| backend.server().address.ip() == ip)?;
+        Some(backend.server().failure_domain.clone())
+    }
+
+    /// Finds a server by its id.
+    pub(super) fn get(&self, id: &str) -> Option<Rc<Backend>> {
+        self.backends.borrow().get(id).cloned()
     }
 
     /// Returns the maximum number of gateways connected to one loader, at least 1 for this gateway.
@@ -83,7 +114,7 @@
                 let stays = servers.contains_key(id);
                 if !stays {
                     report::info("server_gone", &[("server", id)]);
-                    backend.demand_changed.notify_one();
+                    self.unindex(backend);
                 }
                 stays
             });
@@ -92,11 +123,18 @@
                     Some(backend) if backend.server().address == server.address => {
                         log_state_change(backend, server);
                         backend.update(server);
+                        self.index(backend);
                     }
-                    _ => {
-                        let backend = Rc::new(Backend::new(server.clone()));
+                    known => {
+                        if let Some(former) = known {
+                            self.unindex(former);
+                        }
+                        let link = state.link(&server.service);
+                        let backend = Rc::new(Backend::new(server.clone(), link.clone()));
                         log_new_server(server);
-                        tokio::task::spawn_local(link::maintain(state.clone(), backend.clone()));
+                        let mirror = link.mirror.borrow();
+                        backend.apply_state(mirror.state(id), Time::now());
+                        self.index(&backend);
                         backends.insert(id.clone(), backend);
                     }
                 }
@@ -105,6 +143,24 @@
                 backend.set_superseded(roster.is_superseded(id));
             }
         });
+        let mut by_service: BTreeMap<String, Rc<Vec<_>>> = BTreeMap::new();
+        for backend in backends.values() {
+            let service = backend.server().service.clone();
+            let servers = by_service.entry(service).or_default();
+            Rc::make_mut(servers).push(backend.clone());
+        }
+        *self.by_service.borrow_mut() = by_service;
+    }
+
+    /// Removes a server from the index of servers by model.
+    fn unindex(&self, backend: &Rc<Backend>) {
+        let models = backend.indexed.take();
+        let mut holders = self.holders.borrow_mut();
+        for model in models {
+            if let Some(servers) = holders.get_mut(&model) {
+                servers.retain(|server| !Rc::ptr_eq(server, backend));
+            }
+        }
     }
 }
 
@@ -131,11 +187,24 @@
 pub(super) async fn follow(state: Rc<State>) {
     loop {
         state.fleet.update(&state);
-        state.residency_changed.notify_waiters();
+        maintain_links(&state);
+        state.waiters.wake_all();
         state.follower.changed.notified().await;
     }
 }
 
+/// Starts a link to a hub for each service of model engines that has none yet.
+fn maintain_links(state: &Rc<State>) {
+    let configuration = state.follower.configuration();
+    let services = configuration.services.iter();
+    for service in services.filter(|service| service.engine.is_some()) {
+        let link = state.link(&service.name);
+        if link.start() {
+            tokio::task::spawn_local(link::maintain(state.clone(), link));
+        }
+    }
+}
+
 /// Builds the view of a service's servers on which placement decisions are based.
 pub(super) fn pool<'a>(state: &State, service: &str, engine: &'a Engine, now: Time) -> Pool<'a> {
     let backends = state.fleet.of_service(service);
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -1,6 +1,11 @@
-//! The link to the loader of a server.
+//! The link to a hub, through which the gateway learns what servers hold and reports its demand.
 
 use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    collections::BTreeMap,
     io,
     net::SocketAddr,
     rc::Rc,
@@ -13,152 +18,269 @@
         TcpStream,
         tcp::OwnedWriteHalf, //
     },
+    sync::Notify,
     time::{
         sleep,
         timeout, //
     },
 };
 
-use super::{
-    backend::Backend,
-    state::State, //
-};
+use super::state::State;
 use crate::{
-    http,
+    http, hub,
     link::{
         self,
         Demand,
-        Status, //
+        Hello,
+        Update, //
     },
     report,
     timer::Time,
+    watch::Mirror,
 };
 
-/// Timeout for connecting to a loader.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Timeout for connecting to a hub.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time for which a hub that could not be reached is not tried again.
+const COOLDOWN: Duration = Duration::from_millis(1_000);
 
-/// Delay before the next attempt to connect.
-const RECONNECT_DELAY: Duration = Duration::from_millis(500);
+/// Delay after all hubs have failed.
+const RETRY_DELAY: Duration = Duration::from_millis(200);
 
-/// Maximum time between messages to a loader.
+/// Maximum time between messages to a hub.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_000);
 
-/// Timeout for the next message of a loader, after which the loader and the machine that it shares
-/// with its server count as unresponsive.
-const RECEIVE_TIMEOUT: Duration = Duration::from_millis(1_400);
+/// Timeout for the next message of a hub, after which its machine counts as unresponsive and the
+/// gateway goes to another hub.
+const RECEIVE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Minimum time between messages to a loader, in which changes of the demand are collected.
+/// Minimum time between messages to a hub, in which changes of the demand are collected.
 const BATCH_DELAY: Duration = Duration::from_millis(5);
 
-/// Maintains the link to a server's loader as long as the server is known.
-///
-/// Servers of plain services have no loader.
-pub(super) async fn maintain(state: Rc<State>, backend: Rc<Backend>) {
-    let mut was_up = true;
-    while is_known(&state, &backend) {
-        if is_engine(&state, &backend) {
-            let loader = loader_addr(&state, &backend);
-            let error = run(&state, &backend, loader).await;
-            // If only the loader has ended, its machine refuses connections at once, so a timeout
-            // means that the machine is unresponsive.
-            backend.set_unresponsive(error.kind() == io::ErrorKind::TimedOut);
-            let is_up = backend.holdings.take().is_some();
-            if is_up {
-                backend.record_loader_lost(Time::now());
+/// Interval at which a gateway that is connected to a hub of another failure domain tries the ones
+/// that it prefers.
+const RETURN_INTERVAL: Duration = Duration::from_millis(3_000);
+
+/// Time without a link after which the gateway no longer relies on what it has learned from a hub.
+const MAX_ABSENCE: Duration = Duration::from_millis(1_500);
+
+/// The link to a hub of one service.
+#[derive(Debug)]
+pub(super) struct Link {
+    service: String,
+    /// What the hub knows of the servers.
+    pub(super) mirror: RefCell<Mirror>,
+    /// Wakes the link when requests wait, or no longer wait, for a model.
+    pub(super) demand_changed: Notify,
+    is_started: Cell<bool>,
+    is_up: Cell<bool>,
+    wants_engine: Cell<bool>,
+    wants_listing: Cell<bool>,
+    /// When hubs that could not be reached may be tried again.
+    cooldowns: RefCell<BTreeMap<SocketAddr, Time>>,
+}
+
+impl Link {
+    pub(super) fn new(service: &str) -> Self {
+        Self {
+            service: service.to_owned(),
+            mirror: RefCell::default(),
+            demand_changed: Notify::new(),
+            is_started: Cell::new(false),
+            is_up: Cell::new(false),
+            wants_engine: Cell::new(false),
+            wants_listing: Cell::new(false),
+            cooldowns: RefCell::default(),
+        }
+    }
+
+    /// Records that the link is maintained; returns false if it was before.
+    pub(super) fn start(&self) -> bool {
+        !self.is_started.replace(true)
+    }
+
+    /// Asks the hub for a newer list of servers. Returns false if there is no hub.
+    pub(super) fn request_listing(&self) -> bool {
+        if self.is_up.get() && !self.wants_listing.replace(true) {
+            self.demand_changed.notify_one();
+        }
+        self.is_up.get()
+    }
+
+    /// Returns the hubs in order of preference.
+    fn hubs(&self, state: &State) -> Vec<SocketAddr> {
+        let settings = state.settings.get();
+        let servers = state.follower.with_roster(|roster| {
+            hub::preferred(
+                roster.servers(),
+                &self.service,
+                &settings.instance,
+                &settings.failure_domain,
+                &settings.regions,
+            )
+        });
+        let hubs = servers.into_iter();
+        hubs.map(|server| SocketAddr::new(server.ip(), settings.peer_port))
+            .collect()
+    }
+
+    fn is_cooling_down(&self, hub: SocketAddr, now: Time) -> bool {
+        let cooldowns = self.cooldowns.borrow();
+        cooldowns.get(&hub).is_some_and(|until| now < *until)
+    }
+
+    /// Connects to the first of `hubs` that can be reached.
+    async fn connect(&self, hubs: &[SocketAddr]) -> Option<(SocketAddr, TcpStream)> {
+        for hub in hubs {
+            let now = Time::now();
+            if self.is_cooling_down(*hub, now) {
+                continue;
             }
-            if is_up || was_up {
-                let server = backend.server();
-                report::warn("loader_lost", &[("server", &server.id), ("error", &error)]);
-                state.residency_changed.notify_waiters();
+            match timeout(CONNECT_TIMEOUT, TcpStream::connect(hub)).await {
+                Ok(Ok(stream)) => return Some((*hub, stream)),
+                Ok(Err(error)) => log_unreachable(*hub, &error),
+                Err(elapsed) => log_unreachable(*hub, &elapsed.into()),
             }
-            was_up = is_up;
+            self.cooldowns.borrow_mut().insert(*hub, now + COOLDOWN);
         }
-        sleep(RECONNECT_DELAY).await;
+        None
     }
 }
 
-fn is_known(state: &State, backend: &Rc<Backend>) -> bool {
-    let id = backend.server().id.clone();
-    let known = state.fleet.get(&id);
-    known.is_some_and(|known| Rc::ptr_eq(&known, backend))
+fn log_unreachable(hub: SocketAddr, error: &io::Error) {
+    report::event(
+        log::Level::Debug,
+        "hub_unreachable",
+        &[("hub", &hub), ("error", error)],
+    );
 }
 
-fn is_engine(state: &State, backend: &Backend) -> bool {
-    let configuration = state.follower.configuration();
-    let server = backend.server();
-    let service = configuration.service(&server.service);
-    service.is_some_and(|service| service.engine.is_some())
+/// Maintains the link to a hub; never returns.
+pub(super) async fn maintain(state: Rc<State>, link: Rc<Link>) {
+    let mut last_up = Time::now();
+    let mut ready = None;
+    loop {
+        let connected = match ready.take() {
+            Some(connected) => Some(connected),
+            None => link.connect(&link.hubs(&state)).await,
+        };
+        let Some((hub, stream)) = connected else {
+            if Time::now() - last_up >= MAX_ABSENCE {
+                forget(&state, &link);
+            }
+            sleep(RETRY_DELAY).await;
+            continue;
+        };
+        report::info("hub_connected", &[("hub", &hub)]);
+        let result = tokio::select! {
+            result = exchange(&state, &link, stream) => result,
+            better = find_better(&state, &link, hub) => {
+                ready = Some(better);
+                Ok(())
+            }
+        };
+        link.is_up.set(false);
+        last_up = Time::now();
+        if let Err(error) = result {
+            report::warn("hub_lost", &[("hub", &hub), ("error", &error)]);
+            let until = last_up + COOLDOWN;
+            link.cooldowns.borrow_mut().insert(hub, until);
+            if error.kind() == io::ErrorKind::TimedOut {
+                state.fleet.mark_unresponsive(hub.ip());
+            }
+        }
+    }
 }
 
-/// Returns the address of the loader, which runs on the server's machine and listens on the same
-/// port on all machines.
-fn loader_addr(state: &State, backend: &Backend) -> SocketAddr {
-    let server = backend.server();
-    SocketAddr::new(server.address.ip(), state.settings.get().peer_port)
+/// Waits until a hub that is preferred to `current` can be reached, and connects to it.
+async fn find_better(state: &State, link: &Link, current: SocketAddr) -> (SocketAddr, TcpStream) {
+    loop {
+        sleep(RETURN_INTERVAL).await;
+        let settings = state.settings.get();
+        let is_near = state.fleet.failure_domain(current.ip()).as_deref()
+            == Some(settings.failure_domain.as_str());
+        let hubs = link.hubs(state);
+        let better = hubs.split(|hub| *hub == current).next().unwrap_or_default();
+        if !is_near && let Some(connected) = link.connect(better).await {
+            return connected;
+        }
+    }
 }
 
-async fn run(state: &State, backend: &Rc<Backend>, loader: SocketAddr) -> io::Error {
-    match exchange(state, backend, loader).await {
-        Ok(()) => io::Error::other("the server is no longer listed"),
-        Err(error) => error,
+/// Drops what was learned from a hub, because there is none.
+fn forget(state: &State, link: &Link) {
+    let known = std::mem::take(&mut *link.mirror.borrow_mut());
+    for id in known.states().keys() {
+        state.apply_state(id, None);
     }
 }
 
-async fn exchange(state: &State, backend: &Rc<Backend>, loader: SocketAddr) -> io::Result<()> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(loader)).await??;
+async fn exchange(state: &State, link: &Link, stream: TcpStream) -> io::Result<()> {
     http::configure(&stream)?;
-    let (reader, writer) = stream.into_split();
-    let mut reader = BufReader::with_capacity(1024, reader);
+    let (reader, mut writer) = stream.into_split();
+    link::write(&mut writer, &Hello::Gateway).await?;
+    let mut reader = BufReader::with_capacity(4096, reader);
     let read = async {
         loop {
-            let status: Status = timeout(RECEIVE_TIMEOUT, link::read(&mut reader)).await??;
-            apply_status(state, backend, status);
+            let update: Update = timeout(RECEIVE_TIMEOUT, link::read(&mut reader)).await??;
+            apply(state, link, update);
         }
     };
     tokio::select! {
         result = read => result,
-        result = write(state, backend, writer) => result,
+        result = send_demand(state, link, writer) => result,
     }
 }
 
-async fn write(state: &State, backend: &Rc<Backend>, mut writer: OwnedWriteHalf) -> io::Result<()> {
+async fn send_demand(state: &State, link: &Link, mut writer: OwnedWriteHalf) -> io::Result<()> {
     let mut last_sent = 0;
-    while is_known(state, backend) {
-        let service = backend.server().service.clone();
-        let wants_engine = backend.wants_engine.take();
-        let engine = wants_engine.then(|| state.engine_description(&service));
+    for backend in state.fleet.of_service(&link.service).iter() {
+        backend.is_demand_changed.set(true);
+    }
+    loop {
+        let engine = link
+            .wants_engine
+            .take()
+            .then(|| state.engine_description(&link.service));
+        let backends = state.fleet.of_service(&link.service);
+        let changed = backends
+            .iter()
+            .filter(|backend| backend.is_demand_changed.take());
         let demand = Demand {
+            servers: changed.map(|backend| backend.demand()).collect(),
             rates: state.rates.since(last_sent, Time::now()),
-            loads: state.fleet.loads(),
-            engine_version: state.engine_version(&service),
+            engine_version: state.engine_version(&link.service),
             engine: engine.flatten(),
-            ..backend.demand()
+            wants_listing: link.wants_listing.take(),
         };
         last_sent = state.rates.newest();
         link::write(&mut writer, &demand).await?;
         sleep(BATCH_DELAY).await;
         // A change of the demand ends the wait.
-        let _ = timeout(HEARTBEAT_INTERVAL, backend.demand_changed.notified()).await;
+        let _ = timeout(HEARTBEAT_INTERVAL, link.demand_changed.notified()).await;
     }
-    Ok(())
 }
 
-fn apply_status(state: &State, backend: &Backend, status: Status) {
-    backend.record_workload(status.workload, Time::now());
-    if status.wants_engine {
-        backend.wants_engine.set(true);
-        backend.demand_changed.notify_one();
+fn apply(state: &State, link: &Link, update: Update) {
+    link.is_up.set(true);
+    if update.wants_engine && !link.wants_engine.replace(true) {
+        link.demand_changed.notify_one();
+    }
+    let mut changed: Vec<_> = update
+        .servers
+        .iter()
+        .map(|state| state.holdings.server.clone())
+        .chain(update.removed.iter().cloned())
+        .collect();
+    if update.is_full {
+        changed.extend(link.mirror.borrow().states().keys().cloned());
+    }
+    let listing = link.mirror.borrow_mut().apply(update, Time::now());
+    for id in changed {
+        state.apply_state(&id, link.mirror.borrow().state(&id));
+    }
+    if let Some(listing) = listing {
+        state.follower.feed(listing);
     }
-    let Some(holdings) = status.holdings else {
-        return;
-    };
-    // A loader that does not know its server yet, or belongs to another server, reports nothing
-    // about this one.
-    let is_own = holdings.server == backend.server().id;
-    backend.set_unresponsive(is_own && !holdings.is_responsive);
-    if is_own && holdings.is_leaving && holdings.started_ms == backend.server().started_ms {
-        backend.mark_leaving();
-    }
-    *backend.holdings.borrow_mut() = is_own.then_some(holdings);
-    state.residency_changed.notify_waiters();
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod server;
 mod state;
 mod verdict;
+mod waiters;
 
 pub use events::Events;
 pub use message::{
@@ -61,11 +62,6 @@
 use server::Server;
 use state::State;
 
-/// Poll period of the server list, as a fraction of the time for which a server keeps serving after
-/// it has announced that it leaves. It is below 1 so that the gateway reads the list again before
-/// the server stops serving.
-const SERVER_POLL_FRACTION: f64 = 0.4;
-
 /// Time reserved, before all bounds must hold again after a disruption, to time out and repeat a
 /// read of the configuration that got no response.
 const CONFIGURATION_MARGIN: Duration = Duration::from_millis(1_000);
@@ -120,6 +116,6 @@
         .saturating_sub(CONFIGURATION_MARGIN);
     Periods {
         configuration: Some(wait.max(MIN_CONFIGURATION_TIMEOUT)),
-        servers: settings.server_drain().mul_f64(SERVER_POLL_FRACTION),
+        servers: settings.max_listing_age(),
     }
 }
--- a/src/gateway/pick.rs
+++ b/src/gateway/pick.rs
@@ -6,8 +6,6 @@
     time::Duration, //
 };
 
-use tokio::time::timeout;
-
 use super::{
     backend::{
         Backend,
@@ -69,11 +67,9 @@
             return Ok(backend);
         }
         // A change of the models that servers hold ends the wait.
-        let _ = timeout(
-            POLL_INTERVAL.min(remaining),
-            state.residency_changed.notified(),
-        )
-        .await;
+        let model = job.model().map(|name| name.model.as_str());
+        let max_wait = POLL_INTERVAL.min(remaining);
+        state.waiters.wait(model, max_wait).await;
     }
 }
 
@@ -117,16 +113,22 @@
 
     /// Returns the servers that could run the request now.
     fn eligible(&self, engine: Option<&Engine>, now: Time) -> Vec<Rc<Backend>> {
-        let backends = self.state.fleet.of_service(&self.job.service).into_iter();
-        let usable = backends.filter(|backend| {
+        let service = &self.job.service;
+        let is_eligible = |backend: &Rc<Backend>| {
             self.progress.may_send_to(&backend.server().id, now) && backend.is_usable(now)
-        });
-        usable
-            .filter(|backend| match (engine, self.job.model()) {
-                (Some(_), Some(name)) => backend.replica(&name.model, |_| ()).is_some(),
-                _ => true,
-            })
-            .collect()
+        };
+        match (engine, self.job.model()) {
+            (Some(_), Some(name)) => {
+                let holders = self.state.fleet.holders(service, &name.model).into_iter();
+                let holders = holders.filter(|b| b.replica(&name.model, |_| ()).is_some());
+                holders.filter(is_eligible).collect()
+            }
+            _ => {
+                let backends = self.state.fleet.of_service(service);
+                let eligible = backends.iter().filter(|backend| is_eligible(backend));
+                eligible.cloned().collect()
+            }
+        }
     }
 
     fn request_load(&mut self, backend: &Rc<Backend>) {
@@ -159,7 +161,7 @@
             Decision::NoLoader
                 if now - self.started < RECOVERY_TIMEOUT && remaining > RECOVERY_TIMEOUT =>
             {
-                self.state.follower.refresh_servers();
+                self.state.refresh_servers();
                 Ok(())
             }
             Decision::NoLoader => {
@@ -184,7 +186,7 @@
         if now - self.started >= max_wait {
             return Err(self.progress.final_failure("no server takes requests"));
         }
-        self.state.follower.refresh_servers();
+        self.state.refresh_servers();
         Ok(())
     }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -9,15 +9,14 @@
     rc::Rc,
 };
 
-use tokio::sync::{
-    Notify,
-    watch, //
-};
+use tokio::sync::watch;
 
 use super::{
     engines::EngineVersions,
     fleet::Fleet,
-    rates::Rates, //
+    link::Link,
+    rates::Rates,
+    waiters::Waiters, //
 };
 use crate::{
     dispatch::{
@@ -27,7 +26,8 @@
     hosted::Live,
     link::{
         EngineDescription,
-        EngineVersion, //
+        EngineVersion,
+        ServerState, //
     },
     metrics::Metrics,
     timer::Time,
@@ -43,8 +43,10 @@
     pub(super) metrics: Rc<Metrics>,
     /// Traffic of each model at this gateway.
     pub(super) rates: Rc<Rates>,
-    /// Wakes requests that wait for a model, when the models that servers hold change.
-    pub(super) residency_changed: Notify,
+    /// Wakes requests that wait for a server.
+    pub(super) waiters: Waiters,
+    /// Links to hubs by service.
+    links: RefCell<BTreeMap<String, Rc<Link>>>,
     /// Becomes true when the gateway begins to stop.
     pub(super) stopping: watch::Sender<bool>,
     budgets: RefCell<BTreeMap<String, Budget>>,
@@ -62,7 +64,8 @@
             follower,
             fleet: Fleet::default(),
             metrics,
-            residency_changed: Notify::new(),
+            waiters: Waiters::default(),
+            links: RefCell::default(),
             stopping: watch::Sender::new(false),
             budgets: RefCell::default(),
             rates: Rc::default(),
@@ -72,6 +75,36 @@
         }
     }
 
+    /// Returns the link of a service to its hubs.
+    pub(super) fn link(&self, service: &str) -> Rc<Link> {
+        let mut links = self.links.borrow_mut();
+        let link = links.entry(service.to_owned());
+        link.or_insert_with(|| Rc::new(Link::new(service))).clone()
+    }
+
+    /// Asks for a newer list of servers, on signs that it has changed: a hub if there is one, else
+    /// the store.
+    pub(super) fn refresh_servers(&self) {
+        let links = self.links.borrow();
+        let mut links = links.values();
+        if !links.any(|link| link.request_listing()) {
+            self.follower.refresh_servers();
+        }
+    }
+
+    /// Replaces what is known of a server from its loader and wakes the requests that this
+    /// concerns.
+    pub(super) fn apply_state(&self, id: &str, known: Option<&ServerState>) {
+        let Some(backend) = self.fleet.get(id) else {
+            return;
+        };
+        let models = backend.apply_state(known, Time::now());
+        self.fleet.index(&backend);
+        for model in models {
+            self.waiters.wake(&model);
+        }
+    }
+
     /// Returns whether the load balancer may send clients to this gateway.
     pub(super) fn is_ready(&self) -> bool {
         !self.is_stopping() && self.follower.is_synced()
--- a/src/hosted/settings.rs
+++ b/src/hosted/settings.rs
@@ -135,6 +135,22 @@
         millis(self.server_drain_ms)
     }
 
+    /// Returns the interval at which a process that reads the list of servers for others does so.
+    pub(crate) fn listing_interval(&self) -> Duration {
+        /// Fraction of the time for which a server keeps serving after it has announced that it
+        /// leaves. It is below 1 so that the list is read again before the server stops serving.
+        const INTERVAL_FRACTION: f64 = 0.4;
+        self.server_drain().mul_f64(INTERVAL_FRACTION)
+    }
+
+    /// Returns the age of the list of servers at which a process reads it itself, because it gets
+    /// none from a hub.
+    pub(crate) fn max_listing_age(&self) -> Duration {
+        /// Time for a list to arrive that another process has read.
+        const DELIVERY_TIME: Duration = Duration::from_millis(400);
+        self.listing_interval() + DELIVERY_TIME
+    }
+
     /// Returns the time from the end of a disruption until all bounds hold again.
     pub(crate) fn settled_after(&self) -> Duration {
         millis(self.settled_after_ms)
--- a/src/loader/description.rs
+++ b/src/hub/description.rs
@@ -1,4 +1,4 @@
-//! The description of the engine, which the loader gets from gateways.
+//! The description of the engine, which hubs get from gateways and loaders from hubs.
 
 use std::{
     rc::Rc,
@@ -20,14 +20,15 @@
 /// The newest description of the engine and the pending request for a newer one.
 ///
 /// Gateways follow the configuration. They announce their version of the description and send the
-/// description itself on request. The loader asks one gateway at a time: the configuration is
-/// large, and every copy sent to another region delays the responses on the same link.
+/// description itself on request. A hub asks one gateway at a time: the configuration is large, and
+/// every copy sent to another region delays the responses on the same link. Loaders ask hubs in the
+/// same way.
 ///
 /// # Examples
 ///
 /// ```
 /// use chestnuthub::link::EngineVersion;
-/// use chestnuthub::loader::Description;
+/// use chestnuthub::hub::Description;
 /// use chestnuthub::timer::Time;
 ///
 /// let version = EngineVersion { configuration: 3, digest: 7 };
@@ -88,6 +89,20 @@
             .is_some_and(|(requested, _)| requested == gateway)
     }
 
+    /// Returns the version of the description, if a gateway has sent it.
+    pub(crate) fn version(&self) -> Option<EngineVersion> {
+        self.known.as_ref().map(|(version, _)| *version)
+    }
+
+    /// Returns the description with its version, if a gateway has sent it.
+    pub(crate) fn description(&self) -> Option<EngineDescription> {
+        let (version, engine) = self.known.as_ref()?;
+        Some(EngineDescription {
+            version: *version,
+            engine: engine.as_ref().clone(),
+        })
+    }
+
     /// Returns the engine's properties, if a gateway has sent them.
     pub fn engine(&self) -> Option<Rc<Engine>> {
         self.known.as_ref().map(|(_, engine)| engine.clone())
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod gateway;
 pub mod gossip;
 pub mod hosted;
+pub mod hub;
 pub mod id;
 pub mod link;
 pub mod loader;
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -14,7 +14,8 @@
 use crate::deployment::{
     Copies,
     Engine,
-    Replica, //
+    Replica,
+    Server, //
 };
 
 /// Time constant in seconds with which the request rate of a model decays.
@@ -47,22 +48,112 @@
     pub priority: u8,
 }
 
-/// Message of a gateway to the loader of a server: what its requests need there, and its traffic.
+/// What the requests of one gateway, or of several, need at a server.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct Demand {
-    /// Models and adapters that its requests at the server use.
+pub struct ServerDemand {
+    /// Id of the server.
+    pub server: String,
+    /// Models and adapters that requests at the server use.
     pub usage: Vec<Usage>,
-    /// Models and adapters that its requests wait for at the server.
+    /// Models and adapters that requests wait for at the server.
     #[serde(rename = "wishes")]
     pub backlogs: Vec<Backlog>,
+}
+
+/// First message on a connection to a hub: what the sender is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Hello {
+    /// A gateway, which sends [`Demand`] and receives [`Update`].
+    Gateway,
+    /// A loader, which sends [`Status`] and receives [`Needs`].
+    Loader,
+    /// A hub that checks whether the receiver responds, which receives one empty [`Needs`].
+    Probe,
+}
+
+/// Message of a gateway to a hub: what its requests need at servers, and its traffic.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Demand {
+    /// Demand at each server for which it changed since the previous message.
+    pub servers: Vec<ServerDemand>,
     /// Traffic of each model for which it changed since the previous message.
     pub rates: Vec<Traffic>,
-    /// Loads in progress on all servers.
-    pub loads: Vec<Loading>,
-    /// Version of the engine description that the gateway has for the server.
+    /// Version of the engine description that the gateway has.
     pub engine_version: Option<EngineVersion>,
-    /// That description, if the loader has requested it.
+    /// That description, if the hub has requested it.
     pub engine: Option<EngineDescription>,
+    /// Whether there are signs that the list of servers has changed.
+    pub wants_listing: bool,
+}
+
+/// Message of a hub to a loader: what the requests of the hub's gateways need.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Needs {
+    /// Models and adapters that requests at the loader's server use.
+    pub(crate) usage: Vec<Usage>,
+    /// Models and adapters that requests wait for at the loader's server.
+    pub(crate) backlogs: Vec<Backlog>,
+    /// Traffic of each model for which it changed since the previous message that had rates, summed
+    /// over the hub's gateways.
+    pub(crate) rates: Vec<Traffic>,
+    /// Number of gateways connected to the hub.
+    pub(crate) gateways: u32,
+    /// Version of the engine description that the hub has.
+    pub(crate) engine_version: Option<EngineVersion>,
+    /// That description, if the loader has requested it.
+    pub(crate) engine: Option<EngineDescription>,
+    /// Changes of the servers, if the loader follows them at this hub.
+    pub(crate) update: Option<Update>,
+}
+
+/// Whether a hub is in contact with the loader of a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Contact {
+    /// The loader is connected.
+    Connected,
+    /// The loader closed its connection; its machine may still be up.
+    Lost,
+    /// The loader's machine does not respond.
+    Silent,
+}
+
+/// What a hub knows of a server from its loader.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ServerState {
+    /// The models that the server holds. The copies of weights are left empty.
+    pub holdings: Holdings,
+    /// Copies of weights, if they changed.
+    pub copies: Option<Copies>,
+    /// The workload of the server.
+    pub workload: Workload,
+    /// Whether the loader is connected.
+    pub contact: Contact,
+}
+
+/// The list of servers in the store, as changes.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Listing {
+    /// Time since the list was read from the store, in ms.
+    pub age_ms: u32,
+    /// Descriptions that have changed.
+    pub servers: Vec<Server>,
+    /// Ids of servers that are no longer listed.
+    pub removed: Vec<String>,
+}
+
+/// Changes of the servers since the previous update on the connection.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Update {
+    /// Whether this is the first update, which contains everything.
+    pub is_full: bool,
+    /// States that have changed.
+    pub servers: Vec<ServerState>,
+    /// Ids of servers whose loaders the hub no longer knows.
+    pub removed: Vec<String>,
+    /// The list of servers, if it was read again.
+    pub listing: Option<Listing>,
+    /// Whether the hub requests the gateway's description of the engine.
+    pub wants_engine: bool,
 }
 
 /// Version of an engine description.
@@ -98,15 +189,6 @@
     pub engine: Engine,
 }
 
-/// A load in progress.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Loading {
-    /// Id of the server.
-    pub server: String,
-    /// The order that loads the model.
-    pub order: CurrentOrder,
-}
-
 /// Traffic of a model at a gateway.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Traffic {
@@ -207,22 +289,24 @@
 
 /// The workload of a server.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Workload {
+pub struct Workload {
     /// Number of running requests.
-    pub(crate) running: u32,
+    pub running: u32,
     /// Number of requests that wait for a slot.
-    pub(crate) queued: u32,
-    /// Number of gateways connected to the loader.
-    pub(crate) gateways: u32,
+    pub queued: u32,
+    /// Number of gateways that the loader knows of through hubs.
+    pub gateways: u32,
 }
 
-/// Message of a loader to a gateway.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub(crate) struct Status {
+/// Message of a loader to a hub.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Status {
     /// The workload of the server.
-    pub(crate) workload: Workload,
+    pub workload: Workload,
     /// The models and weights that the server holds, if they changed since the previous message.
-    pub(crate) holdings: Option<Holdings>,
-    /// Whether the loader requests the gateway's description of the engine.
-    pub(crate) wants_engine: bool,
+    pub holdings: Option<Holdings>,
+    /// Whether the loader follows the servers at this hub.
+    pub is_observer: bool,
+    /// Whether the loader requests the hub's description of the engine.
+    pub wants_engine: bool,
 }
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -1,8 +1,8 @@
-//! Messages between gateways and loaders: the demand at a gateway, and the models that a server
-//! holds.
+//! Messages between gateways, loaders and hubs: the demand at gateways, and the models that servers
+//! hold.
 //!
-//! Each message replaces the previous one of the same sender, so the next message makes up for a
-//! lost one.
+//! The first message on a connection contains everything, the next ones what has changed. Nothing
+//! is lost with a connection: the next one begins with everything again.
 
 mod codec;
 mod message;
@@ -13,18 +13,24 @@
 };
 pub use message::{
     Backlog,
+    Contact,
     CurrentOrder,
     Demand,
     EngineDescription,
     EngineVersion,
     Holdings,
-    Loading,
+    Listing,
+    ServerDemand,
+    ServerState,
+    Status,
     Traffic,
-    Usage, //
+    Update,
+    Usage,
+    Workload, //
 };
 pub(crate) use message::{
+    Hello,
+    Needs,
     RATE_TIME_CONSTANT_S,
-    RECENT_TIME_CONSTANT_S,
-    Status,
-    Workload, //
+    RECENT_TIME_CONSTANT_S, //
 };
--- a/src/loader/driver.rs
+++ b/src/loader/driver.rs
@@ -38,6 +38,7 @@
         Backlog,
         CurrentOrder as LinkOrder,
         Holdings,
+        ServerState,
         Workload, //
     },
     metrics::Metrics,
@@ -83,7 +84,6 @@
 ) {
     let mut driver = Driver {
         engine: Engine::new(engine, &settings.get().instance),
-        address: engine,
         settings,
         state,
         metrics,
@@ -118,7 +118,6 @@
 
 struct Driver {
     engine: Engine,
-    address: SocketAddr,
     settings: Rc<Live>,
     state: Rc<State>,
     metrics: Rc<Metrics>,
@@ -169,7 +168,7 @@
         self.unanswered
             .retain(|order| now - order.sent < MAX_ORDER_DELAY);
         self.record_adapter_use(now);
-        let server = self.server();
+        let server = self.state.server();
         self.publish(server.as_ref(), now);
         let backlogs = self.state.backlogs();
         let Some(server) = server else { return false };
@@ -184,20 +183,10 @@
 
     /// Returns whether the roster lists a later start of the engine than its latest report.
     fn has_restarted(&self) -> bool {
-        let server = self.server();
+        let server = self.state.server();
         server.is_some_and(|server| server.started_ms > self.report.started_ms)
     }
 
-    /// Returns the roster's entry of the engine, which contains the engine's id.
-    fn server(&self) -> Option<Server> {
-        self.state.follower.with_roster(|roster| {
-            let servers = roster.servers().values();
-            // Of two entries with the same address, the one with the later start is current.
-            let at_address = servers.filter(|server| server.address == self.address);
-            at_address.max_by_key(|server| server.started_ms).cloned()
-        })
-    }
-
     fn record_adapter_use(&mut self, now: Time) {
         let uses = &mut self.adapter_use;
         self.state.for_each_usage(|model, adapter, _| {
@@ -210,7 +199,9 @@
     /// Reports to gateways that the engine does not respond, long before its roster entry expires.
     fn publish_unresponsive(&self) {
         // The server's id may have become known only after the last report.
-        let Some(server) = self.server() else { return };
+        let Some(server) = self.state.server() else {
+            return;
+        };
         let holdings = self.state.holdings.borrow().clone();
         if holdings.is_responsive || holdings.server != server.id {
             report::warn("engine_silent", &[("server", &server.id)]);
@@ -265,12 +256,20 @@
             return None;
         }
         let engine = self.state.engine()?;
+        let store_limit = self.store_limit(&engine, server, now);
+        let is_settled = now - self.last_join >= SETTLING_TIME;
+        let may_load_spare = now >= self.next_spare && is_settled && !self.report.is_busy;
+        // A busy engine takes orders for adapters only.
+        let mut backlogs_to_serve = backlogs.iter();
+        let may_serve_backlog =
+            backlogs_to_serve.any(|backlog| !self.report.is_busy || backlog.adapter.is_some());
+        if !may_serve_backlog && !may_load_spare {
+            return None;
+        }
         let pool = self.pool(&engine, server, backlogs);
         let host = pool.hosts.iter().position(|host| host.id == server.id)?;
-        let store_limit = self.store_limit(&engine, server, now);
         let may_use_store = self.limiter.allows(now, &store_limit);
-        let is_settled = now - self.last_join >= SETTLING_TIME;
-        if !is_settled {
+        if !is_settled && self.state.observed.get().is_none() {
             self.state.follower.refresh_servers();
         }
         let planner = Planner {
@@ -281,8 +280,11 @@
             adapter_use: &self.adapter_use,
             unanswered: &self.unanswered,
             may_use_store,
-            may_load_spare: now >= self.next_spare && is_settled,
+            may_load_spare,
         };
+        if may_load_spare {
+            self.next_spare = now + IDLE_POLL_INTERVAL;
+        }
         let order = plan(&planner)?;
         let from_store = order.operation == Operation::Load
             && order.adapter.is_none()
@@ -322,7 +324,6 @@
         server: &Server,
         backlogs: &[Backlog],
     ) -> Pool<'a> {
-        let loads = self.state.loads_in_progress();
         let hosts = self.state.follower.with_roster(|roster| {
             let servers = roster.servers().values();
             let peers = servers.filter(|other| {
@@ -330,15 +331,7 @@
             });
             let mut hosts: Vec<_> = peers
                 .filter(|other| other.id != server.id)
-                .map(|other| {
-                    let mut other = host(&other.id, &other.replicas, &other.copies);
-                    other.current_order = loads.get(&other.id).map(|order| CurrentOrder {
-                        model: order.model.clone(),
-                        is_load: order.is_load,
-                        remaining_ms: f64::from(order.remaining_ms),
-                    });
-                    other
-                })
+                .map(|other| self.peer_host(other))
                 .collect();
             hosts.push(self.own_host(engine, server, backlogs));
             hosts
@@ -350,6 +343,24 @@
         }
     }
 
+    /// Returns the placement view of another server: as its loader describes it if that is known,
+    /// else as the list of servers does.
+    fn peer_host(&self, server: &Server) -> Host {
+        let host_of_state = |state: &ServerState| {
+            let holdings = &state.holdings;
+            let mut host = host(&server.id, &holdings.replicas, &holdings.copies);
+            let order = holdings.current_order.as_ref();
+            host.current_order = order.map(|order| CurrentOrder {
+                model: order.model.clone(),
+                is_load: order.is_load,
+                remaining_ms: f64::from(order.remaining_ms),
+            });
+            host
+        };
+        let known = self.state.with_state(&server.id, host_of_state);
+        known.unwrap_or_else(|| host(&server.id, &server.replicas, &server.copies))
+    }
+
     fn own_host(&self, engine: &deployment::Engine, server: &Server, backlogs: &[Backlog]) -> Host {
         let mut own = host(&server.id, &self.report.replicas, &self.report.copies);
         self.state.for_each_usage(|model, _, in_flight| {
--- a/src/loader/mod.rs
+++ b/src/loader/mod.rs
@@ -1,16 +1,14 @@
 //! The loader: the daemon beside a model engine that sends it all its orders to load and unload
 //! models, according to the demand that gateways report.
 
-mod description;
 mod driver;
 mod engine;
 mod limiter;
 mod order;
 mod plan;
-mod port;
 mod state;
+mod uplink;
 
-pub use description::Description;
 pub use limiter::{
     Limit,
     Limiter, //
@@ -29,8 +27,7 @@
 
 use std::{
     net::SocketAddr,
-    rc::Rc,
-    time::Duration, //
+    rc::Rc, //
 };
 
 use crate::{
@@ -38,6 +35,10 @@
         Live,
         Signals, //
     },
+    hub::{
+        self,
+        Hub, //
+    },
     metrics::Metrics,
     platform::store::Store,
     report,
@@ -48,12 +49,6 @@
 };
 use state::State;
 
-/// Poll intervals for the store.
-const PERIODS: Periods = Periods {
-    configuration: None,
-    servers: Duration::from_secs(2),
-};
-
 /// Runs a loader until it gets a signal to stop.
 pub(crate) async fn run(
     live: Rc<Live>,
@@ -63,10 +58,20 @@
 ) {
     let settings = live.get();
     let store = Store::new(settings.store_addr);
-    let follower = Rc::new(Follower::new(store, PERIODS));
-    let state = Rc::new(State::new(follower.clone()));
+    let periods = Periods {
+        configuration: None,
+        servers: settings.max_listing_age(),
+    };
+    let follower = Rc::new(Follower::new(store, periods));
+    let state = Rc::new(State::new(live.clone(), engine, follower.clone()));
+    let hub = Rc::new(Hub::new(
+        follower.clone(),
+        state.description.clone(),
+        engine,
+    ));
     tokio::task::spawn_local(async move { follower.follow_servers().await });
-    tokio::task::spawn_local(port::serve(settings.peer_addr(), state.clone()));
+    tokio::task::spawn_local(hub::serve(settings.peer_addr(), hub));
+    tokio::task::spawn_local(uplink::maintain(state.clone()));
     tokio::task::spawn_local(driver::run(live, engine, state, metrics));
     signals.wait_for_stop().await;
     report::info("stopping", &[]);
--- a/src/loader/plan.rs
+++ b/src/loader/plan.rs
@@ -72,8 +72,8 @@
     if adapter.is_some() || is_busy {
         return adapter;
     }
-    let spare = planner.pool.spare_replica(planner.host);
-    let spare = spare.filter(|_| planner.may_load_spare);
+    let may_load_spare = planner.may_load_spare.then_some(());
+    let spare = may_load_spare.and_then(|()| planner.pool.spare_replica(planner.host));
     if let Some((model, gain_ms)) = spare
         && gain_ms > planner.waiting_cost_ms()
         && let Some(order) = planner.load_order(model)
--- a/src/loader/state.rs
+++ b/src/loader/state.rs
@@ -6,6 +6,7 @@
         RefCell, //
     },
     collections::BTreeMap,
+    net::SocketAddr,
     rc::Rc,
 };
 
@@ -14,108 +15,132 @@
     watch, //
 };
 
-use super::Description;
 use crate::{
-    deployment::Engine,
+    deployment::{
+        Engine,
+        Server, //
+    },
+    hosted::Live,
+    hub::Description,
     link::{
         Backlog,
-        CurrentOrder,
-        Demand,
         EngineDescription,
         Holdings,
+        Needs,
+        ServerState,
         Traffic,
         Workload, //
     },
     placement::Rate,
     report,
     timer::Time,
-    watch::Follower,
+    watch::{
+        Follower,
+        Mirror, //
+    },
 };
 
-/// Traffic of the models at one gateway, with the time of each report.
+/// Traffic of the models at the gateways of one hub, with the time of each report.
 type Rates = BTreeMap<String, (Traffic, Time)>;
 
 /// State shared by the tasks of a loader.
 #[derive(Debug)]
 pub(super) struct State {
+    pub(super) settings: Rc<Live>,
+    /// Address of the engine.
+    pub(super) engine_addr: SocketAddr,
     pub(super) follower: Rc<Follower>,
-    /// Latest demand of each gateway, by connection.
-    demands: RefCell<BTreeMap<u64, Demand>>,
-    /// Traffic at each gateway, by connection.
+    /// Latest message of each hub, by connection.
+    needs: RefCell<BTreeMap<u64, Needs>>,
+    /// Traffic at the gateways of each hub, by connection.
     rates: RefCell<BTreeMap<u64, Rates>>,
-    engine_description: RefCell<Description>,
-    /// Wakes the tasks that send to gateways when a gateway is to be asked for the description of
-    /// the engine.
-    pub(super) description_request: watch::Sender<()>,
+    /// The description of the engine, which the hub in this process uses as well.
+    pub(super) description: Rc<RefCell<Description>>,
     next_connection: Cell<u64>,
+    /// The hub at which the loader follows the other servers.
+    pub(super) observed: Cell<Option<SocketAddr>>,
+    /// Servers as that hub describes them.
+    pub(super) mirror: RefCell<Mirror>,
     /// Ends the driver's pause between polls.
     pub(super) wake: Notify,
-    /// Models and weights that the server holds, as reported to gateways.
+    /// Models and weights that the server holds, as reported to hubs.
     pub(super) holdings: watch::Sender<Rc<Holdings>>,
-    /// Workload of the server, as reported to gateways.
+    /// Workload of the server, as reported to hubs.
     pub(super) workload: watch::Sender<Workload>,
 }
 
 impl State {
-    pub(super) fn new(follower: Rc<Follower>) -> Self {
+    pub(super) fn new(settings: Rc<Live>, engine_addr: SocketAddr, follower: Rc<Follower>) -> Self {
         Self {
+            settings,
+            engine_addr,
             follower,
-            demands: RefCell::default(),
+            needs: RefCell::default(),
             rates: RefCell::default(),
-            engine_description: RefCell::default(),
-            description_request: watch::Sender::new(()),
+            description: Rc::default(),
             next_connection: Cell::new(0),
+            observed: Cell::new(None),
+            mirror: RefCell::default(),
             wake: Notify::new(),
             holdings: watch::Sender::new(Rc::new(Holdings::default())),
             workload: watch::Sender::new(Workload::default()),
         }
     }
 
-    /// Adds a gateway and returns the key of its connection.
+    /// Returns the roster's entry of the engine, which contains the engine's id.
+    pub(super) fn server(&self) -> Option<Server> {
+        self.follower.with_roster(|roster| {
+            let servers = roster.servers().values();
+            // Of two entries with the same address, the one with the later start is current.
+            let at_address = servers.filter(|server| server.address == self.engine_addr);
+            at_address.max_by_key(|server| server.started_ms).cloned()
+        })
+    }
+
+    /// Adds a connection to a hub and returns its key.
     pub(super) fn connect(&self) -> u64 {
         let connection = self.next_connection.get();
         self.next_connection.set(connection + 1);
-        self.demands
-            .borrow_mut()
-            .insert(connection, Demand::default());
         connection
     }
 
-    /// Replaces the demand of a gateway. Its `rates` update only the models they contain.
-    pub(super) fn set_demand(&self, connection: u64, mut demand: Demand) {
+    /// Replaces the needs that a hub reported. Their rates update only the models they contain.
+    pub(super) fn set_needs(&self, connection: u64, mut needs: Needs) {
         let now = Time::now();
-        let is_urgent = !demand.backlogs.is_empty();
+        let is_urgent = !needs.backlogs.is_empty();
         let mut rates = self.rates.borrow_mut();
         let rates = rates.entry(connection).or_default();
-        for traffic in demand.rates.drain(..) {
+        for traffic in needs.rates.drain(..) {
             rates.insert(traffic.model.clone(), (traffic, now));
         }
-        if let Some(description) = demand.engine.take() {
-            self.set_engine_description(description);
-        } else if let Some(version) = demand.engine_version
-            && self
-                .engine_description
-                .borrow_mut()
-                .offer(connection, version, now)
+        if let Some(update) = needs.update.take()
+            && let Some(listing) = self.mirror.borrow_mut().apply(update, now)
         {
-            self.description_request.send_replace(());
+            self.follower.feed(listing);
+        }
+        if let Some(description) = needs.engine.take() {
+            self.set_description(description);
+        } else if let Some(version) = needs.engine_version {
+            self.description
+                .borrow_mut()
+                .offer(connection | HUB_CONNECTION, version, now);
         }
-        self.demands.borrow_mut().insert(connection, demand);
+        self.needs.borrow_mut().insert(connection, needs);
         if is_urgent {
             self.wake.notify_one();
         }
     }
 
-    /// Removes a gateway whose connection was closed.
+    /// Removes a hub whose connection has ended.
     pub(super) fn disconnect(&self, connection: u64) {
-        self.demands.borrow_mut().remove(&connection);
+        self.needs.borrow_mut().remove(&connection);
         self.rates.borrow_mut().remove(&connection);
-        self.engine_description
+        self.description
             .borrow_mut()
-            .remove_gateway(connection);
+            .remove_gateway(connection | HUB_CONNECTION);
     }
 
-    fn set_engine_description(&self, description: EngineDescription) {
+    fn set_description(&self, description: EngineDescription) {
         report::info(
             "engine_described",
             &[
@@ -123,31 +148,36 @@
                 ("models", &description.engine.models.len()),
             ],
         );
-        self.engine_description.borrow_mut().update(description);
+        self.description.borrow_mut().update(description);
         self.wake.notify_one();
     }
 
-    /// Returns whether a request for the description of the engine to this gateway is pending.
+    /// Returns whether a request for the description of the engine to this hub is pending.
     pub(super) fn wants_engine(&self, connection: u64) -> bool {
-        self.engine_description.borrow().is_requested(connection)
+        let description = self.description.borrow();
+        description.is_requested(connection | HUB_CONNECTION)
     }
 
-    /// Returns the engine's properties, if a gateway has sent them.
+    /// Returns the engine's properties, if they are known.
     pub(super) fn engine(&self) -> Option<Rc<Engine>> {
-        self.engine_description.borrow().engine()
+        self.description.borrow().engine()
     }
 
-    /// Returns the number of connected gateways.
+    /// Returns the number of gateways connected to the hubs.
     pub(super) fn gateways(&self) -> u32 {
-        self.demands.borrow().len() as u32
+        self.needs
+            .borrow()
+            .values()
+            .map(|needs| needs.gateways)
+            .sum()
     }
 
     /// Returns the models and adapters that requests wait for at any gateway, the most urgent
     /// first.
     pub(super) fn backlogs(&self) -> Vec<Backlog> {
-        let demands = self.demands.borrow();
+        let needs = self.needs.borrow();
         let mut merged: Vec<Backlog> = Vec::new();
-        for backlog in demands.values().flat_map(|demand| &demand.backlogs) {
+        for backlog in needs.values().flat_map(|needs| &needs.backlogs) {
             let is_same = |other: &&mut Backlog| {
                 other.model == backlog.model && other.adapter == backlog.adapter
             };
@@ -178,20 +208,24 @@
         rates
     }
 
-    /// Returns the loads in progress at all servers, by server id, as gateways report them.
-    pub(super) fn loads_in_progress(&self) -> BTreeMap<String, CurrentOrder> {
-        let demands = self.demands.borrow();
-        let loads = demands.values().flat_map(|demand| &demand.loads);
-        loads
-            .map(|load| (load.server.clone(), load.order.clone()))
-            .collect()
+    /// Calls `read` with the state of another server, if the observed hub has it from its loader.
+    pub(super) fn with_state<T>(
+        &self,
+        id: &str,
+        read: impl FnOnce(&ServerState) -> T,
+    ) -> Option<T> {
+        self.mirror.borrow().state(id).map(read)
     }
 
     /// Calls `visit` with each model in use, its adapter if one is used, and the number of requests
     /// in flight.
     pub(super) fn for_each_usage(&self, mut visit: impl FnMut(&str, Option<&str>, u32)) {
-        for usage in self.demands.borrow().values().flat_map(|d| &d.usage) {
+        for usage in self.needs.borrow().values().flat_map(|n| &n.usage) {
             visit(&usage.model, usage.adapter.as_deref(), usage.in_flight);
         }
     }
 }
+
+/// Distinguishes connections to hubs from connections of gateways to the hub in this process: both
+/// are asked for the description of the engine.
+const HUB_CONNECTION: u64 = 1 << 63;
--- a/src/placement/eviction.rs
+++ b/src/placement/eviction.rs
@@ -2,7 +2,8 @@
 
 use super::{
     Pool,
-    UNLOAD_DELAY_MS, //
+    UNLOAD_DELAY_MS,
+    index::Index, //
 };
 
 /// Models to unload to free memory, and the cost of this.
@@ -21,12 +22,21 @@
 /// Models that requests wait for are never unloaded. Returns `None` if unloading all others does
 /// not free enough memory.
 pub fn evict(pool: &Pool<'_>, host: usize, need_mb: f64) -> Option<Eviction> {
+    indexed_evict(pool, &Index::new(&pool.hosts), host, need_mb)
+}
+
+pub(super) fn indexed_evict(
+    pool: &Pool<'_>,
+    index: &Index<'_>,
+    host: usize,
+    need_mb: f64,
+) -> Option<Eviction> {
     let mut free_mb = free_mb(pool, host);
     if free_mb >= need_mb {
         return Some(Eviction::default());
     }
     let mut victims: Vec<(String, f64, f64)> = Vec::new();
-    for (name, mb, cost_ms) in eviction_candidates(pool, host) {
+    for (name, mb, cost_ms) in eviction_candidates(pool, index, host) {
         if free_mb >= need_mb {
             break;
         }
@@ -80,7 +90,7 @@
 
 /// Returns the models that may be unloaded, with their size in MB and their cost in ms, the lowest
 /// cost per MB first.
-fn eviction_candidates(pool: &Pool<'_>, host: usize) -> Vec<(String, f64, f64)> {
+fn eviction_candidates(pool: &Pool<'_>, index: &Index<'_>, host: usize) -> Vec<(String, f64, f64)> {
     let residents = pool.hosts[host].resident.iter();
     let mut candidates: Vec<_> = residents
         .filter(|(_, resident)| !resident.wanted)
@@ -90,7 +100,7 @@
                 .model(name)
                 .map_or(1.0, |model| model.weights_mb);
             let running_ms = f64::from(resident.in_flight.min(1)) * UNLOAD_DELAY_MS;
-            let cost_ms = pool.loss_ms(name, host) + running_ms;
+            let cost_ms = pool.indexed_loss_ms(index, name, host) + running_ms;
             (name.clone(), weights_mb + resident.adapters_mb, cost_ms)
         })
         .collect();
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -6,6 +6,7 @@
 //! worst a model is loaded twice, and the superfluous replica is the first to be evicted.
 
 mod eviction;
+mod index;
 mod pool;
 
 pub use eviction::{
--- a/src/placement/pool.rs
+++ b/src/placement/pool.rs
@@ -14,7 +14,8 @@
     MIN_SPARE_GAIN_MS,
     MIN_STORE_LOAD_GAIN_MS,
     PRIOR_RATE_PER_S,
-    evict, //
+    eviction::indexed_evict,
+    index::Index, //
 };
 use crate::{
     deployment::{
@@ -205,62 +206,48 @@
 
     /// Returns the number of servers on which a model is resident or being loaded.
     pub fn replicas(&self, model: &str) -> usize {
-        let hosts = self.hosts.iter();
-        hosts
-            .filter(|host| host.holds(model) || host.is_loading(model))
-            .count()
+        Index::new(&self.hosts).replicas(model)
     }
 
     /// Returns whether the requests in flight occupy all slots of a model's replicas.
-    fn is_full(&self, model: &str) -> bool {
-        let replicas = self.replicas(model).max(1);
+    fn is_full(&self, index: &Index<'_>, model: &str) -> bool {
+        let replicas = index.replicas(model).max(1);
         self.rate(model).occupancy(replicas, self.engine.slots) >= 1.0
     }
 
-    /// Returns the minimum duration of a load over all reachable servers but `except`, in ms.
-    fn min_load_ms(&self, model: &Model, except: Option<usize>) -> f64 {
-        let hosts = self.hosts.iter().enumerate();
-        hosts
-            .filter(|(index, host)| host.reachable && Some(*index) != except)
-            .map(|(_, host)| host.load_ms(model))
-            .fold(model.store_load.as_secs_f64() * 1_000.0, f64::min)
-    }
-
-    /// Returns whether `host` is the one server, of several that hold the model, that may evict it.
-    ///
-    /// What servers know of each other is up to a second old. If each relied on the others to keep
-    /// the model, all of them could evict a busy model at the same time.
-    fn is_dispensable(&self, model: &str, host: usize) -> bool {
-        let hosts = self.hosts.iter();
-        let holders = hosts
-            .filter(|host| host.holds(model))
-            .map(|host| host.id.as_str());
-        let ranked = rank::order(model, holders);
-        ranked.len() > 1 && ranked.last() == Some(&self.hosts[host].id.as_str())
-    }
-
     /// Returns the delay that requests incur if the replica on `host` is evicted, in ms over
     /// [`HORIZON_S`](super::HORIZON_S) seconds.
     pub fn loss_ms(&self, model: &str, host: usize) -> f64 {
+        self.indexed_loss_ms(&Index::new(&self.hosts), model, host)
+    }
+
+    pub(super) fn indexed_loss_ms(&self, index: &Index<'_>, model: &str, host: usize) -> f64 {
         let Some(model) = self.engine.model(model) else {
             return 0.0;
         };
         let rate = self.rate(&model.name);
-        if self.is_dispensable(&model.name, host) {
-            let others = self.replicas(&model.name).saturating_sub(1).max(1);
+        // What servers know of each other is up to a second old. If each relied on the others to
+        // keep the model, all of them could evict a busy model at the same time. One server, of
+        // several that hold the model, may therefore evict it.
+        if index.is_last_holder(&model.name, host) {
+            let others = index.replicas(&model.name).saturating_sub(1).max(1);
             return rate.recent_per_s * HORIZON_S * rate.replica_gain_ms(others, self.engine.slots);
         }
         // The weights stay on the server's disk, so a reload takes at most a load from the disk.
-        let reload_ms = self.min_load_ms(model, Some(host));
+        let reload_ms = index.min_load_ms(model, Some(host));
         rate.per_s * HORIZON_S * reload_ms.min(model.disk_load.as_secs_f64() * 1_000.0)
     }
 
     /// Returns the delay that one more replica saves the requests for a model, in ms over
     /// [`HORIZON_S`](super::HORIZON_S) seconds.
     pub fn gain_ms(&self, model: &Model) -> f64 {
+        self.indexed_gain_ms(&Index::new(&self.hosts), model)
+    }
+
+    fn indexed_gain_ms(&self, index: &Index<'_>, model: &Model) -> f64 {
         let rate = self.rate(&model.name);
-        match self.replicas(&model.name) {
-            0 => rate.per_s * HORIZON_S * self.min_load_ms(model, None),
+        match index.replicas(&model.name) {
+            0 => rate.per_s * HORIZON_S * index.min_load_ms(model, None),
             replicas => {
                 rate.recent_per_s * HORIZON_S * rate.replica_gain_ms(replicas, self.engine.slots)
             }
@@ -269,6 +256,10 @@
 
     /// Returns the reachable servers that could load `model`, the lowest cost first.
     pub fn rank(&self, model: &str) -> Vec<Candidate> {
+        self.indexed_rank(&Index::new(&self.hosts), model)
+    }
+
+    fn indexed_rank(&self, index: &Index<'_>, model: &str) -> Vec<Candidate> {
         let Some(model) = self.engine.model(model) else {
             return Vec::new();
         };
@@ -276,7 +267,7 @@
         let by_weight = rank::order_by(&model.name, hosts, |(_, host)| host.id.as_str());
         let mut ranked: Vec<_> = by_weight
             .into_iter()
-            .filter_map(|(index, _)| self.candidate(model, index))
+            .filter_map(|(host, _)| self.candidate(index, model, host))
             .collect();
         // The sort is stable: servers with equal costs stay in the order of their rendezvous
         // weights.
@@ -284,8 +275,8 @@
         ranked
     }
 
-    fn candidate(&self, model: &Model, index: usize) -> Option<Candidate> {
-        let host = &self.hosts[index];
+    fn candidate(&self, index: &Index<'_>, model: &Model, number: usize) -> Option<Candidate> {
+        let host = &self.hosts[number];
         if !host.reachable || host.holds(&model.name) {
             return None;
         }
@@ -295,12 +286,12 @@
             .filter(|_| host.is_loading(&model.name))
         {
             return Some(Candidate {
-                host: index,
+                host: number,
                 ready_ms: order.remaining_ms,
                 cost_ms: order.remaining_ms,
             });
         }
-        let eviction = evict(self, index, model.weights_mb)?;
+        let eviction = indexed_evict(self, index, number, model.weights_mb)?;
         let order_ms = host
             .current_order
             .as_ref()
@@ -308,7 +299,7 @@
         let wait_ms = host.backlog_ms + host.queue_ms + eviction.wait_ms;
         let ready_ms = order_ms + wait_ms + host.load_ms(model);
         Some(Candidate {
-            host: index,
+            host: number,
             ready_ms,
             cost_ms: ready_ms + eviction.cost_ms,
         })
@@ -336,14 +327,19 @@
     /// and leave the load to the others. This state decides only whether the load is worth its cost
     /// on this server.
     pub fn spare_replica(&self, host: usize) -> Option<(&Model, f64)> {
+        let index = Index::new(&self.hosts);
         let mut planned = self.without_local_state();
+        // The plan changes neither where models and weights are nor which orders are in progress.
+        let shared = planned.clone();
+        let shared_index = Index::new(&shared.hosts);
         let mut store_loads = self.store_loads();
-        for (model, gain_ms) in self.spare_candidates() {
-            let Some(best) = planned.rank(&model.name).into_iter().next() else {
+        for (model, gain_ms) in self.spare_candidates(&index) {
+            let ranked = planned.indexed_rank(&shared_index, &model.name);
+            let Some(best) = ranked.into_iter().next() else {
                 continue;
             };
             let from_store = planned.hosts[best.host].loads_from_store(&model.name);
-            let is_first = self.replicas(&model.name) == 0;
+            let is_first = index.replicas(&model.name) == 0;
             let store_ms = if from_store && !is_first {
                 MIN_STORE_LOAD_GAIN_MS
             } else {
@@ -356,14 +352,14 @@
             // Unless the other replicas are full, a further one is loaded only while no other load
             // uses the store: all loads share its bandwidth, and models without a replica need it
             // first.
-            let is_urgent = is_first || self.is_full(&model.name);
+            let is_urgent = is_first || self.is_full(&index, &model.name);
             let max_loads = if is_urgent { MAX_STORE_LOADS } else { 1 };
             if from_store && store_loads >= max_loads {
                 continue;
             }
             store_loads += usize::from(from_store);
             if best.host == host
-                && let Some(local) = evict(self, host, model.weights_mb)
+                && let Some(local) = indexed_evict(self, &index, host, model.weights_mb)
             {
                 let net_gain_ms =
                     gain_ms - MIN_SPARE_GAIN_FACTOR * (local.cost_ms + local.wait_ms) - store_ms;
@@ -400,11 +396,11 @@
     }
 
     /// Returns the models that gain most from one more replica, with the gain in ms.
-    fn spare_candidates(&self) -> Vec<(&Model, f64)> {
+    fn spare_candidates(&self, index: &Index<'_>) -> Vec<(&Model, f64)> {
         let models = self.engine.models.iter();
-        let is_loading = |model: &Model| self.hosts.iter().any(|h| h.is_loading(&model.name));
+        let is_loading = |model: &Model| index.is_loading(&model.name);
         let mut candidates: Vec<_> = models
-            .map(|model| (model, self.gain_ms(model)))
+            .map(|model| (model, self.indexed_gain_ms(index, model)))
             .filter(|(model, gain_ms)| *gain_ms >= MIN_SPARE_GAIN_MS && !is_loading(model))
             .collect();
         // The sort is stable: models with equal gains stay in the order of their names.
--- a/src/watch/follower.rs
+++ b/src/watch/follower.rs
@@ -20,6 +20,7 @@
 use super::{
     Cursor,
     Error,
+    Received,
     Roster, //
 };
 use crate::{
@@ -75,7 +76,7 @@
     /// Maximum time that one read waits for a new configuration; `None` if the configuration is not
     /// followed.
     pub(crate) configuration: Option<Duration>,
-    /// Pause between reads of the servers.
+    /// Age of the list of servers at which this process reads it itself.
     pub(crate) servers: Duration,
 }
 
@@ -84,9 +85,12 @@
 pub(crate) struct Follower {
     store: Store,
     periods: Periods,
+    /// Age at which this process reads the list of servers itself.
+    max_age: Cell<Duration>,
     configuration: RefCell<Rc<Configuration>>,
     roster: RefCell<Roster>,
-    has_read_servers: Cell<bool>,
+    /// When the servers were read from the store, by this process or by the hub that sent them.
+    listed_at: Cell<Option<Time>>,
     /// Ends the pause before the next read of the servers.
     refresh: Notify,
     /// Notified when the configuration has changed or the servers have been read.
@@ -98,10 +102,11 @@
     pub(crate) fn new(store: Store, periods: Periods) -> Self {
         Self {
             store,
+            max_age: Cell::new(periods.servers),
             periods,
             configuration: RefCell::default(),
             roster: RefCell::default(),
-            has_read_servers: Cell::new(false),
+            listed_at: Cell::new(None),
             refresh: Notify::new(),
             changed: Notify::new(),
         }
@@ -115,7 +120,8 @@
     /// Returns whether everything that is followed has been read at least once.
     pub(crate) fn is_synced(&self) -> bool {
         let has_configuration = self.configuration.borrow().version > 0;
-        self.has_read_servers.get() && (has_configuration || self.periods.configuration.is_none())
+        self.listed_at.get().is_some()
+            && (has_configuration || self.periods.configuration.is_none())
     }
 
     /// Calls `read` with the servers.
@@ -141,7 +147,7 @@
                     self.roster
                         .borrow_mut()
                         .update(listing.servers, Time::now());
-                    self.has_read_servers.set(true);
+                    self.listed_at.set(Some(Time::now()));
                     self.changed.notify_waiters();
                 }
                 Err(Error::Outdated) => (),
@@ -153,12 +159,48 @@
                 }
             }
             sleep(MIN_PAUSE).await;
-            let remaining = self.periods.servers.saturating_sub(MIN_PAUSE);
-            // `refresh_servers` ends the pause early.
-            let _ = timeout(remaining, self.refresh.notified()).await;
+            self.wait_until_outdated().await;
         }
     }
 
+    /// Waits until the list of servers has reached its maximum age, or a refresh is requested.
+    async fn wait_until_outdated(&self) {
+        loop {
+            let listed_at = self.listed_at.get().unwrap_or(Time::ZERO);
+            let remaining = (listed_at + self.max_age.get()).remaining(Time::now());
+            if remaining.is_zero() {
+                return;
+            }
+            let is_requested = timeout(remaining, self.refresh.notified()).await.is_ok();
+            if is_requested {
+                return;
+            }
+        }
+    }
+
+    /// Sets the age at which this process reads the list of servers itself.
+    pub(crate) fn set_max_age(&self, max_age: Duration) {
+        self.max_age.set(max_age);
+    }
+
+    /// Takes over a list of servers from a hub, unless a newer one is known.
+    pub(crate) fn feed(&self, received: Received) {
+        if self.listed_at.get() >= Some(received.read_at) {
+            return;
+        }
+        self.roster
+            .borrow_mut()
+            .update(received.servers, received.read_at);
+        self.listed_at.set(Some(received.read_at));
+        self.changed.notify_waiters();
+    }
+
+    /// Returns when the servers were read from the store, by this process or by the hub that sent
+    /// them.
+    pub(crate) fn listed_at(&self) -> Option<Time> {
+        self.listed_at.get()
+    }
+
     /// Ends the pause before the next read of the servers. Call this on signs that they have
     /// changed.
     pub(crate) fn refresh_servers(&self) {
--- a/src/watch/mod.rs
+++ b/src/watch/mod.rs
@@ -3,6 +3,7 @@
 mod cursor;
 mod error;
 mod follower;
+mod mirror;
 mod roster;
 
 pub use cursor::Cursor;
@@ -13,4 +14,8 @@
     Listing,
     Periods, //
 };
+pub use mirror::{
+    Mirror,
+    Received, //
+};
 pub use roster::Roster;
--- a/tests/hosted/main.rs
+++ b/tests/hosted/main.rs
@@ -470,6 +470,31 @@
     assert_moved(&system, stream, "dark", 300);
 }
 
+/// Guards against requests for cold models that wait for a hub whose machine is frozen or whose
+/// process has ended, although another hub is reachable.
+#[test]
+fn cold_models_are_loaded_while_any_hub_is_down() {
+    let plan = Plan {
+        engines: vec![vec!["m1"], vec!["m1"], vec!["m1"]],
+        ..Plan::default()
+    };
+    for signal in ["STOP", "KILL"] {
+        for index in 0..3 {
+            let system = Deployment::start(&plan);
+            let warm = system.send(&Request::model("w", "/chat/x", "m2"));
+            assert!(warm.starts_with("HTTP/1.1 200"), "{warm}");
+            system.loaders[index].signal(signal);
+            for (id, model) in [("r1", "m3"), ("r2", "m4")] {
+                let response = system.send(&Request::model(id, "/chat/x", model));
+                assert!(
+                    response.starts_with("HTTP/1.1 200"),
+                    "{signal} {index} {model}: {response}"
+                );
+            }
+        }
+    }
+}
+
 /// Sends a request for a resumable stream in a thread, which returns the response.
 fn start_stream(system: &Deployment, id: &str) -> JoinHandle<String> {
     let text = format!(
--- /dev/null
+++ b/tests/hub.rs
@@ -0,0 +1,293 @@
+//! Hubs: which loaders are hubs, what a hub passes on, and what a connection still lacks.
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    time::Duration,
+};
+
+use chestnuthub::{
+    deployment::{
+        Copies,
+        Replica,
+        Server, //
+    },
+    hub::{
+        self,
+        Table, //
+    },
+    link::{
+        Backlog,
+        Contact,
+        Demand,
+        Holdings,
+        ServerDemand,
+        ServerState,
+        Status,
+        Traffic,
+        Usage,
+        Workload, //
+    },
+    platform::server,
+    timer::Time,
+    watch::Mirror,
+};
+
+const DOMAINS: [&str; 6] = ["a1", "a2", "a3", "b1", "b2", "b3"];
+
+fn regions() -> BTreeMap<String, String> {
+    let region = |domain: &str| (domain.to_owned(), domain[..1].to_owned());
+    DOMAINS.into_iter().map(region).collect()
+}
+
+fn entry(number: usize, domain: &str, state: &str) -> Server {
+    let text = format!(
+        r#"{{"service":"llm","address":"10.0.{}.{}:80","zone":"{domain}","slots":4,
+            "state":"{state}","coldLeftMs":0,"seq":1,"born":1}}"#,
+        number / 200,
+        number % 200 + 1,
+    );
+    server::decode(&format!("s{number:03}"), text.as_bytes()).expect("an entry")
+}
+
+fn fleet(count: usize) -> BTreeMap<String, Server> {
+    let entries = (0..count).map(|number| entry(number, DOMAINS[number % DOMAINS.len()], "ready"));
+    entries.map(|server| (server.id.clone(), server)).collect()
+}
+
+fn ids(servers: &BTreeMap<String, Server>) -> BTreeSet<String> {
+    let hubs = hub::all(servers, "llm").into_values().flatten();
+    hubs.map(|server| server.id.clone()).collect()
+}
+
+/// Guards against connections that grow with the square of the fleet, and against a fleet whose
+/// hubs all change when one server leaves.
+#[test]
+fn hubs_grow_with_failure_domains_and_change_only_where_one_leaves() {
+    for count in [12, 160, 600] {
+        let servers = fleet(count);
+        let hubs = ids(&servers);
+        assert_eq!(hubs.len(), 12, "{count} servers");
+        for gone in &hubs {
+            let mut rest = servers.clone();
+            rest.get_mut(gone).expect("a hub").state = entry(0, "a1", "draining").state;
+            let changed = ids(&rest);
+            assert!(!changed.contains(gone));
+            assert!(changed.difference(&hubs).count() <= 1, "{gone}");
+        }
+    }
+}
+
+/// Guards against gateways that all use one hub of their failure domain, and against a gateway that
+/// sends its messages to another region while a hub of its own is listed.
+#[test]
+fn gateways_prefer_near_hubs_and_spread_over_them() {
+    let servers = fleet(160);
+    let by_address: BTreeMap<_, _> = servers.values().map(|s| (s.address, s)).collect();
+    let mut first = BTreeSet::new();
+    for number in 0..40 {
+        let name = format!("front-{number}");
+        let hubs = hub::preferred(&servers, "llm", &name, "a2", &regions());
+        let domains: Vec<_> = hubs
+            .iter()
+            .map(|address| by_address[address].failure_domain.clone())
+            .collect();
+        assert_eq!(domains[..2], ["a2", "a2"], "{name}");
+        assert!(domains[2..6].iter().all(|domain| domain.starts_with('a')));
+        assert!(domains[6..].iter().all(|domain| domain.starts_with('b')));
+        first.insert(hubs[0]);
+    }
+    assert_eq!(first.len(), 2);
+}
+
+/// Guards against a service without hubs because its servers are in other failure domains than the
+/// gateway.
+#[test]
+fn a_gateway_without_near_hubs_uses_others() {
+    let servers = BTreeMap::from([("s000".to_owned(), entry(0, "b1", "ready"))]);
+    let hubs = hub::preferred(&servers, "llm", "front-1", "a1", &regions());
+    assert_eq!(hubs, [servers["s000"].address]);
+}
+
+fn holdings(server: &str, random: &mut fastrand::Rng) -> Holdings {
+    let names = |random: &mut fastrand::Rng, count: usize| -> Vec<String> {
+        (0..random.usize(..count))
+            .map(|index| format!("m{index}"))
+            .collect()
+    };
+    let replica = |model: String| Replica {
+        model,
+        adapters: Vec::new(),
+    };
+    Holdings {
+        server: server.to_owned(),
+        started_ms: 1,
+        is_responsive: random.bool(),
+        replicas: names(random, 4).into_iter().map(replica).collect(),
+        copies: Copies {
+            in_memory: names(random, 2),
+            on_disk: names(random, 3),
+        },
+        ..Holdings::default()
+    }
+}
+
+/// Returns what a new connection is sent of the servers.
+fn everything(table: &Table) -> BTreeMap<String, ServerState> {
+    let mut mirror = Mirror::default();
+    mirror.apply(table.update_since(0), Time::ZERO);
+    mirror.states().clone()
+}
+
+/// Guards against a connection that misses a change, or keeps a server whose loader is gone.
+/// Loaders connect, change, fall silent and come back with other ids; connections are updated at
+/// random times.
+#[test]
+fn updates_add_up_to_what_the_hub_knows() {
+    for seed in 0..2_000 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut table = Table::default();
+        let mut mirrors: Vec<(Mirror, u64)> = (0..3).map(|_| (Mirror::default(), 0)).collect();
+        let mut read_at = Time::from_millis(1);
+        for step in 0..80 {
+            let connection = random.u64(1..8);
+            match random.u32(..8) {
+                0 => table.end_contact(connection, Contact::Silent),
+                1 if random.bool() => table.end_contact(connection, Contact::Lost),
+                1 => {
+                    let id = format!("s{:03}", random.usize(..8));
+                    let contacts = [Contact::Lost, Contact::Silent];
+                    table.set_contact(&id, contacts[random.usize(..2)]);
+                }
+                2 => {
+                    read_at = read_at + Duration::from_secs(1);
+                    let mut listed = fleet(8);
+                    listed.retain(|_, _| random.u32(..4) > 0);
+                    table.set_listing(&listed, read_at);
+                }
+                3 => {
+                    let workload = Workload {
+                        running: random.u32(..40),
+                        ..Workload::default()
+                    };
+                    let status = Status {
+                        workload,
+                        ..Status::default()
+                    };
+                    table.set_status(connection, status);
+                }
+                _ => {
+                    let id = format!("s{:03}", random.usize(..8));
+                    let status = Status {
+                        holdings: Some(holdings(&id, &mut random)),
+                        ..Status::default()
+                    };
+                    table.set_status(connection, status);
+                }
+            }
+            let index = random.usize(..mirrors.len());
+            let (mirror, version) = &mut mirrors[index];
+            mirror.apply(table.update_since(*version), Time::ZERO);
+            *version = table.version();
+            assert_eq!(
+                *mirror.states(),
+                everything(&table),
+                "seed {seed}, step {step}"
+            );
+        }
+    }
+}
+
+/// Guards against a workload that is sent with every heartbeat to every gateway.
+#[test]
+fn small_changes_of_the_workload_are_not_passed_on() {
+    let mut table = Table::default();
+    let mut random = fastrand::Rng::with_seed(1);
+    let status = |running, holdings| Status {
+        workload: Workload {
+            running,
+            ..Workload::default()
+        },
+        holdings,
+        ..Status::default()
+    };
+    table.set_status(1, status(20, Some(holdings("s1", &mut random))));
+    let version = table.version();
+    for running in [21, 19, 24, 20] {
+        table.set_status(1, status(running, None));
+        assert_eq!(table.version(), version, "{running}");
+    }
+    table.set_status(1, status(30, None));
+    assert_eq!(table.update_since(version).servers[0].workload.running, 30);
+}
+
+fn waiting(server: &str, waiting: u32, priority: u8) -> ServerDemand {
+    let backlogs = (waiting > 0).then(|| Backlog {
+        model: "m1".to_owned(),
+        adapter: None,
+        waiting,
+        priority,
+    });
+    ServerDemand {
+        server: server.to_owned(),
+        usage: vec![Usage {
+            model: "m2".to_owned(),
+            adapter: None,
+            in_flight: waiting,
+        }],
+        backlogs: backlogs.into_iter().collect(),
+    }
+}
+
+/// Guards against demand that is counted twice or for ever: that of a gateway which sends it again,
+/// waits no longer, or has disconnected.
+#[test]
+fn needs_are_the_sum_of_the_connected_gateways() {
+    let now = Time::from_millis(1_000);
+    let mut table = Table::default();
+    let demand = |servers| Demand {
+        servers,
+        rates: vec![Traffic {
+            per_s: 1.0,
+            in_flight: 2,
+            ..traffic()
+        }],
+        ..Demand::default()
+    };
+    assert_eq!(
+        table.set_demand(1, demand(vec![waiting("s1", 2, 3)]), now),
+        ["s1"]
+    );
+    assert_eq!(
+        table.set_demand(2, demand(vec![waiting("s1", 3, 1)]), now),
+        ["s1"]
+    );
+    // The same backlog again wakes nobody.
+    assert!(
+        table
+            .set_demand(2, demand(vec![waiting("s1", 3, 1)]), now)
+            .is_empty()
+    );
+    let summary = |table: &Table| {
+        let (backlogs, rates) = table.demand_of("s1", now);
+        let backlog = backlogs.first().map(|b| (b.waiting, b.priority));
+        (backlog, rates.first().map_or(0, |rate| rate.in_flight))
+    };
+    assert_eq!(summary(&table), (Some((5, 1)), 4));
+    table.set_demand(2, demand(vec![waiting("s1", 0, 1)]), now);
+    assert_eq!(summary(&table), (Some((2, 3)), 4));
+    table.remove_gateway(1);
+    assert_eq!(summary(&table), (None, 2));
+}
+
+fn traffic() -> Traffic {
+    Traffic {
+        model: "m1".to_owned(),
+        per_s: 0.0,
+        recent_per_s: 0.0,
+        prefill_ms: 0.0,
+        in_flight: 0,
+    }
+}
--- a/tests/loader.rs
+++ b/tests/loader.rs
@@ -13,6 +13,7 @@
         Model,
         Replica, //
     },
+    hub::Description,
     link::{
         Backlog,
         EngineDescription,
@@ -20,7 +21,6 @@
         Traffic, //
     },
     loader::{
-        Description,
         Limit,
         Limiter,
         Operation,
