--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -39,6 +39,7 @@
         ServerState,
         Usage, //
     },
+    placement::CurrentOrder,
     report,
     timer::Time,
 };
@@ -59,6 +60,15 @@
 /// Model and adapter that requests use or wait for.
 type Key = (String, Option<String>);
 
+/// Requests that wait for a model or adapter.
+#[derive(Debug, Default)]
+struct Waiting {
+    /// Priority of the most urgent of them.
+    priority: u8,
+    /// When each of them arrived.
+    arrivals: Vec<Time>,
+}
+
 /// State that a gateway keeps for a backend server.
 #[derive(Debug)]
 pub(super) struct Backend {
@@ -73,8 +83,7 @@
     in_flight: Cell<u32>,
     /// Number of requests in flight.
     usage: RefCell<BTreeMap<Key, u32>>,
-    /// Number of waiting requests and the priority of the most urgent of them.
-    backlog: RefCell<BTreeMap<Key, (u32, u8)>>,
+    backlog: RefCell<BTreeMap<Key, Waiting>>,
     /// Load that the server reported last, and when.
     load: Cell<Option<(Load, Time)>>,
     failure_rate: Cell<f64>,
@@ -93,7 +102,11 @@
     pub(super) holdings: RefCell<Option<Holdings>>,
     /// When the loader became unreachable; at first, when this gateway learned of the server.
     loader_lost_at: Cell<Time>,
-    /// Number of gateways connected to the loader.
+    /// When the order that the engine is executing was first reported.
+    order_seen_at: Cell<Time>,
+    /// Estimated time of the loads that requests at all gateways wait for, in ms.
+    pub(super) backlog_ms: Cell<u32>,
+    /// Number of gateways that the loader knows of.
     pub(super) gateways: Cell<u32>,
     /// Link to the hub that is sent the demand at this server.
     link: Rc<Link>,
@@ -123,6 +136,8 @@
             is_superseded: Cell::new(false),
             holdings: RefCell::default(),
             loader_lost_at: Cell::new(Time::now()),
+            order_seen_at: Cell::new(Time::ZERO),
+            backlog_ms: Cell::new(0),
             gateways: Cell::new(0),
             link,
             is_demand_changed: Cell::new(false),
@@ -232,6 +247,18 @@
         self.holdings.borrow().is_some()
     }
 
+    /// Returns the order that the engine is executing, with the time that remains now.
+    pub(super) fn current_order(&self, now: Time) -> Option<CurrentOrder> {
+        let holdings = self.holdings.borrow();
+        let order = holdings.as_ref()?.current_order.as_ref()?;
+        let elapsed_ms = (now - self.order_seen_at.get()).as_millis() as f64;
+        Some(CurrentOrder {
+            model: order.model.clone(),
+            is_load: order.is_load,
+            remaining_ms: (f64::from(order.remaining_ms) - elapsed_ms).max(0.0),
+        })
+    }
+
     /// Records when the loader became unreachable.
     pub(super) fn record_loader_lost(&self, now: Time) {
         self.loader_lost_at.set(now);
@@ -284,6 +311,7 @@
         self.set_unresponsive(is_silent || is_unresponsive);
         if let Some(state) = connected {
             self.gateways.set(state.workload.gateways);
+            self.backlog_ms.set(state.workload.backlog_ms);
             let (running, waiting) = (state.workload.running, state.workload.queued);
             self.record_load(Load { running, waiting }, now);
             let holdings = &state.holdings;
@@ -294,6 +322,10 @@
         let new = connected.map(|state| state.holdings.clone());
         let old = self.holdings.replace(new);
         let new = self.holdings.borrow();
+        let order = |holdings: &Option<Holdings>| holdings.as_ref()?.current_order.clone();
+        if order(&old) != order(&new) {
+            self.order_seen_at.set(now);
+        }
         if old.is_some() && new.is_none() {
             report::warn("loader_lost", &[("server", &self.server.borrow().id)]);
             self.record_loader_lost(now);
@@ -355,16 +387,25 @@
     }
 
     /// Counts a request that waits for a model or adapter until the guard is dropped.
-    pub(super) fn add_to_backlog(self: &Rc<Self>, name: &ModelName, priority: u8) -> BacklogEntry {
+    pub(super) fn add_to_backlog(
+        self: &Rc<Self>,
+        name: &ModelName,
+        priority: u8,
+        arrival: Time,
+    ) -> BacklogEntry {
         let key = (name.model.clone(), name.adapter.clone());
         let mut backlog = self.backlog.borrow_mut();
-        let entry = backlog.entry(key.clone()).or_insert((0, priority));
-        entry.0 += 1;
-        entry.1 = entry.1.min(priority);
+        let waiting = backlog.entry(key.clone()).or_insert_with(|| Waiting {
+            priority,
+            arrivals: Vec::new(),
+        });
+        waiting.priority = waiting.priority.min(priority);
+        waiting.arrivals.push(arrival);
         self.notify_demand();
         BacklogEntry {
             backend: self.clone(),
             key,
+            arrival,
         }
     }
 
@@ -396,12 +437,19 @@
             adapter: adapter.clone(),
             in_flight: *in_flight,
         });
+        let now = Time::now();
+        let age_ms = |waiting: &Waiting| {
+            let oldest = waiting.arrivals.iter().min();
+            let age = oldest.map_or(Duration::ZERO, |oldest| now - *oldest);
+            u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
+        };
         let backlog = self.backlog.borrow();
-        let backlog = backlog.iter().map(|((model, adapter), entry)| Backlog {
+        let backlog = backlog.iter().map(|((model, adapter), waiting)| Backlog {
             model: model.clone(),
             adapter: adapter.clone(),
-            waiting: entry.0,
-            priority: entry.1,
+            waiting: waiting.arrivals.len() as u32,
+            priority: waiting.priority,
+            oldest_ms: age_ms(waiting),
         });
         ServerDemand {
             server: self.server.borrow().id.clone(),
@@ -474,14 +522,18 @@
 pub(super) struct BacklogEntry {
     backend: Rc<Backend>,
     key: Key,
+    arrival: Time,
 }
 
 impl Drop for BacklogEntry {
     fn drop(&mut self) {
         let mut backlog = self.backend.backlog.borrow_mut();
-        if let Some(entry) = backlog.get_mut(&self.key) {
-            entry.0 -= 1;
-            if entry.0 == 0 {
+        if let Some(waiting) = backlog.get_mut(&self.key) {
+            let mut arrivals = waiting.arrivals.iter();
+            if let Some(index) = arrivals.position(|arrival| *arrival == self.arrival) {
+                waiting.arrivals.swap_remove(index);
+            }
+            if waiting.arrivals.is_empty() {
                 backlog.remove(&self.key);
             }
         }
--- a/src/gateway/cold.rs
+++ b/src/gateway/cold.rs
@@ -18,6 +18,7 @@
 };
 use crate::{
     deployment::Engine,
+    placement::Pool,
     timer::Time, //
 };
 
@@ -54,10 +55,14 @@
         let has_backlog = backend.has_backlog(&name.model) && backend.has_loader();
         has_backlog && backend.is_usable(now) && !is_excluded(backend)
     };
-    if let Some(current) = current.filter(|current| can_join(current)) {
-        return Decision::Wait(current.clone());
-    }
-    if let Some(backend) = backends.iter().find(can_join) {
+    let remaining = job.remaining(now);
+    let is_in_time = |ready: Duration| ready + MIN_RUN_TIME <= remaining;
+    let joined = current.filter(|current| can_join(current));
+    let joined = joined.or_else(|| backends.iter().find(can_join));
+    let joined = joined.map(|backend| (backend, ready(backend, engine, name, now)));
+    if let Some((backend, ready)) = joined
+        && is_in_time(ready)
+    {
         return Decision::Wait(backend.clone());
     }
     let pool = fleet::pool(state, &job.service, engine, now);
@@ -65,14 +70,26 @@
     let mut ranked = ranked.iter();
     let best = ranked.find(|candidate| !is_excluded(&backends[candidate.host]));
     let Some(best) = best else {
-        return Decision::NoLoader;
+        return match joined {
+            Some((_, ready)) => Decision::Refuse(ready),
+            None => Decision::NoLoader,
+        };
     };
     if pool.should_wait_for_copy(&name.model, best) {
         return Decision::Defer;
     }
     let ready = Duration::from_secs_f64(best.ready_ms / 1_000.0);
-    if ready + MIN_RUN_TIME > job.remaining(now) {
-        return Decision::Refuse(ready);
+    if !is_in_time(ready) {
+        let joined = joined.map_or(ready, |(_, joined)| joined);
+        return Decision::Refuse(ready.min(joined));
     }
     Decision::Wait(backends[best.host].clone())
 }
+
+/// Returns the estimated time until a model is loaded at a server at which requests wait for it.
+fn ready(backend: &Rc<Backend>, engine: &Engine, name: &ModelName, now: Time) -> Duration {
+    let host = fleet::host(backend, engine, now);
+    let model = engine.model(&name.model);
+    let ready_ms = model.map_or(0.0, |model| Pool::ready_ms(&host, model));
+    Duration::from_secs_f64(ready_ms / 1_000.0)
+}
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -23,7 +23,6 @@
     dispatch::ENGINE_WAITING_MS,
     link::Traffic,
     placement::{
-        CurrentOrder,
         Host,
         Pool,
         Rate,
@@ -229,7 +228,8 @@
     (traffic.model, rate)
 }
 
-fn host(backend: &Rc<Backend>, engine: &Engine, now: Time) -> Host {
+/// Builds the view of one server.
+pub(super) fn host(backend: &Rc<Backend>, engine: &Engine, now: Time) -> Host {
     let server = backend.server();
     let holdings = backend.holdings.borrow();
     let (replicas, copies) = match holdings.as_ref() {
@@ -246,9 +246,6 @@
         }),
     };
     let names = |names: &[String]| names.iter().cloned().collect::<BTreeSet<_>>();
-    let current_order = holdings
-        .as_ref()
-        .and_then(|holdings| holdings.current_order.as_ref());
     let mut host = Host {
         id: server.id.clone(),
         reachable: backend.has_loader() && backend.is_usable(now),
@@ -258,20 +255,18 @@
             .collect(),
         in_memory: names(&copies.in_memory),
         on_disk: names(&copies.on_disk),
-        current_order: current_order.map(|order| CurrentOrder {
-            model: order.model.clone(),
-            is_load: order.is_load,
-            remaining_ms: f64::from(order.remaining_ms),
-        }),
+        current_order: backend.current_order(now),
         backlog_ms: 0.0,
         queue_ms: f64::from(backend.waiting(now)) * ENGINE_WAITING_MS,
     };
     let wanted = backend.backlog_models().into_iter();
     let missing =
         wanted.filter(|model| !host.resident.contains_key(model) && !host.is_loading(model));
-    host.backlog_ms = missing
+    let own_ms: f64 = missing
         .filter_map(|model| engine.model(&model))
         .map(|model| host.load_ms(model))
         .sum();
+    // What the loader reports includes the requests of other gateways, but not the newest ones.
+    host.backlog_ms = own_ms.max(f64::from(backend.backlog_ms.get()));
     host
 }
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -58,9 +58,12 @@
 /// Minimum time between messages to a hub, in which changes of the demand are collected.
 const BATCH_DELAY: Duration = Duration::from_millis(5);
 
-/// Interval at which a gateway that is connected to a hub of another failure domain tries the ones
-/// that it prefers.
-const RETURN_INTERVAL: Duration = Duration::from_millis(3_000);
+/// Interval at which a gateway checks whether it should go to another hub.
+const CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Number of checks in a row after which a gateway goes to a hub that it prefers. Loaders connect to
+/// new hubs in this time.
+const CHECKS: u32 = 3;
 
 /// Time without a link after which the gateway no longer relies on what it has learned from a hub.
 const MAX_ABSENCE: Duration = Duration::from_millis(1_500);
@@ -193,16 +196,25 @@
     }
 }
 
-/// Waits until a hub that is preferred to `current` can be reached, and connects to it.
+/// Waits until a hub that is preferred to `current` can be reached, and connects to it. A gateway
+/// stays at a hub of its failure domain as long as the roster gives it.
 async fn find_better(state: &State, link: &Link, current: SocketAddr) -> (SocketAddr, TcpStream) {
+    let mut checks = 0;
     loop {
-        sleep(RETURN_INTERVAL).await;
+        sleep(CHECK_INTERVAL).await;
         let settings = state.settings.get();
         let is_near = state.fleet.failure_domain(current.ip()).as_deref()
             == Some(settings.failure_domain.as_str());
         let hubs = link.hubs(state);
+        if is_near && hubs.contains(&current) {
+            checks = 0;
+            continue;
+        }
+        checks += 1;
         let better = hubs.split(|hub| *hub == current).next().unwrap_or_default();
-        if !is_near && let Some(connected) = link.connect(better).await {
+        if checks >= CHECKS
+            && let Some(connected) = link.connect(better).await
+        {
             return connected;
         }
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -116,6 +116,6 @@
         .saturating_sub(CONFIGURATION_MARGIN);
     Periods {
         configuration: Some(wait.max(MIN_CONFIGURATION_TIMEOUT)),
-        servers: settings.max_listing_age(),
+        servers: settings.gateway_listing_age(),
     }
 }
--- a/src/hosted/settings.rs
+++ b/src/hosted/settings.rs
@@ -143,14 +143,23 @@
         self.server_drain().mul_f64(INTERVAL_FRACTION)
     }
 
-    /// Returns the age of the list of servers at which a process reads it itself, because it gets
+    /// Returns the age of the list of servers at which a gateway reads it itself, because it gets
     /// none from a hub.
-    pub(crate) fn max_listing_age(&self) -> Duration {
+    pub(crate) fn gateway_listing_age(&self) -> Duration {
         /// Time for a list to arrive that another process has read.
         const DELIVERY_TIME: Duration = Duration::from_millis(400);
         self.listing_interval() + DELIVERY_TIME
     }
 
+    /// Returns the age of the list of servers at which a loader reads it itself, because it gets
+    /// none from a hub.
+    pub(crate) fn loader_listing_age(&self) -> Duration {
+        /// Time for a list to arrive that another process has read. Loaders get it with the hub's
+        /// next heartbeat.
+        const DELIVERY_TIME: Duration = Duration::from_millis(1_800);
+        self.listing_interval() + DELIVERY_TIME
+    }
+
     /// Returns the time from the end of a disruption until all bounds hold again.
     pub(crate) fn settled_after(&self) -> Duration {
         millis(self.settled_after_ms)
--- a/src/hub/choice.rs
+++ b/src/hub/choice.rs
@@ -1,7 +1,10 @@
 //! Which loaders are hubs, and which of them a process prefers.
 
 use std::{
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     net::SocketAddr, //
 };
 
@@ -19,8 +22,30 @@
 /// Key of the rendezvous order of the servers of a failure domain.
 const RANK_KEY: &str = "hub";
 
-/// Returns the hubs of a service: in each failure domain, the servers whose loaders are hubs, by
-/// rank. Every process chooses the same ones from the same list of servers.
+/// A loader that is a hub.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Candidate {
+    /// Address of the server beside the loader.
+    pub address: SocketAddr,
+    /// Failure domain of its machine.
+    pub failure_domain: String,
+    /// Address of its machine as text. A machine keeps its rank when its server starts anew under
+    /// another id.
+    machine: String,
+}
+
+impl Candidate {
+    fn new(server: &Server) -> Self {
+        Self {
+            address: server.address,
+            failure_domain: server.failure_domain.clone(),
+            machine: server.address.ip().to_string(),
+        }
+    }
+}
+
+/// Returns the hubs of a service: in each failure domain, the loaders that are hubs, by rank. Every
+/// process chooses the same ones from the same list of servers.
 ///
 /// # Examples
 ///
@@ -31,26 +56,21 @@
 ///
 /// assert!(hub::all(&BTreeMap::new(), "llm").is_empty());
 /// ```
-pub fn all<'a>(
-    servers: &'a BTreeMap<String, Server>,
-    service: &str,
-) -> BTreeMap<&'a str, Vec<&'a Server>> {
+pub fn all(servers: &BTreeMap<String, Server>, service: &str) -> BTreeMap<String, Vec<Candidate>> {
     let ready = servers
         .values()
         .filter(|server| server.service == service && server.state == State::Ready);
-    let mut domains: BTreeMap<&str, Vec<&Server>> = BTreeMap::new();
+    let mut domains: BTreeMap<String, BTreeSet<Candidate>> = BTreeMap::new();
     for server in ready {
-        domains
-            .entry(&server.failure_domain)
-            .or_default()
-            .push(server);
-    }
-    for servers in domains.values_mut() {
-        let all = std::mem::take(servers);
-        *servers = rank::order_by(RANK_KEY, all, |server| &server.id);
-        servers.truncate(HUBS_PER_DOMAIN);
+        let machines = domains.entry(server.failure_domain.clone()).or_default();
+        machines.insert(Candidate::new(server));
     }
-    domains
+    let ranked = domains.into_iter().map(|(domain, machines)| {
+        let mut hubs = rank::order_by(RANK_KEY, machines, |hub| &hub.machine);
+        hubs.truncate(HUBS_PER_DOMAIN);
+        (domain, hubs)
+    });
+    ranked.collect()
 }
 
 /// Returns the addresses of the servers whose loaders are hubs, in the order in which the process
@@ -75,18 +95,18 @@
     regions: &BTreeMap<String, String>,
 ) -> Vec<SocketAddr> {
     let region = regions.get(domain);
-    let distance = |server: &Server| {
-        if server.failure_domain == domain {
+    let distance = |hub: &Candidate| {
+        if hub.failure_domain == domain {
             0
-        } else if region.is_some() && regions.get(&server.failure_domain) == region {
+        } else if region.is_some() && regions.get(&hub.failure_domain) == region {
             1
         } else {
             2
         }
     };
     let hubs = all(servers, service).into_values().flatten();
-    let mut ranked = rank::order_by(name, hubs, |server| &server.id);
+    let mut ranked = rank::order_by(name, hubs, |hub| &hub.machine);
     // The sort is stable: hubs at the same distance stay in the process's own order.
-    ranked.sort_by_key(|server| distance(server));
-    ranked.into_iter().map(|server| server.address).collect()
+    ranked.sort_by_key(distance);
+    ranked.into_iter().map(|hub| hub.address).collect()
 }
--- a/src/hub/mod.rs
+++ b/src/hub/mod.rs
@@ -13,6 +13,7 @@
 mod table;
 
 pub use choice::{
+    Candidate,
     all,
     preferred, //
 };
--- a/src/hub/table.rs
+++ b/src/hub/table.rs
@@ -28,6 +28,9 @@
 /// Smallest change of the number of requests at a server that is passed on.
 const MIN_LOAD_CHANGE: u32 = 2;
 
+/// Smallest change of the time of a server's backlog that is passed on, in ms.
+const MIN_BACKLOG_CHANGE_MS: u32 = 300;
+
 /// Smallest change of the number of requests at a server that is passed on, as a fraction of the
 /// number known.
 const MIN_LOAD_CHANGE_FRACTION: f64 = 0.25;
@@ -72,7 +75,8 @@
 /// What a gateway has sent.
 #[derive(Debug, Default)]
 struct GatewayDemand {
-    servers: BTreeMap<String, ServerDemand>,
+    /// Demand at each server, and when it was received.
+    servers: BTreeMap<String, (ServerDemand, Time)>,
     rates: BTreeMap<String, (Traffic, Time)>,
 }
 
@@ -265,8 +269,8 @@
         let mut changed = Vec::new();
         for new in demand.servers {
             let known = gateway.servers.get(&new.server);
-            let has_same = known.map_or(new.backlogs.is_empty(), |known| {
-                known.backlogs == new.backlogs
+            let has_same = known.map_or(new.backlogs.is_empty(), |(known, _)| {
+                has_same_backlogs(known, &new)
             });
             if !has_same {
                 changed.push(new.server.clone());
@@ -274,7 +278,7 @@
             if new.usage.is_empty() && new.backlogs.is_empty() {
                 gateway.servers.remove(&new.server);
             } else {
-                gateway.servers.insert(new.server.clone(), new);
+                gateway.servers.insert(new.server.clone(), (new, now));
             }
         }
         changed
@@ -366,12 +370,13 @@
     /// the version `rates_since`.
     pub(crate) fn needs(&self, server: &str, rates_since: u64, now: Time) -> Needs {
         let demands = self.demands.values();
-        let here: Vec<_> = demands.filter_map(|d| d.servers.get(server)).collect();
+        let here = demands.filter_map(|demand| demand.servers.get(server));
+        let here: Vec<_> = here.collect();
         let changed = self.rates.iter();
         let changed = changed.filter(|(_, version)| **version > rates_since);
         Needs {
             usage: sum_usage(&here),
-            backlogs: sum_backlogs(&here),
+            backlogs: sum_backlogs(&here, now),
             rates: changed.map(|(model, _)| self.rate(model, now)).collect(),
             gateways: self.demands.len() as u32,
             ..Needs::default()
@@ -393,12 +398,24 @@
     }
 }
 
+/// Returns whether the same number of requests wait for the same models and adapters.
+fn has_same_backlogs(known: &ServerDemand, new: &ServerDemand) -> bool {
+    let counts = |demand: &ServerDemand| -> Vec<(String, Option<String>, u32)> {
+        let backlogs = demand.backlogs.iter();
+        backlogs
+            .map(|b| (b.model.clone(), b.adapter.clone(), b.waiting))
+            .collect()
+    };
+    counts(known) == counts(new)
+}
+
 /// Returns whether a change of the workload matters to the choice of a server.
 fn is_significant(known: Workload, new: Workload) -> bool {
     let load = |workload: Workload| workload.running + workload.queued;
     let change = load(known).abs_diff(load(new));
     let is_large = f64::from(change) >= MIN_LOAD_CHANGE_FRACTION * f64::from(load(known));
     known.gateways != new.gateways
+        || known.backlog_ms.abs_diff(new.backlog_ms) >= MIN_BACKLOG_CHANGE_MS
         || known.queued.abs_diff(new.queued) >= MIN_LOAD_CHANGE
         || (change >= MIN_LOAD_CHANGE && is_large)
 }
@@ -411,8 +428,8 @@
     items.map(name).collect()
 }
 
-fn sum_usage(demands: &[&ServerDemand]) -> Vec<Usage> {
-    let all = || demands.iter().flat_map(|demand| &demand.usage);
+fn sum_usage(demands: &[&(ServerDemand, Time)]) -> Vec<Usage> {
+    let all = || demands.iter().flat_map(|(demand, _)| &demand.usage);
     let names = names(all(), |usage| (usage.model.clone(), usage.adapter.clone()));
     let sum = |(model, adapter): (String, Option<String>)| {
         let same = all().filter(|usage| usage.model == model && usage.adapter == adapter);
@@ -425,8 +442,13 @@
     names.into_iter().map(sum).collect()
 }
 
-fn sum_backlogs(demands: &[&ServerDemand]) -> Vec<Backlog> {
-    let all = || demands.iter().flat_map(|demand| &demand.backlogs);
+fn sum_backlogs(demands: &[&(ServerDemand, Time)], now: Time) -> Vec<Backlog> {
+    let aged = demands.iter().flat_map(|(demand, received_at)| {
+        let backlogs = demand.backlogs.iter();
+        backlogs.map(|backlog| backlog.after(now - *received_at))
+    });
+    let aged: Vec<Backlog> = aged.collect();
+    let all = || aged.iter();
     let names = names(all(), |backlog| {
         (backlog.model.clone(), backlog.adapter.clone())
     });
@@ -436,6 +458,7 @@
         Backlog {
             waiting: same().map(|backlog| backlog.waiting).sum(),
             priority: same().map(|backlog| backlog.priority).min().unwrap_or(0),
+            oldest_ms: same().map(|backlog| backlog.oldest_ms).max().unwrap_or(0),
             model: model.clone(),
             adapter: adapter.clone(),
         }
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -46,6 +46,19 @@
     pub waiting: u32,
     /// Priority of the most urgent of them; 0 is the most urgent.
     pub priority: u8,
+    /// Time for which the one that arrived first has waited, in ms.
+    pub oldest_ms: u32,
+}
+
+impl Backlog {
+    /// Returns the backlog after a time in which no request arrived or left.
+    pub(crate) fn after(&self, age: Duration) -> Self {
+        let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+        Self {
+            oldest_ms: self.oldest_ms.saturating_add(age_ms),
+            ..self.clone()
+        }
+    }
 }
 
 /// What the requests of one gateway, or of several, need at a server.
@@ -296,6 +309,8 @@
     pub queued: u32,
     /// Number of gateways that the loader knows of through hubs.
     pub gateways: u32,
+    /// Estimated time of the loads that requests at all gateways wait for at the server, in ms.
+    pub backlog_ms: u32,
 }
 
 /// Message of a loader to a hub.
--- a/src/loader/driver.rs
+++ b/src/loader/driver.rs
@@ -169,8 +169,8 @@
             .retain(|order| now - order.sent < MAX_ORDER_DELAY);
         self.record_adapter_use(now);
         let server = self.state.server();
-        self.publish(server.as_ref(), now);
         let backlogs = self.state.backlogs();
+        self.publish(server.as_ref(), &backlogs, now);
         let Some(server) = server else { return false };
         if now >= self.retry_at
             && let Some(order) = self.decide(&server, &backlogs, now)
@@ -213,7 +213,7 @@
         }
     }
 
-    fn publish(&self, server: Option<&Server>, now: Time) {
+    fn publish(&self, server: Option<&Server>, backlogs: &[Backlog], now: Time) {
         let current_order = self.execution.as_ref().map(|execution| LinkOrder {
             model: execution.order.model.clone(),
             is_load: execution.order.operation == Operation::Load,
@@ -248,9 +248,28 @@
             running: self.report.running,
             queued: self.report.queued,
             gateways: self.state.gateways(),
+            backlog_ms: self.backlog_ms(backlogs),
         });
     }
 
+    /// Returns the estimated time of the loads that requests wait for, in ms.
+    fn backlog_ms(&self, backlogs: &[Backlog]) -> u32 {
+        let Some(engine) = self.state.engine() else {
+            return 0;
+        };
+        let own = host("", &self.report.replicas, &self.report.copies);
+        let models: BTreeSet<_> = backlogs.iter().map(|backlog| &backlog.model).collect();
+        let is_loading = |model: &str| {
+            let execution = self.execution.as_ref();
+            execution.is_some_and(|execution| execution.order.model == model)
+        };
+        let missing = models
+            .into_iter()
+            .filter(|model| !own.resident.contains_key(*model) && !is_loading(model));
+        let models = missing.filter_map(|model| engine.model(model));
+        models.map(|model| own.load_ms(model)).sum::<f64>() as u32
+    }
+
     fn decide(&mut self, server: &Server, backlogs: &[Backlog], now: Time) -> Option<Order> {
         if server.state != deployment::State::Ready || self.report.is_leaving {
             return None;
@@ -438,7 +457,7 @@
             order: order.clone(),
             expected_end: now,
         });
-        self.publish(Some(server), now);
+        self.publish(Some(server), &self.state.backlogs(), now);
     }
 
     fn start_execution(&mut self, order: Order, now: Time) {
--- a/src/loader/mod.rs
+++ b/src/loader/mod.rs
@@ -6,6 +6,7 @@
 mod limiter;
 mod order;
 mod plan;
+pub mod precedence;
 mod state;
 mod uplink;
 
@@ -60,7 +61,7 @@
     let store = Store::new(settings.store_addr);
     let periods = Periods {
         configuration: None,
-        servers: settings.max_listing_age(),
+        servers: settings.loader_listing_age(),
     };
     let follower = Rc::new(Follower::new(store, periods));
     let state = Rc::new(State::new(live.clone(), engine, follower.clone()));
--- a/src/loader/plan.rs
+++ b/src/loader/plan.rs
@@ -113,7 +113,7 @@
     /// it.
     fn load_order(&self, model: &Model) -> Option<Order> {
         let from_store = self.pool.hosts[self.host].loads_from_store(&model.name);
-        if from_store && !self.may_use_store {
+        if from_store && !(self.may_use_store && self.pool.may_load_from_store()) {
             return None;
         }
         let eviction = evict(&self.pool, self.host, model.weights_mb)?;
--- a/src/loader/state.rs
+++ b/src/loader/state.rs
@@ -15,6 +15,7 @@
     watch, //
 };
 
+use super::precedence;
 use crate::{
     deployment::{
         Engine,
@@ -50,8 +51,8 @@
     /// Address of the engine.
     pub(super) engine_addr: SocketAddr,
     pub(super) follower: Rc<Follower>,
-    /// Latest message of each hub, by connection.
-    needs: RefCell<BTreeMap<u64, Needs>>,
+    /// Latest message of each hub and when it arrived, by connection.
+    needs: RefCell<BTreeMap<u64, (Needs, Time)>>,
     /// Traffic at the gateways of each hub, by connection.
     rates: RefCell<BTreeMap<u64, Rates>>,
     /// The description of the engine, which the hub in this process uses as well.
@@ -125,7 +126,7 @@
                 .borrow_mut()
                 .offer(connection | HUB_CONNECTION, version, now);
         }
-        self.needs.borrow_mut().insert(connection, needs);
+        self.needs.borrow_mut().insert(connection, (needs, now));
         if is_urgent {
             self.wake.notify_one();
         }
@@ -168,16 +169,21 @@
         self.needs
             .borrow()
             .values()
-            .map(|needs| needs.gateways)
+            .map(|(needs, _)| needs.gateways)
             .sum()
     }
 
     /// Returns the models and adapters that requests wait for at any gateway, the most urgent
     /// first.
     pub(super) fn backlogs(&self) -> Vec<Backlog> {
+        let now = Time::now();
         let needs = self.needs.borrow();
+        let backlogs = needs.values().flat_map(|(needs, at)| {
+            let backlogs = needs.backlogs.iter();
+            backlogs.map(|backlog| backlog.after(now - *at))
+        });
         let mut merged: Vec<Backlog> = Vec::new();
-        for backlog in needs.values().flat_map(|needs| &needs.backlogs) {
+        for backlog in backlogs {
             let is_same = |other: &&mut Backlog| {
                 other.model == backlog.model && other.adapter == backlog.adapter
             };
@@ -185,11 +191,12 @@
                 Some(other) => {
                     other.waiting += backlog.waiting;
                     other.priority = other.priority.min(backlog.priority);
+                    other.oldest_ms = other.oldest_ms.max(backlog.oldest_ms);
                 }
-                None => merged.push(backlog.clone()),
+                None => merged.push(backlog),
             }
         }
-        merged.sort_by_key(|backlog| (backlog.priority, u32::MAX - backlog.waiting));
+        precedence::sort(&mut merged);
         merged
     }
 
@@ -220,7 +227,7 @@
     /// Calls `visit` with each model in use, its adapter if one is used, and the number of requests
     /// in flight.
     pub(super) fn for_each_usage(&self, mut visit: impl FnMut(&str, Option<&str>, u32)) {
-        for usage in self.needs.borrow().values().flat_map(|n| &n.usage) {
+        for usage in self.needs.borrow().values().flat_map(|(n, _)| &n.usage) {
             visit(&usage.model, usage.adapter.as_deref(), usage.in_flight);
         }
     }
--- a/src/loader/uplink.rs
+++ b/src/loader/uplink.rs
@@ -3,7 +3,10 @@
 
 use std::{
     cell::RefCell,
-    collections::BTreeSet,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     io,
     net::SocketAddr,
     rc::Rc,
@@ -32,11 +35,16 @@
         Status, //
     },
     report,
+    timer::Time,
 };
 
 /// Maximum interval at which the hubs are chosen anew from the roster.
 const CHOICE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time for which the connection to a hub is kept that the roster no longer gives. Gateways leave
+/// such a hub only when loaders have had time to connect to the new one.
+const LINGER: Duration = Duration::from_millis(10_000);
+
 /// Timeout for connecting to a hub.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -54,14 +62,23 @@
 struct Links {
     /// Addresses of the hubs that the roster gives at present, the preferred ones first.
     wanted: RefCell<Vec<SocketAddr>>,
+    /// When the roster last gave each hub.
+    last_wanted: RefCell<BTreeMap<SocketAddr, Time>>,
     /// Addresses with a task that maintains the connection.
     maintained: RefCell<BTreeSet<SocketAddr>>,
     connected: RefCell<BTreeSet<SocketAddr>>,
 }
 
 impl Links {
+    fn set_wanted(&self, wanted: Vec<SocketAddr>, now: Time) {
+        let mut last_wanted = self.last_wanted.borrow_mut();
+        last_wanted.retain(|_, at| now - *at < LINGER);
+        last_wanted.extend(wanted.iter().map(|hub| (*hub, now)));
+        *self.wanted.borrow_mut() = wanted;
+    }
+
     fn is_wanted(&self, hub: SocketAddr) -> bool {
-        self.wanted.borrow().contains(&hub)
+        self.last_wanted.borrow().contains_key(&hub)
     }
 
     /// Returns the connected hub that comes first in the order of preference.
@@ -76,7 +93,7 @@
 pub(super) async fn maintain(state: Rc<State>) {
     let links = Rc::new(Links::default());
     loop {
-        *links.wanted.borrow_mut() = wanted(&state);
+        links.set_wanted(wanted(&state), Time::now());
         state.follower.set_max_age(max_listing_age(&state));
         let wanted = links.wanted.borrow().clone();
         for hub in wanted {
@@ -101,16 +118,14 @@
     let is_reader = state.server().is_some_and(|own| {
         state.follower.with_roster(|roster| {
             let hubs = hub::all(roster.servers(), &own.service);
-            let first = hubs
-                .get(own.failure_domain.as_str())
-                .and_then(|hubs| hubs.first());
-            first.is_some_and(|first| first.id == own.id)
+            let first = hubs.get(&own.failure_domain).and_then(|hubs| hubs.first());
+            first.is_some_and(|first| first.address == own.address)
         })
     });
     if is_reader {
         settings.listing_interval()
     } else {
-        settings.max_listing_age()
+        settings.loader_listing_age()
     }
 }
 
--- a/src/placement/index.rs
+++ b/src/placement/index.rs
@@ -24,6 +24,8 @@
     in_memory: Hosts<'p>,
     /// Reachable servers with the weights on their disk.
     on_disk: Hosts<'p>,
+    /// Number of loads from the weight store in progress.
+    pub(super) store_loads: usize,
 }
 
 impl<'p> Index<'p> {
@@ -34,6 +36,7 @@
             loading: HashMap::new(),
             in_memory: HashMap::new(),
             on_disk: HashMap::new(),
+            store_loads: store_loads(hosts),
         };
         for (number, host) in hosts.iter().enumerate() {
             let held = host.resident.keys().filter(|model| host.holds(model));
@@ -87,6 +90,15 @@
     }
 }
 
+/// Returns the number of loads from the weight store in progress.
+fn store_loads(hosts: &[Host]) -> usize {
+    let loading = hosts.iter().filter(|host| {
+        let order = host.current_order.as_ref().filter(|order| order.is_load);
+        order.is_some_and(|order| host.loads_from_store(&order.model))
+    });
+    loading.count()
+}
+
 fn add<'p>(hosts: &mut Hosts<'p>, models: impl Iterator<Item = &'p String>, host: usize) {
     for model in models {
         hosts.entry(model).or_default().push(host);
--- a/src/placement/pool.rs
+++ b/src/placement/pool.rs
@@ -296,7 +296,10 @@
             .current_order
             .as_ref()
             .map_or(0.0, |order| order.remaining_ms);
-        let wait_ms = host.backlog_ms + host.queue_ms + eviction.wait_ms;
+        let wait_ms = host.backlog_ms
+            + host.queue_ms
+            + eviction.wait_ms
+            + Self::store_wait_ms(index, host, model);
         let ready_ms = order_ms + wait_ms + host.load_ms(model);
         Some(Candidate {
             host: number,
@@ -305,6 +308,38 @@
         })
     }
 
+    /// Returns the estimated wait until a load from the weight store may start, in ms.
+    fn store_wait_ms(index: &Index<'_>, host: &Host, model: &Model) -> f64 {
+        if !host.loads_from_store(&model.name) {
+            return 0.0;
+        }
+        let excess = (index.store_loads + 1).saturating_sub(MAX_STORE_LOADS);
+        let load_ms = model.store_load.as_secs_f64() * 1_000.0;
+        excess as f64 * load_ms / MAX_STORE_LOADS as f64
+    }
+
+    /// Returns whether the weight store has a free place for one more load. All loads share its
+    /// bandwidth: with more of them, each only takes longer.
+    pub fn may_load_from_store(&self) -> bool {
+        Index::new(&self.hosts).store_loads < MAX_STORE_LOADS
+    }
+
+    /// Returns the estimated time until a model is loaded on a server at which requests wait for
+    /// it, in ms.
+    pub fn ready_ms(host: &Host, model: &Model) -> f64 {
+        let order_ms = host
+            .current_order
+            .as_ref()
+            .map_or(0.0, |order| order.remaining_ms);
+        if host.holds(&model.name) {
+            return 0.0;
+        }
+        if host.is_loading(&model.name) {
+            return order_ms;
+        }
+        order_ms + host.backlog_ms.max(host.load_ms(model))
+    }
+
     /// Returns whether a load from the weight store at `candidate` should be postponed because a
     /// server that is expected back soon has a copy of the weights.
     ///
@@ -332,7 +367,7 @@
         // The plan changes neither where models and weights are nor which orders are in progress.
         let shared = planned.clone();
         let shared_index = Index::new(&shared.hosts);
-        let mut store_loads = self.store_loads();
+        let mut store_loads = index.store_loads;
         for (model, gain_ms) in self.spare_candidates(&index) {
             let ranked = planned.indexed_rank(&shared_index, &model.name);
             let Some(best) = ranked.into_iter().next() else {
@@ -385,16 +420,6 @@
         shared
     }
 
-    /// Returns the number of loads from the weight store in progress.
-    fn store_loads(&self) -> usize {
-        let hosts = self.hosts.iter();
-        let loading = hosts.filter(|host| {
-            let order = host.current_order.as_ref().filter(|order| order.is_load);
-            order.is_some_and(|order| host.loads_from_store(&order.model))
-        });
-        loading.count()
-    }
-
     /// Returns the models that gain most from one more replica, with the gain in ms.
     fn spare_candidates(&self, index: &Index<'_>) -> Vec<(&Model, f64)> {
         let models = self.engine.models.iter();
--- a/tests/hub.rs
+++ b/tests/hub.rs
@@ -59,7 +59,11 @@
 
 fn ids(servers: &BTreeMap<String, Server>) -> BTreeSet<String> {
     let hubs = hub::all(servers, "llm").into_values().flatten();
-    hubs.map(|server| server.id.clone()).collect()
+    let addresses: BTreeSet<_> = hubs.map(|hub| hub.address).collect();
+    let servers = servers
+        .values()
+        .filter(|server| addresses.contains(&server.address));
+    servers.map(|server| server.id.clone()).collect()
 }
 
 /// Guards against connections that grow with the square of the fleet, and against a fleet whose
@@ -80,6 +84,28 @@
     }
 }
 
+/// Guards against gateways and loaders that part because a hub's server started anew under another
+/// id, and against one machine that counts as two hubs while its former entry is still listed.
+#[test]
+fn a_machine_keeps_its_rank_when_its_server_starts_anew() {
+    let servers = fleet(24);
+    let addresses = |servers: &BTreeMap<String, Server>| -> Vec<_> {
+        let hubs = hub::all(servers, "llm").into_values().flatten();
+        hubs.map(|hub| hub.address).collect()
+    };
+    let hubs = addresses(&servers);
+    for id in ids(&servers) {
+        let mut restarted = servers.clone();
+        let mut server = servers[&id].clone();
+        server.id = format!("new-{id}");
+        server.started_ms += 1;
+        restarted.insert(server.id.clone(), server);
+        assert_eq!(addresses(&restarted), hubs, "{id}");
+        restarted.remove(&id);
+        assert_eq!(addresses(&restarted), hubs, "{id}");
+    }
+}
+
 /// Guards against gateways that all use one hub of their failure domain, and against a gateway that
 /// sends its messages to another region while a hub of its own is listed.
 #[test]
@@ -229,6 +255,7 @@
         adapter: None,
         waiting,
         priority,
+        oldest_ms: 0,
     });
     ServerDemand {
         server: server.to_owned(),
--- a/tests/loader.rs
+++ b/tests/loader.rs
@@ -259,6 +259,7 @@
         adapter: random.bool().then(|| format!("a{}", random.usize(..5))),
         waiting: 1,
         priority: random.u8(..3),
+        oldest_ms: 0,
     }
 }
 
@@ -349,6 +350,7 @@
             adapter,
             waiting: 1,
             priority: 1,
+            oldest_ms: 0,
         }];
         let uses = BTreeMap::new();
         let is_loaded = |fake: &FakeEngine| {
@@ -435,6 +437,7 @@
         adapter: None,
         waiting: 1,
         priority: 1,
+        oldest_ms: 0,
     }];
     let uses = BTreeMap::new();
     let mut planner = planner(&engine, &report, &backlogs, &uses, None, &[]);
