gateway, loader: split the state of a backend and the loader's driver

Change: gateway::demand holds what requests use and wait for, loader::view the view of the servers on which orders are decided; hosted::machine and limiter hold their tests.

--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -16,12 +16,12 @@
 use tokio::sync::watch;
 
 use super::{
-    link::Link,
-    message::{
-        Load,
-        ModelName, //
+    demand::{
+        Key,
+        Waiting, //
     },
-    rates::Rates,
+    link::Link,
+    message::Load,
 };
 use crate::{
     deployment::{
@@ -32,12 +32,9 @@
     dispatch::Prefixes,
     http::Pool,
     link::{
-        Backlog,
         Contact,
         Holdings,
-        ServerDemand,
-        ServerState,
-        Usage, //
+        ServerState, //
     },
     placement::CurrentOrder,
     report,
@@ -57,18 +54,6 @@
 /// it is starting.
 const LOADER_RECOVERY_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-/// Model and adapter that requests use or wait for.
-type Key = (String, Option<String>);
-
-/// Requests that wait for a model or adapter.
-#[derive(Debug, Default)]
-struct Waiting {
-    /// Priority of the most urgent of them.
-    priority: u8,
-    /// When each of them arrived.
-    arrivals: Vec<Time>,
-}
-
 /// State that a gateway keeps for a backend server.
 #[derive(Debug)]
 pub(super) struct Backend {
@@ -80,10 +65,10 @@
     pub(super) prefixes: RefCell<Prefixes>,
     /// Prompt tokens of the requests to which the server has not begun to respond.
     pub(super) pending_tokens: Cell<u64>,
-    in_flight: Cell<u32>,
+    pub(super) in_flight: Cell<u32>,
     /// Number of requests in flight.
-    usage: RefCell<BTreeMap<Key, u32>>,
-    backlog: RefCell<BTreeMap<Key, Waiting>>,
+    pub(super) usage: RefCell<BTreeMap<Key, u32>>,
+    pub(super) backlog: RefCell<BTreeMap<Key, Waiting>>,
     /// Load that the server reported last, and when.
     load: Cell<Option<(Load, Time)>>,
     failure_rate: Cell<f64>,
@@ -109,7 +94,7 @@
     /// Number of gateways that the loader knows of.
     pub(super) gateways: Cell<u32>,
     /// Link to the hub that is sent the demand at this server.
-    link: Rc<Link>,
+    pub(super) link: Rc<Link>,
     /// Whether the demand has changed since it was last sent.
     pub(super) is_demand_changed: Cell<bool>,
     /// Models under which the server is indexed.
@@ -362,101 +347,6 @@
     pub(super) fn failure_rate(&self) -> f64 {
         self.failure_rate.get()
     }
-
-    /// Counts a request at the server until the guard is dropped.
-    pub(super) fn begin(
-        self: &Rc<Self>,
-        model: Option<&ModelName>,
-        tokens: u64,
-        rates: &Rc<Rates>,
-    ) -> InFlight {
-        self.in_flight.set(self.in_flight.get() + 1);
-        self.pending_tokens.set(self.pending_tokens.get() + tokens);
-        let key = model.map(|name| (name.model.clone(), name.adapter.clone()));
-        if let Some(key) = &key {
-            rates.record_send(&key.0, tokens, Time::now());
-            *self.usage.borrow_mut().entry(key.clone()).or_default() += 1;
-            self.is_demand_changed.set(true);
-        }
-        InFlight {
-            backend: self.clone(),
-            rates: rates.clone(),
-            key,
-            tokens,
-        }
-    }
-
-    /// Counts a request that waits for a model or adapter until the guard is dropped.
-    pub(super) fn add_to_backlog(
-        self: &Rc<Self>,
-        name: &ModelName,
-        priority: u8,
-        arrival: Time,
-    ) -> BacklogEntry {
-        let key = (name.model.clone(), name.adapter.clone());
-        let mut backlog = self.backlog.borrow_mut();
-        let waiting = backlog.entry(key.clone()).or_insert_with(|| Waiting {
-            priority,
-            arrivals: Vec::new(),
-        });
-        waiting.priority = waiting.priority.min(priority);
-        waiting.arrivals.push(arrival);
-        self.notify_demand();
-        BacklogEntry {
-            backend: self.clone(),
-            key,
-            arrival,
-        }
-    }
-
-    /// Records that the demand has changed, and wakes the link to send it.
-    fn notify_demand(&self) {
-        self.is_demand_changed.set(true);
-        self.link.demand_changed.notify_one();
-    }
-
-    /// Returns whether requests of this gateway wait for a model at this server.
-    pub(super) fn has_backlog(&self, model: &str) -> bool {
-        let backlog = self.backlog.borrow();
-        backlog.keys().any(|(awaited, _)| awaited == model)
-    }
-
-    /// Returns the names of the models that requests of this gateway wait for at this server.
-    pub(super) fn backlog_models(&self) -> Vec<String> {
-        let backlog = self.backlog.borrow();
-        let mut models: Vec<_> = backlog.keys().map(|(model, _)| model.clone()).collect();
-        models.dedup();
-        models
-    }
-
-    /// Returns what the gateway's requests need at the server.
-    pub(super) fn demand(&self) -> ServerDemand {
-        let usage = self.usage.borrow();
-        let usage = usage.iter().map(|((model, adapter), in_flight)| Usage {
-            model: model.clone(),
-            adapter: adapter.clone(),
-            in_flight: *in_flight,
-        });
-        let now = Time::now();
-        let age_ms = |waiting: &Waiting| {
-            let oldest = waiting.arrivals.iter().min();
-            let age = oldest.map_or(Duration::ZERO, |oldest| now - *oldest);
-            u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
-        };
-        let backlog = self.backlog.borrow();
-        let backlog = backlog.iter().map(|((model, adapter), waiting)| Backlog {
-            model: model.clone(),
-            adapter: adapter.clone(),
-            waiting: waiting.arrivals.len() as u32,
-            priority: waiting.priority,
-            oldest_ms: age_ms(waiting),
-        });
-        ServerDemand {
-            server: self.server.borrow().id.clone(),
-            usage: usage.collect(),
-            backlogs: backlog.collect(),
-        }
-    }
 }
 
 /// Returns the models whose replica or order differs between two descriptions of a server.
@@ -478,65 +368,3 @@
     }
     models
 }
-
-/// Guard of a request in flight at a server.
-#[derive(Debug)]
-pub(super) struct InFlight {
-    pub(super) backend: Rc<Backend>,
-    rates: Rc<Rates>,
-    key: Option<Key>,
-    tokens: u64,
-}
-
-impl InFlight {
-    /// Removes the request from the pending tokens, because the server has processed the prompt or
-    /// the request has ended.
-    pub(super) fn clear_pending_tokens(&mut self) {
-        let pending = &self.backend.pending_tokens;
-        pending.set(pending.get().saturating_sub(self.tokens));
-        self.tokens = 0;
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.clear_pending_tokens();
-        let in_flight = &self.backend.in_flight;
-        in_flight.set(in_flight.get().saturating_sub(1));
-        if let Some(key) = &self.key {
-            self.rates.record_end(&key.0, Time::now());
-            self.backend.is_demand_changed.set(true);
-            let mut usage = self.backend.usage.borrow_mut();
-            if let Some(count) = usage.get_mut(key) {
-                *count -= 1;
-                if *count == 0 {
-                    usage.remove(key);
-                }
-            }
-        }
-    }
-}
-
-/// Guard of a request that waits for a model or adapter at a server.
-#[derive(Debug)]
-pub(super) struct BacklogEntry {
-    backend: Rc<Backend>,
-    key: Key,
-    arrival: Time,
-}
-
-impl Drop for BacklogEntry {
-    fn drop(&mut self) {
-        let mut backlog = self.backend.backlog.borrow_mut();
-        if let Some(waiting) = backlog.get_mut(&self.key) {
-            let mut arrivals = waiting.arrivals.iter();
-            if let Some(index) = arrivals.position(|arrival| *arrival == self.arrival) {
-                waiting.arrivals.swap_remove(index);
-            }
-            if waiting.arrivals.is_empty() {
-                backlog.remove(&self.key);
-            }
-        }
-        self.backend.notify_demand();
-    }
-}
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -13,7 +13,7 @@
 };
 
 use super::{
-    backend::InFlight,
+    demand::InFlight,
     message::{
         ModelName,
         RequestHead,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod backend;
 mod cold;
+mod demand;
 mod engines;
 mod events;
 mod fleet;
--- a/src/gateway/pick.rs
+++ b/src/gateway/pick.rs
@@ -7,14 +7,12 @@
 };
 
 use super::{
-    backend::{
-        Backend,
-        BacklogEntry, //
-    },
+    backend::Backend,
     cold::{
         self,
         Decision, //
     },
+    demand::BacklogEntry,
     job::{
         Job,
         Progress, //
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -15,7 +15,7 @@
 
 use super::{
     attempt,
-    backend::InFlight,
+    demand::InFlight,
     events::Events,
     forward,
     job::{
--- a/src/loader/driver.rs
+++ b/src/loader/driver.rs
@@ -16,17 +16,14 @@
 };
 
 use super::{
-    Limit,
-    Limiter,
-    Operation,
-    Order,
-    Planner,
-    Reply,
-    Report,
-    Unanswered,
+    Limit, Limiter, Operation, Order, Planner, Reply, Report, Unanswered,
     engine::Engine,
     plan,
-    state::State, //
+    state::State,
+    view::{
+        self,
+        Own, //
+    },
 };
 use crate::{
     deployment::{
@@ -38,16 +35,10 @@
         Backlog,
         CurrentOrder as LinkOrder,
         Holdings,
-        ServerState,
         Workload, //
     },
     metrics::Metrics,
-    placement::{
-        CurrentOrder,
-        Host,
-        Pool,
-        Resident, //
-    },
+    placement::CurrentOrder,
     report,
     timer::Time,
 };
@@ -257,7 +248,7 @@
         let Some(engine) = self.state.engine() else {
             return 0;
         };
-        let own = host("", &self.report.replicas, &self.report.copies);
+        let own = view::host("", &self.report.replicas, &self.report.copies);
         let models: BTreeSet<_> = backlogs.iter().map(|backlog| &backlog.model).collect();
         let is_loading = |model: &str| {
             let execution = self.execution.as_ref();
@@ -285,7 +276,16 @@
         if !may_serve_backlog && !may_load_spare {
             return None;
         }
-        let pool = self.pool(&engine, server, backlogs);
+        let pool = view::pool(
+            &self.state,
+            &engine,
+            Own {
+                server,
+                report: &self.report,
+                current_order: self.current_order(now),
+                backlogs,
+            },
+        );
         let host = pool.hosts.iter().position(|host| host.id == server.id)?;
         let may_use_store = self.limiter.allows(now, &store_limit);
         if !is_settled && self.state.observed.get().is_none() {
@@ -337,76 +337,13 @@
         }
     }
 
-    fn pool<'a>(
-        &self,
-        engine: &'a deployment::Engine,
-        server: &Server,
-        backlogs: &[Backlog],
-    ) -> Pool<'a> {
-        let hosts = self.state.follower.with_roster(|roster| {
-            let servers = roster.servers().values();
-            let peers = servers.filter(|other| {
-                other.service == server.service && other.state == deployment::State::Ready
-            });
-            let mut hosts: Vec<_> = peers
-                .filter(|other| other.id != server.id)
-                .map(|other| self.peer_host(other))
-                .collect();
-            hosts.push(self.own_host(engine, server, backlogs));
-            hosts
-        });
-        Pool {
-            engine,
-            hosts,
-            rates: self.state.rates(),
-        }
-    }
-
-    /// Returns the placement view of another server: as its loader describes it if that is known,
-    /// else as the list of servers does.
-    fn peer_host(&self, server: &Server) -> Host {
-        let host_of_state = |state: &ServerState| {
-            let holdings = &state.holdings;
-            let mut host = host(&server.id, &holdings.replicas, &holdings.copies);
-            let order = holdings.current_order.as_ref();
-            host.current_order = order.map(|order| CurrentOrder {
-                model: order.model.clone(),
-                is_load: order.is_load,
-                remaining_ms: f64::from(order.remaining_ms),
-            });
-            host
-        };
-        let known = self.state.with_state(&server.id, host_of_state);
-        known.unwrap_or_else(|| host(&server.id, &server.replicas, &server.copies))
-    }
-
-    fn own_host(&self, engine: &deployment::Engine, server: &Server, backlogs: &[Backlog]) -> Host {
-        let mut own = host(&server.id, &self.report.replicas, &self.report.copies);
-        self.state.for_each_usage(|model, _, in_flight| {
-            if let Some(resident) = own.resident.get_mut(model) {
-                resident.in_flight += in_flight;
-            }
-        });
-        for backlog in backlogs {
-            if let Some(resident) = own.resident.get_mut(&backlog.model) {
-                resident.wanted = true;
-            }
-        }
-        for replica in &self.report.replicas {
-            let pending = &self.report.pending_adapters;
-            let pending = pending.iter().filter(|(model, _)| *model == replica.model);
-            let adapters = (replica.adapters.len() + pending.count()) as f64;
-            let adapter_mb = engine.model(&replica.model).map_or(0.0, |m| m.adapter_mb);
-            if let Some(resident) = own.resident.get_mut(&replica.model) {
-                resident.adapters_mb = adapters * adapter_mb;
-            }
-        }
-        own.current_order = self.execution.as_ref().map(|execution| CurrentOrder {
+    fn current_order(&self, now: Time) -> Option<CurrentOrder> {
+        let execution = self.execution.as_ref()?;
+        Some(CurrentOrder {
             model: execution.order.model.clone(),
             is_load: execution.order.operation == Operation::Load,
-            remaining_ms: execution.expected_end.remaining(Time::now()).as_millis() as f64,
-        });
-        own
+            remaining_ms: execution.expected_end.remaining(now).as_millis() as f64,
+        })
     }
 
     async fn send_order(&mut self, order: Order, server: &Server, now: Time) {
@@ -476,28 +413,9 @@
         let model = engine
             .as_ref()
             .and_then(|engine| engine.model(&order.model));
-        let own = host("", &[], &self.report.copies);
+        let own = view::host("", &[], &self.report.copies);
         model.map_or(Duration::ZERO, |model| {
             Duration::from_secs_f64(own.load_ms(model) / 1_000.0)
         })
     }
 }
-
-/// Creates the placement view of a server from the models that it holds.
-fn host(id: &str, replicas: &[deployment::Replica], copies: &deployment::Copies) -> Host {
-    let resident = replicas.iter();
-    let names = |names: &[String]| names.iter().cloned().collect::<BTreeSet<_>>();
-    Host {
-        id: id.to_owned(),
-        reachable: true,
-        expected: false,
-        resident: resident
-            .map(|replica| (replica.model.clone(), Resident::default()))
-            .collect(),
-        in_memory: names(&copies.in_memory),
-        on_disk: names(&copies.on_disk),
-        current_order: None,
-        backlog_ms: 0.0,
-        queue_ms: 0.0,
-    }
-}
--- a/src/loader/mod.rs
+++ b/src/loader/mod.rs
@@ -9,6 +9,7 @@
 pub mod precedence;
 mod state;
 mod uplink;
+mod view;
 
 pub use limiter::{
     Limit,
--- /dev/null
+++ b/tests/hosted/machine.rs
@@ -0,0 +1,116 @@
+//! Machines, servers and hubs that do not respond.
+
+use std::{
+    thread::{
+        self,
+        JoinHandle, //
+    },
+    time::Duration,
+};
+
+use chestnuthub::emulator::site::Plan;
+use serde_json::json;
+
+use crate::{
+    deployment::{
+        Deployment,
+        Request, //
+    },
+    site_support::{
+        events,
+        is_terminated,
+        send_raw,
+        wait_until, //
+    },
+};
+
+/// Guards against a stream that waits for a frozen machine until its client times out, although
+/// another server could continue it.
+#[test]
+fn a_stream_moves_off_an_unresponsive_machine() {
+    let plan = Plan {
+        engines: vec![vec!["m1"], vec!["m1"]],
+        events: 150,
+        event_interval: Duration::from_millis(30),
+        ..Plan::default()
+    };
+    let system = Deployment::start(&plan);
+    let stream = start_stream(&system, "moved");
+    let first = running_engine(&system);
+    // The engine keeps running, but its frozen loader makes the machine look unresponsive.
+    system.loaders[first].signal("STOP");
+    assert_moved(&system, stream, "moved", 150);
+}
+
+/// Guards against requests that wait for an unresponsive server because its machine is alive and
+/// its description in the store still says that it is ready.
+#[test]
+fn a_stream_moves_off_an_unresponsive_server() {
+    let plan = Plan {
+        engines: vec![vec!["m1"], vec!["m1"]],
+        events: 300,
+        event_interval: Duration::from_millis(30),
+        ..Plan::default()
+    };
+    let system = Deployment::start(&plan);
+    let stream = start_stream(&system, "dark");
+    let first = running_engine(&system);
+    // New requests, including the loader's, get no response; running streams continue.
+    system.site.engine_fault(first, json!({ "kind": "hold" }));
+    assert_moved(&system, stream, "dark", 300);
+}
+
+/// Guards against requests for cold models that wait for a hub whose machine is frozen or whose
+/// process has ended, although another hub is reachable.
+#[test]
+fn cold_models_are_loaded_while_any_hub_is_down() {
+    let plan = Plan {
+        engines: vec![vec!["m1"], vec!["m1"], vec!["m1"]],
+        ..Plan::default()
+    };
+    for signal in ["STOP", "KILL"] {
+        for index in 0..3 {
+            let system = Deployment::start(&plan);
+            let warm = system.send(&Request::model("w", "/chat/x", "m2"));
+            assert!(warm.starts_with("HTTP/1.1 200"), "{warm}");
+            system.loaders[index].signal(signal);
+            for (id, model) in [("r1", "m3"), ("r2", "m4")] {
+                let response = system.send(&Request::model(id, "/chat/x", model));
+                assert!(
+                    response.starts_with("HTTP/1.1 200"),
+                    "{signal} {index} {model}: {response}"
+                );
+            }
+        }
+    }
+}
+
+/// Sends a request for a resumable stream in a thread, which returns the response.
+fn start_stream(system: &Deployment, id: &str) -> JoinHandle<String> {
+    let text = format!(
+        "POST /review/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: {id}\r\nModel: m1\r\n\
+         Deadline-Ms: 20000\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+    );
+    let caller_addr = system.caller_addr;
+    thread::spawn(move || send_raw(caller_addr, &text))
+}
+
+/// Waits until an engine runs the stream and returns the index of the engine.
+fn running_engine(system: &Deployment) -> usize {
+    let find = || (0..2).find(|index| system.site.running_streams(*index) > 0);
+    wait_until("the stream runs", || find().is_some());
+    find().expect("the stream runs")
+}
+
+/// Asserts that a stream is complete and that two servers ran it.
+fn assert_moved(system: &Deployment, stream: JoinHandle<String>, id: &str, count: usize) {
+    let response = stream.join().expect("the client ends");
+    assert!(is_terminated(&response), "{response}");
+    let expected: Vec<_> = (0..count).map(|event| format!("data: e{event}")).collect();
+    assert_eq!(events(&response), expected);
+    let ran = || {
+        let runs = system.site.runs();
+        runs.iter().filter(|run| run.request == id).count()
+    };
+    wait_until("both servers have ended their runs", || ran() == 2);
+}
