gateway: leave a stream at a silent server unless another can go on; ask rarely where a model lacks

Its server was leaving and had closed its port, its loader reported it silent, the gateway dropped the stream and found no other server. (2) A server that says it lacks a model (421) was sent the same and other requests again as soon as 0.3 s later while its description still lists the model. Change: (1) a stream leaves an unresponsive server only when the retry budget and another usable holder of the model allow it to go on at once; servers that leave are not reported silent. (2) dispatch::Absence keeps what a server has said it lacks, with pauses from 0.5 to 8 s, until its description of the model changes.

--- a/src/dispatch/budget.rs
+++ b/src/dispatch/budget.rs
@@ -67,17 +67,22 @@
     /// assert!(budget.try_retry(Time::from_millis(10_001), &limit));
     /// ```
     pub fn try_retry(&mut self, now: Time, limit: &Limit) -> bool {
-        self.expire(now, limit.window);
-        let requests = self.requests.len() as f64;
-        let slack = limit.slack / f64::from(limit.processes.max(1));
-        let allowed = USED_FRACTION * (limit.ratio * requests + slack);
-        let is_allowed = self.retries.len() as f64 + 1.0 <= allowed;
+        let is_allowed = self.allows_retry(now, limit);
         if is_allowed {
             self.retries.push_back(now);
         }
         is_allowed
     }
 
+    /// Returns whether this process's share of the budget allows a retry, without recording one.
+    pub fn allows_retry(&mut self, now: Time, limit: &Limit) -> bool {
+        self.expire(now, limit.window);
+        let requests = self.requests.len() as f64;
+        let slack = limit.slack / f64::from(limit.processes.max(1));
+        let allowed = USED_FRACTION * (limit.ratio * requests + slack);
+        self.retries.len() as f64 + 1.0 <= allowed
+    }
+
     fn expire(&mut self, now: Time, window: Duration) {
         for times in [&mut self.requests, &mut self.retries] {
             while times.front().is_some_and(|time| now - *time > window) {
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -1,10 +1,12 @@
 //! Decides which server gets a request and whether the request may be sent again.
 
+mod absence;
 mod attempts;
 mod budget;
 mod choose;
 mod prefix;
 
+pub use absence::Absence;
 pub use attempts::{
     Attempts,
     Ending,
--- a/src/emulator/site/engine.rs
+++ b/src/emulator/site/engine.rs
@@ -72,6 +72,8 @@
     /// Index of the event in which the next stream breaks.
     break_after: Option<u32>,
     running_streams: u32,
+    /// Number of requests that the engine has refused because it lacks their model.
+    refusals: u32,
 }
 
 /// A model engine.
@@ -119,6 +121,10 @@
         self.lock().running_streams
     }
 
+    pub(super) fn refusals(&self) -> u32 {
+        self.lock().refusals
+    }
+
     pub(super) fn drop_model(&self, name: &str) {
         self.lock().models.retain(|model| model.name != name);
     }
@@ -287,6 +293,9 @@
     let is_misdirected = call
         .header("Target-Instance")
         .is_some_and(|id| id != engine.id);
+    if !is_misdirected && !engine.holds(call.header("Model").unwrap_or_default()) {
+        engine.lock().refusals += 1;
+    }
     if is_misdirected || !engine.holds(call.header("Model").unwrap_or_default()) {
         return Response::error(421, "addressed to another server, or model not loaded")
             .with_header("Instance-Id", engine.id.clone());
--- a/src/emulator/site/mod.rs
+++ b/src/emulator/site/mod.rs
@@ -340,6 +340,11 @@
         self.engines[index].server.running_streams()
     }
 
+    /// Returns the number of requests that an engine has refused because it lacks their model.
+    pub fn refusals(&self, index: usize) -> u32 {
+        self.engines[index].server.refusals()
+    }
+
     /// Removes a model from an engine without an order, which to the loader looks like an earlier
     /// unload order that was executed late.
     pub fn drop_model(&self, index: usize, model: &str) {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -21,6 +21,7 @@
 
 use super::{
     backend::Backend,
+    demand,
     job::{
         Exchange,
         Job,
@@ -68,6 +69,9 @@
 /// Minimum remaining time for which a failed idempotent request is sent again.
 const MIN_RETRY_TIME: Duration = Duration::from_millis(150);
 
+/// HTTP status with which a server says that it lacks the model or adapter.
+const MISDIRECTED: u16 = 421;
+
 /// Why a send gave no response that can be passed on.
 #[derive(Debug)]
 pub(super) enum SendError {
@@ -116,6 +120,10 @@
         overlap
     });
     let tokens = job.head.prompt_tokens.saturating_sub(overlap);
+    if let Some(name) = job.model() {
+        let mut absence = backend.absence.borrow_mut();
+        absence.ask(&demand::key(name), Time::now());
+    }
     let in_flight = backend.begin(job.model(), tokens, &state.rates);
     log_send(job, &server.id, progress, backend.load(Time::now()));
     let connect_timeout = CONNECT_TIMEOUT.min(job.remaining(Time::now()));
@@ -266,6 +274,12 @@
             return Err(SendError::Replaced);
         }
         Verdict::NotRun(reason) => {
+            if exchange.response_head.status == MISDIRECTED
+                && let Some(name) = job.model()
+            {
+                let mut absence = backend.absence.borrow_mut();
+                absence.record(&demand::key(name), Time::now());
+            }
             drain(exchange).await;
             return Err(SendError::NotRun(reason));
         }
@@ -273,7 +287,11 @@
             backend.record_outcome(true);
             return Err(SendError::Unknown("an answer without signature"));
         }
-        Verdict::Failed | Verdict::Response => (),
+        Verdict::Failed | Verdict::Response => {
+            if let Some(name) = job.model() {
+                backend.absence.borrow_mut().forget(&name.model);
+            }
+        }
     }
     let is_failed = verdict == Verdict::Failed;
     backend.record_outcome(is_failed);
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -29,7 +29,10 @@
         Server,
         State, //
     },
-    dispatch::Prefixes,
+    dispatch::{
+        Absence,
+        Prefixes, //
+    },
     http::Pool,
     link::{
         Contact,
@@ -93,6 +96,8 @@
     pub(super) backlog_ms: Cell<u32>,
     /// Number of gateways that the loader knows of.
     pub(super) gateways: Cell<u32>,
+    /// Models that the server has said it lacks.
+    pub(super) absence: RefCell<Absence>,
     /// Link to the hub that is sent the demand at this server.
     pub(super) link: Rc<Link>,
     /// Whether the demand has changed since it was last sent.
@@ -124,6 +129,7 @@
             order_seen_at: Cell::new(Time::ZERO),
             backlog_ms: Cell::new(0),
             gateways: Cell::new(0),
+            absence: RefCell::default(),
             link,
             is_demand_changed: Cell::new(false),
             indexed: RefCell::default(),
@@ -141,6 +147,7 @@
         if known.started_ms != server.started_ms {
             self.is_replaced.set(false);
             self.is_leaving.set(false);
+            self.absence.borrow_mut().clear();
             self.resting_until.set(Time::ZERO);
             self.prefixes.borrow_mut().clear();
             self.pool.clear();
@@ -293,7 +300,8 @@
         let connected = own.filter(|state| state.contact == Contact::Connected);
         let is_silent = own.is_some_and(|state| state.contact == Contact::Silent);
         let is_unresponsive = connected.is_some_and(|state| !state.holdings.is_responsive);
-        self.set_unresponsive(is_silent || is_unresponsive);
+        // A server that leaves closes its port while it still ends its requests.
+        self.set_unresponsive((is_silent || is_unresponsive) && self.is_ready());
         if let Some(state) = connected {
             self.gateways.set(state.workload.gateways);
             self.backlog_ms.set(state.workload.backlog_ms);
@@ -315,7 +323,11 @@
             report::warn("loader_lost", &[("server", &self.server.borrow().id)]);
             self.record_loader_lost(now);
         }
-        changed_models(old.as_ref(), new.as_ref())
+        let changed = changed_models(old.as_ref(), new.as_ref());
+        for model in &changed {
+            self.absence.borrow_mut().forget(model);
+        }
+        changed
             .into_iter()
             .chain(self.backlog_models().into_iter().filter(|_| is_silent))
             .collect()
--- a/src/gateway/demand.rs
+++ b/src/gateway/demand.rs
@@ -40,6 +40,11 @@
     }
 }
 
+/// Returns the key of a model and adapter.
+pub(super) fn key(name: &ModelName) -> Key {
+    (name.model.clone(), name.adapter.clone())
+}
+
 impl Backend {
     /// Counts a request at the server until the guard is dropped.
     pub(super) fn begin(
@@ -50,7 +55,7 @@
     ) -> InFlight {
         self.in_flight.set(self.in_flight.get() + 1);
         self.pending_tokens.set(self.pending_tokens.get() + tokens);
-        let key = model.map(|name| (name.model.clone(), name.adapter.clone()));
+        let key = model.map(key);
         if let Some(key) = &key {
             rates.record_send(&key.0, tokens, Time::now());
             *self.usage.borrow_mut().entry(key.clone()).or_default() += 1;
@@ -71,7 +76,7 @@
         priority: u8,
         arrival: Time,
     ) -> BacklogEntry {
-        let key = (name.model.clone(), name.adapter.clone());
+        let key = key(name);
         let mut backlog = self.backlog.borrow_mut();
         let waiting = backlog.entry(key.clone()).or_insert_with(|| Waiting {
             priority,
--- a/src/gateway/pick.rs
+++ b/src/gateway/pick.rs
@@ -12,7 +12,10 @@
         self,
         Decision, //
     },
-    demand::BacklogEntry,
+    demand::{
+        self,
+        BacklogEntry, //
+    },
     job::{
         Job,
         Progress, //
@@ -119,6 +122,8 @@
             (Some(_), Some(name)) => {
                 let holders = self.state.fleet.holders(service, &name.model).into_iter();
                 let holders = holders.filter(|b| b.replica(&name.model, |_| ()).is_some());
+                let key = demand::key(name);
+                let holders = holders.filter(|b| !b.absence.borrow().contains(&key, now));
                 holders.filter(is_eligible).collect()
             }
             _ => {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -2,7 +2,8 @@
 
 use std::{
     fmt,
-    rc::Rc, //
+    rc::Rc,
+    time::Duration, //
 };
 
 use bytes::Bytes;
@@ -10,11 +11,15 @@
 use hyper::body::Incoming;
 use tokio::{
     sync::mpsc::Sender,
-    time::timeout, //
+    time::{
+        sleep,
+        timeout, //
+    },
 };
 
 use super::{
     attempt,
+    backend::Backend,
     demand::InFlight,
     events::Events,
     forward,
@@ -31,6 +36,9 @@
     timer::Time, //
 };
 
+/// Interval at which a stream of an unresponsive server is checked for another server to go on.
+const MOVE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
 /// The response could not be completed. The client's connection is closed before the end of the
 /// body, so that the client does not take the response for complete.
 #[derive(Debug)]
@@ -69,14 +77,14 @@
     let mut events = Events::new(is_resumable, job.head.last_event.clone());
     loop {
         let mut body = exchange.response.into_body();
-        let end = pass_on(
-            &job,
-            &mut events,
-            &mut body,
-            &mut exchange.in_flight,
-            &chunks,
-        )
-        .await;
+        let backend = exchange.in_flight.backend.clone();
+        let is_movable = || can_move(&state, &job, &progress, &backend);
+        let silence = Silence {
+            backend: &backend,
+            is_movable: &is_movable,
+        };
+        let in_flight = &mut exchange.in_flight;
+        let end = pass_on(&job, &mut events, &mut body, in_flight, &silence, &chunks).await;
         match end {
             End::Complete => {
                 attempt::return_connection(
@@ -141,12 +149,49 @@
     );
 }
 
+/// Returns whether another server could go on with a stream at once. The stream of an unresponsive
+/// server is left to it otherwise: the server may still be at work.
+fn can_move(state: &State, job: &Job, progress: &Progress, current: &Rc<Backend>) -> bool {
+    let now = Time::now();
+    let may_run = progress.attempts.may_retry() && state.allows_retry(&job.service, now);
+    let Some(name) = job.model().filter(|_| may_run) else {
+        return false;
+    };
+    let holders = state.fleet.holders(&job.service, &name.model).into_iter();
+    let mut others = holders.filter(|backend| !Rc::ptr_eq(backend, current));
+    others.any(|backend| {
+        let holds = backend.replica(&name.model, |_| ()).is_some();
+        holds && backend.is_usable(now) && progress.may_send_to(&backend.server().id, now)
+    })
+}
+
+/// Notices that the server of a stream is unresponsive.
+struct Silence<'a> {
+    backend: &'a Backend,
+    /// Returns whether another server could go on with the stream.
+    is_movable: &'a dyn Fn() -> bool,
+}
+
+impl Silence<'_> {
+    /// Waits until the server is unresponsive and another one could go on with the stream.
+    async fn wait(&self) {
+        loop {
+            self.backend.unresponsive().await;
+            if (self.is_movable)() {
+                return;
+            }
+            sleep(MOVE_CHECK_INTERVAL).await;
+        }
+    }
+}
+
 /// Passes bytes on until the server's response ends.
 async fn pass_on(
     job: &Job,
     events: &mut Events,
     body: &mut Incoming,
     in_flight: &mut InFlight,
+    silence: &Silence<'_>,
     chunks: &Sender<Result<Bytes, Incomplete>>,
 ) -> End {
     loop {
@@ -154,7 +199,7 @@
         let frame = tokio::select! {
             () = chunks.closed() => return End::Abandoned,
             // An unresponsive server ends only a stream that another server can continue.
-            () = in_flight.backend.unresponsive(), if events.is_resumable() => return End::Lost,
+            () = silence.wait(), if events.is_resumable() => return End::Lost,
             frame = timeout(remaining, body.frame()) => frame,
         };
         let data = match frame {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -148,19 +148,30 @@
 
     /// Returns whether the retry budget of a service allows a retry, and records the retry if it does.
     pub(super) fn try_retry(&self, service: &str, now: Time) -> bool {
-        let settings = self.settings.get();
-        let retry = &settings.retry;
-        let limit = Limit {
-            ratio: retry.ratio,
-            slack: retry.slack,
-            window: settings.retry_window(),
-            processes: self.fleet.gateways(),
-        };
+        let limit = self.retry_limit();
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.to_owned()).or_default();
         budget.try_retry(now, &limit)
     }
 
+    /// Returns whether the retry budget of a service allows a retry, without recording one.
+    pub(super) fn allows_retry(&self, service: &str, now: Time) -> bool {
+        let limit = self.retry_limit();
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.to_owned()).or_default();
+        budget.allows_retry(now, &limit)
+    }
+
+    fn retry_limit(&self) -> Limit {
+        let settings = self.settings.get();
+        Limit {
+            ratio: settings.retry.ratio,
+            slack: settings.retry.slack,
+            window: settings.retry_window(),
+            processes: self.fleet.gateways(),
+        }
+    }
+
     /// Returns the version of the engine description of a service, if its servers are engines.
     pub(super) fn engine_version(&self, service: &str) -> Option<EngineVersion> {
         let configuration = self.follower.configuration();
--- a/src/loader/driver.rs
+++ b/src/loader/driver.rs
@@ -193,6 +193,10 @@
         let Some(server) = self.state.server() else {
             return;
         };
+        if server.state != deployment::State::Ready || self.report.is_leaving {
+            // A server that leaves closes its port while it still ends its requests.
+            return;
+        }
         let holdings = self.state.holdings.borrow().clone();
         if holdings.is_responsive || holdings.server != server.id {
             report::warn("engine_silent", &[("server", &server.id)]);
--- a/tests/hosted/machine.rs
+++ b/tests/hosted/machine.rs
@@ -85,6 +85,26 @@
     }
 }
 
+/// Guards against a stream that is cut because its server does not respond to its loader, although
+/// the server is still at work and no other server could go on at once.
+#[test]
+fn a_stream_stays_where_no_other_server_could_go_on() {
+    let plan = Plan {
+        engines: vec![vec!["m1"], vec!["m2"]],
+        events: 120,
+        event_interval: Duration::from_millis(30),
+        load: Duration::from_secs(60),
+        ..Plan::default()
+    };
+    let system = Deployment::start(&plan);
+    let stream = start_stream(&system, "stays");
+    let first = running_engine(&system);
+    system.site.engine_fault(first, json!({ "kind": "hold" }));
+    let response = stream.join().expect("the client ends");
+    assert!(is_terminated(&response), "{response}");
+    assert_eq!(events(&response).len(), 120);
+}
+
 /// Sends a request for a resumable stream in a thread, which returns the response.
 fn start_stream(system: &Deployment, id: &str) -> JoinHandle<String> {
     let text = format!(
@@ -114,3 +134,30 @@
     };
     wait_until("both servers have ended their runs", || ran() == 2);
 }
+
+/// Guards against requests that are sent again and again to a server which has said that it lacks
+/// their model, because its description still lists the model and no loader reports otherwise.
+#[test]
+fn a_server_that_lacks_a_model_is_rarely_asked_again() {
+    let plan = Plan {
+        engines: vec![vec!["m1"]],
+        ..Plan::default()
+    };
+    let mut system = Deployment::start(&plan);
+    system.loaders.clear();
+    system.site.drop_model(0, "m1");
+    let clients = (0..12).map(|number| {
+        let caller_addr = system.caller_addr;
+        thread::spawn(move || {
+            thread::sleep(Duration::from_millis(150 * number));
+            let id = format!("r{number}");
+            send_raw(caller_addr, &Request::model(&id, "/chat/x", "m1").text())
+        })
+    });
+    for client in clients.collect::<Vec<_>>() {
+        let response = client.join().expect("the client ends");
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    }
+    // The first pauses are 0.5, 1 and 2 s.
+    assert!(system.site.refusals(0) <= 4, "{}", system.site.refusals(0));
+}
