--- a/src/loader/precedence.rs
+++ b/src/loader/precedence.rs
@@ -5,7 +5,7 @@
 use crate::link::Backlog;
 
 /// Time of waiting that one more waiting request counts as, in ms.
-const REQUEST_MS: u64 = 400;
+const REQUEST_MS: u64 = 200;
 
 /// Time of waiting that a priority counts as, in ms.
 const PRIORITY_MS: u64 = 1_500;
--- a/src/placement/pool.rs
+++ b/src/placement/pool.rs
@@ -25,6 +25,9 @@
     rank,
 };
 
+/// Expected fraction of a server's backlog that it loads before a model of that backlog.
+const BACKLOG_AHEAD: f64 = 0.5;
+
 /// Traffic of a model, summed over all gateways.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Rate {
@@ -337,7 +340,9 @@
         if host.is_loading(&model.name) {
             return order_ms;
         }
-        order_ms + host.backlog_ms.max(host.load_ms(model))
+        let load_ms = host.load_ms(model);
+        // The server may load the model before others that requests wait for.
+        order_ms + load_ms + (host.backlog_ms - load_ms).max(0.0) * BACKLOG_AHEAD
     }
 
     /// Returns whether a load from the weight store at `candidate` should be postponed because a
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -299,3 +299,60 @@
     assert_eq!(spare(20.0), None);
     assert_eq!(spare(150.0).as_deref(), Some("full"));
 }
+
+/// Guards against more loads from the weight store under way than it serves at full speed, each of
+/// which only takes longer, and against requests that wait for such a load as if it were alone.
+#[test]
+fn loads_from_the_store_are_bounded_and_estimated_with_those_under_way() {
+    let models: Vec<(String, f64)> = (0..8).map(|index| (format!("m{index}"), 40.0)).collect();
+    let sizes: Vec<(&str, f64)> = models
+        .iter()
+        .map(|(name, mb)| (name.as_str(), *mb))
+        .collect();
+    let engine = engine(&sizes);
+    let hosts = |loading: usize| -> Vec<Host> {
+        let host = |index: usize| Host {
+            current_order: (index < loading).then(|| CurrentOrder {
+                model: format!("m{index}"),
+                is_load: true,
+                remaining_ms: 6_000.0,
+            }),
+            ..host(&format!("s{index}"), &[], &[])
+        };
+        (0..8).map(host).collect()
+    };
+    let mut last_ready_ms = 0.0;
+    for loading in [0, 3, 4, 6] {
+        let pool = pool(&engine, hosts(loading), &[]);
+        assert_eq!(pool.may_load_from_store(), loading < 4, "{loading}");
+        let ranked = pool.rank("m7");
+        let ready_ms = ranked[0].ready_ms;
+        assert!(ready_ms >= last_ready_ms, "{loading}");
+        last_ready_ms = ready_ms;
+    }
+    assert!(last_ready_ms > 6_000.0, "{last_ready_ms}");
+}
+
+/// Guards against requests that join others waiting at a server and stay there although the loads
+/// before theirs take longer than they have.
+#[test]
+fn a_joined_load_is_estimated_with_the_order_and_the_backlog_before_it() {
+    let engine = engine(&[("a", 40.0), ("b", 40.0)]);
+    let model = engine.model("a").expect("a known model");
+    let mut server = host("s1", &[], &["a"]);
+    let alone_ms = Pool::ready_ms(&server, model);
+    server.current_order = Some(CurrentOrder {
+        model: "b".to_owned(),
+        is_load: true,
+        remaining_ms: 4_000.0,
+    });
+    assert_eq!(Pool::ready_ms(&server, model), alone_ms + 4_000.0);
+    server.backlog_ms = 10_000.0;
+    assert!(Pool::ready_ms(&server, model) > alone_ms + 8_000.0);
+    server.current_order = Some(CurrentOrder {
+        model: "a".to_owned(),
+        is_load: true,
+        remaining_ms: 300.0,
+    });
+    assert_eq!(Pool::ready_ms(&server, model), 300.0);
+}
