hosted tests: wait for forty requests in a row before a drain counts as known

It took ten requests in a row to one of two servers as a sign that the other one's drain was known, but the gateway chooses between two idle servers at random: with the drain left out, a run of ten occurred after 347 requests in one of three trials, so the test could go on before the gateway had read the drain. Change: forty in a row; the twenty requests after them are checked as before, so the test asks for more than before.

--- a/tests/hosted/main.rs
+++ b/tests/hosted/main.rs
@@ -252,8 +252,10 @@
         run.expect("the request ran").server.clone()
     };
     let mut number = 0;
-    wait_until("ten requests in a row go to the other server", || {
-        (0..10).all(|_| {
+    // The gateway chooses between two idle servers at random: a shorter run of requests to one of
+    // them also occurs before it knows that the other one is draining.
+    wait_until("forty requests in a row go to the other server", || {
+        (0..40).all(|_| {
             number += 1;
             served_by(&format!("d{number}")) == "desk-1"
         })
