hub, watch: ignore changes of a hub that is no longer followed

Cause: found by reading. A loader that goes to another hub keeps its connection to the former one, whose changes may still arrive after the new one has sent everything; the mirror applied both, so it kept servers that the new hub does not know. Change: watch::Mirror remembers the connection that sent everything last and applies only its changes. hub::Sent stands in a file of its own, testable without a network.

--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -77,6 +77,8 @@
     /// Wakes the link when requests wait, or no longer wait, for a model.
     pub(super) demand_changed: Notify,
     is_started: Cell<bool>,
+    /// Number of the current connection.
+    connection: Cell<u64>,
     is_up: Cell<bool>,
     wants_engine: Cell<bool>,
     wants_listing: Cell<bool>,
@@ -91,6 +93,7 @@
             mirror: RefCell::default(),
             demand_changed: Notify::new(),
             is_started: Cell::new(false),
+            connection: Cell::new(0),
             is_up: Cell::new(false),
             wants_engine: Cell::new(false),
             wants_listing: Cell::new(false),
@@ -230,6 +233,7 @@
 
 async fn exchange(state: &State, link: &Link, stream: TcpStream) -> io::Result<()> {
     http::configure(&stream)?;
+    link.connection.set(link.connection.get() + 1);
     let (reader, mut writer) = stream.into_split();
     link::write(&mut writer, &Hello::Gateway).await?;
     let mut reader = BufReader::with_capacity(4096, reader);
@@ -288,7 +292,10 @@
     if update.is_full {
         changed.extend(link.mirror.borrow().states().keys().cloned());
     }
-    let listing = link.mirror.borrow_mut().apply(update, Time::now());
+    let listing = link
+        .mirror
+        .borrow_mut()
+        .apply(link.connection.get(), update, Time::now());
     for id in changed {
         state.apply_state(&id, link.mirror.borrow().state(&id));
     }
--- a/src/hub/mod.rs
+++ b/src/hub/mod.rs
@@ -10,6 +10,7 @@
 mod description;
 mod port;
 mod probe;
+mod sent;
 mod table;
 
 pub use choice::{
@@ -22,4 +23,5 @@
     Hub,
     serve, //
 };
+pub use sent::Sent;
 pub use table::Table;
--- a/src/hub/port.rs
+++ b/src/hub/port.rs
@@ -30,6 +30,7 @@
 
 use super::{
     Description,
+    Sent,
     Table,
     probe, //
 };
@@ -41,8 +42,7 @@
         Demand,
         Hello,
         Needs,
-        Status,
-        Update, //
+        Status, //
     },
     report,
     timer::Time,
@@ -296,28 +296,6 @@
     }
 }
 
-/// What has been sent on a connection.
-#[derive(Debug, Default)]
-struct Sent {
-    version: u64,
-    listing_version: u64,
-    listed_at: Option<Time>,
-}
-
-impl Sent {
-    /// Returns the changes that have not been sent, and records them as sent.
-    fn update(&mut self, table: &Table) -> Update {
-        let mut update = table.update_since(self.version);
-        self.version = table.version();
-        if table.listed_at() != self.listed_at {
-            update.listing = table.listing_since(self.listing_version, Time::now());
-            self.listing_version = table.version();
-            self.listed_at = table.listed_at();
-        }
-        update
-    }
-}
-
 async fn send_updates(mut writer: OwnedWriteHalf, hub: &Hub, connection: u64) -> io::Result<()> {
     let mut version = hub.version.subscribe();
     let mut description_request = hub.description_request.subscribe();
@@ -325,7 +303,7 @@
     loop {
         version.mark_unchanged();
         description_request.mark_unchanged();
-        let mut update = sent.update(&hub.table.borrow());
+        let mut update = sent.update(&hub.table.borrow(), Time::now());
         update.wants_engine = hub.description.borrow().is_requested(connection);
         link::write(&mut writer, &update).await?;
         sleep(GATEWAY_BATCH).await;
@@ -359,7 +337,7 @@
         }
         add_description(hub, &said, &mut needs);
         if said.is_observer {
-            needs.update = Some(sent.update(&hub.table.borrow()));
+            needs.update = Some(sent.update(&hub.table.borrow(), now));
         } else {
             sent = Sent::default();
         }
--- a/src/loader/state.rs
+++ b/src/loader/state.rs
@@ -115,7 +115,7 @@
             rates.insert(traffic.model.clone(), (traffic, now));
         }
         if let Some(update) = needs.update.take()
-            && let Some(listing) = self.mirror.borrow_mut().apply(update, now)
+            && let Some(listing) = self.mirror.borrow_mut().apply(connection, update, now)
         {
             self.follower.feed(listing);
         }
--- a/src/watch/mirror.rs
+++ b/src/watch/mirror.rs
@@ -26,13 +26,15 @@
 /// The servers as a hub describes them, kept up to date from its updates.
 #[derive(Debug, Default)]
 pub struct Mirror {
+    /// Connection on which everything was last received; its changes are applied.
+    connection: Option<u64>,
     states: BTreeMap<String, ServerState>,
     listed: BTreeMap<String, Server>,
 }
 
 impl Mirror {
-    /// Applies an update that arrived at `now`. Returns the list of servers if the update says that
-    /// it was read again.
+    /// Applies an update that arrived on a connection at `now`. Returns the list of servers if the
+    /// update says that it was read again.
     ///
     /// # Examples
     ///
@@ -42,12 +44,16 @@
     /// use chestnuthub::watch::Mirror;
     ///
     /// let mut mirror = Mirror::default();
-    /// assert!(mirror.apply(Update::default(), Time::from_millis(0)).is_none());
+    /// assert!(mirror.apply(1, Update::default(), Time::from_millis(0)).is_none());
     /// ```
-    pub fn apply(&mut self, update: Update, now: Time) -> Option<Received> {
+    pub fn apply(&mut self, connection: u64, update: Update, now: Time) -> Option<Received> {
         if update.is_full {
+            self.connection = Some(connection);
             self.states.clear();
             self.listed.clear();
+        } else if self.connection != Some(connection) {
+            // A former hub still sends changes until it knows that it is no longer followed.
+            return None;
         }
         for mut state in update.servers {
             let id = state.holdings.server.clone();
--- a/tests/hub.rs
+++ b/tests/hub.rs
@@ -16,6 +16,7 @@
     },
     hub::{
         self,
+        Sent,
         Table, //
     },
     link::{
@@ -163,7 +164,7 @@
 /// Returns what a new connection is sent of the servers.
 fn everything(table: &Table) -> BTreeMap<String, ServerState> {
     let mut mirror = Mirror::default();
-    mirror.apply(table.update_since(0), Time::ZERO);
+    mirror.apply(1, table.update_since(0), Time::ZERO);
     mirror.states().clone()
 }
 
@@ -215,7 +216,7 @@
             }
             let index = random.usize(..mirrors.len());
             let (mirror, version) = &mut mirrors[index];
-            mirror.apply(table.update_since(*version), Time::ZERO);
+            mirror.apply(1, table.update_since(*version), Time::ZERO);
             *version = table.version();
             assert_eq!(
                 *mirror.states(),
@@ -318,3 +319,50 @@
         in_flight: 0,
     }
 }
+
+/// Guards against a list of servers that shrinks to its newest changes: after more removals than the
+/// hub remembers, it sends everything again, and the list belongs to that.
+#[test]
+fn the_list_is_complete_after_everything_is_sent_again() {
+    let mut random = fastrand::Rng::with_seed(1);
+    let (mut table, mut sent, mut mirror) = (Table::default(), Sent::default(), Mirror::default());
+    let mut listed = fleet(12);
+    let mut now = Time::from_millis(1_000);
+    table.set_listing(&listed, now);
+    let first = mirror.apply(1, sent.update(&table, now), now);
+    assert_eq!(first.expect("a list").servers.len(), 12);
+    for number in 0..600 {
+        let status = Status {
+            holdings: Some(holdings(&format!("x{number}"), &mut random)),
+            ..Status::default()
+        };
+        table.set_status(1, status);
+    }
+    mirror.apply(1, sent.update(&table, now), now);
+    now = now + Duration::from_secs(1);
+    listed.remove("s000");
+    table.set_listing(&listed, now);
+    let next = mirror.apply(1, sent.update(&table, now), now);
+    assert_eq!(next.expect("a list").servers.len(), 11);
+}
+
+/// Guards against a mixture of what two hubs know: changes of the hub that was observed before may
+/// arrive after the new one has sent everything.
+#[test]
+fn changes_of_a_former_hub_are_ignored() {
+    let mut random = fastrand::Rng::with_seed(1);
+    let (mut former, mut current) = (Table::default(), Table::default());
+    let status = |server: &str, random: &mut fastrand::Rng| Status {
+        holdings: Some(holdings(server, random)),
+        ..Status::default()
+    };
+    former.set_status(1, status("s1", &mut random));
+    current.set_status(1, status("s2", &mut random));
+    let (mut former_sent, mut current_sent) = (Sent::default(), Sent::default());
+    let mut mirror = Mirror::default();
+    mirror.apply(1, former_sent.update(&former, Time::ZERO), Time::ZERO);
+    mirror.apply(2, current_sent.update(&current, Time::ZERO), Time::ZERO);
+    former.set_status(2, status("s3", &mut random));
+    mirror.apply(1, former_sent.update(&former, Time::ZERO), Time::ZERO);
+    assert_eq!(mirror.states().keys().collect::<Vec<_>>(), ["s2"]);
+}
