gateway, watch: log the version and its age with each 404, and every failed read

Cause: a 404 was logged without the version in force, so a gateway that had not read a version could not be told from a path without a route, nor an old process from a new one; only the first failed read of the store was logged. Change: event no_route with host, path, version, time since the store last answered, whether a route without a target matched, and the process id; event dependency_failed for each further failure in a row.

--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -42,7 +42,10 @@
     state::State,
 };
 use crate::{
-    deployment::Configuration,
+    deployment::{
+        Configuration,
+        Route, //
+    },
     platform::header,
     report,
     timer::Time, //
@@ -178,11 +181,13 @@
         configuration.map_err(|_| Failure::Refused("no configuration yet", START_RETRY_AFTER))?;
     let host = host(&request).ok_or_else(|| malformed(&Malformed::Host))?;
     let path = request.uri().path();
-    let route = configuration.route(&host, path).ok_or(Failure::NoRoute)?;
+    let route = configuration.route(&host, path);
+    let target = route.and_then(|route| Some((route, route.service(route_draw(&head.id))?)));
+    let Some((route, service)) = target else {
+        log_no_route(state, &head.id, &host, path, route);
+        return Err(Failure::NoRoute);
+    };
     let route = route.clone();
-    let service = route
-        .service(route_draw(&head.id))
-        .ok_or(Failure::NoRoute)?;
     let service = service.to_owned();
     let remaining = head.timeout.unwrap_or(route.timeout).min(route.timeout);
     let deadline = started + remaining;
@@ -205,6 +210,26 @@
     })
 }
 
+/// Logs what this process knew when it found no route, so that an outdated configuration can be told
+/// from a path that no route serves.
+fn log_no_route(state: &State, id: &str, host: &str, path: &str, route: Option<&Route>) {
+    let now = Time::now();
+    let age = state.follower.configuration_age(now);
+    let has_route = route.is_some();
+    report::info(
+        "no_route",
+        &[
+            ("request", &id),
+            ("host", &host),
+            ("path", &path),
+            ("version", &state.follower.configuration().version),
+            ("read_ms_ago", &age.unwrap_or_default().as_millis()),
+            ("has_route", &has_route),
+            ("process", &std::process::id()),
+        ],
+    );
+}
+
 async fn read_body(
     configuration: &Configuration,
     body: Incoming,
--- a/src/watch/follower.rs
+++ b/src/watch/follower.rs
@@ -88,6 +88,8 @@
     /// Age at which this process reads the list of servers itself.
     max_age: Cell<Duration>,
     configuration: RefCell<Rc<Configuration>>,
+    /// When the store last answered a read of the configuration.
+    configuration_read_at: Cell<Option<Time>>,
     roster: RefCell<Roster>,
     /// When the servers were read from the store, by this process or by the hub that sent them.
     listed_at: Cell<Option<Time>>,
@@ -105,6 +107,7 @@
             max_age: Cell::new(periods.servers),
             periods,
             configuration: RefCell::default(),
+            configuration_read_at: Cell::new(None),
             roster: RefCell::default(),
             listed_at: Cell::new(None),
             refresh: Notify::new(),
@@ -117,6 +120,12 @@
         self.configuration.borrow().clone()
     }
 
+    /// Returns the time since the store last answered a read of the configuration.
+    pub(crate) fn configuration_age(&self, now: Time) -> Option<Duration> {
+        let read_at = self.configuration_read_at.get();
+        read_at.map(|read_at| now - read_at)
+    }
+
     /// Returns whether everything that is followed has been read at least once.
     pub(crate) fn is_synced(&self) -> bool {
         let has_configuration = self.configuration.borrow().version > 0;
@@ -222,6 +231,7 @@
             match change {
                 Ok(change) => {
                     dependency.record_success();
+                    self.configuration_read_at.set(Some(Time::now()));
                     let is_found = change.configuration.is_some();
                     if let Some(configuration) = change.configuration {
                         self.apply(configuration);
@@ -309,12 +319,19 @@
     }
 
     fn record_failure(&mut self, error: &Error) {
-        if self.failures == 0 {
-            report::warn(
-                "dependency_lost",
-                &[("name", &self.name), ("error", &error)],
-            );
-        }
+        let (level, event) = match self.failures {
+            0 => (log::Level::Warn, "dependency_lost"),
+            _ => (log::Level::Info, "dependency_failed"),
+        };
         self.failures = self.failures.saturating_add(1);
+        report::event(
+            level,
+            event,
+            &[
+                ("name", &self.name),
+                ("error", &error),
+                ("failures", &self.failures),
+            ],
+        );
     }
 }
