--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -63,13 +63,6 @@
 use server::Server;
 use state::State;
 
-/// Time reserved, before all bounds must hold again after a disruption, to time out and repeat a
-/// read of the configuration that got no response.
-const CONFIGURATION_MARGIN: Duration = Duration::from_millis(1_000);
-
-/// Minimum time for which a read waits for a new configuration.
-const MIN_CONFIGURATION_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Time for which the gateway still accepts connections after the signal to stop. In this time the
 /// load balancer polls twice and finds it not ready.
 const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(2_600);
@@ -112,11 +105,8 @@
 
 /// Returns the periods at which the store is polled.
 fn periods(settings: &Settings) -> Periods {
-    let wait = settings
-        .settled_after()
-        .saturating_sub(CONFIGURATION_MARGIN);
     Periods {
-        configuration: Some(wait.max(MIN_CONFIGURATION_TIMEOUT)),
+        configuration: Some(settings.settled_after()),
         servers: settings.gateway_listing_age(),
     }
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -42,7 +42,8 @@
     watch::{
         Change,
         Error,
-        Listing, //
+        Listing,
+        Read, //
     },
 };
 
@@ -137,17 +138,17 @@
         })
     }
 
-    /// Waits for at most `wait` for a configuration at offset `from` or later.
+    /// Waits for a configuration at offset `from` or later.
     ///
     /// # Errors
     ///
     /// [`Error::Expired`] if the store no longer holds the records from this offset.
-    pub(crate) async fn wait_for_change(&self, from: u64, wait: Duration) -> Result<Change, Error> {
+    pub(crate) async fn wait_for_change(&self, from: u64, read: Read) -> Result<Change, Error> {
         let path = format!(
             "/api/log-read?topic={CONFIGURATION_TOPIC}&part=0&from={from}&waitMs={}",
-            wait.as_millis()
+            read.wait.as_millis()
         );
-        let answer = self.get(&path, wait + CONNECT_TIMEOUT).await?;
+        let answer = self.get(&path, read.timeout).await?;
         match answer.status {
             StatusCode::OK => (),
             StatusCode::GONE => return Err(Error::Expired),
--- a/src/watch/follower.rs
+++ b/src/watch/follower.rs
@@ -20,6 +20,7 @@
 use super::{
     Cursor,
     Error,
+    Pace,
     Received,
     Roster, //
 };
@@ -73,8 +74,8 @@
 /// Periods at which the store is polled.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Periods {
-    /// Maximum time that one read waits for a new configuration; `None` if the configuration is not
-    /// followed.
+    /// Time from the end of a disruption until a new configuration must be followed again; `None` if
+    /// the configuration is not followed.
     pub(crate) configuration: Option<Duration>,
     /// Age of the list of servers at which this process reads it itself.
     pub(crate) servers: Duration,
@@ -163,7 +164,7 @@
                 Err(error) => {
                     dependency.record_failure(&error);
                     self.roster.borrow_mut().record_failure();
-                    sleep(self.pause(&dependency)).await;
+                    sleep(dependency.pause().min(self.max_pause())).await;
                     continue;
                 }
             }
@@ -218,19 +219,22 @@
 
     /// Polls the configuration; returns only if it is not followed.
     pub(crate) async fn follow_configuration(&self) {
-        let Some(wait) = self.periods.configuration else {
+        let Some(settled_after) = self.periods.configuration else {
             return;
         };
+        let mut pace = Pace::new(settled_after);
         let mut dependency = Dependency::new("configuration");
         let mut cursor = Cursor::default();
         loop {
+            let read = pace.next(cursor.next().is_some());
             let change = match cursor.next() {
-                Some(from) => self.store.wait_for_change(from, wait).await,
-                None => self.store.configuration(RESPONSE_TIMEOUT).await,
+                Some(from) => self.store.wait_for_change(from, read).await,
+                None => self.store.configuration(read.timeout).await,
             };
             match change {
                 Ok(change) => {
                     dependency.record_success();
+                    pace.record_response();
                     self.configuration_read_at.set(Some(Time::now()));
                     let is_found = change.configuration.is_some();
                     if let Some(configuration) = change.configuration {
@@ -244,20 +248,19 @@
                 Err(Error::Expired | Error::Outdated) => cursor.restart(),
                 Err(error) => {
                     dependency.record_failure(&error);
-                    sleep(self.pause(&dependency)).await;
+                    sleep(pace.record_failure().min(self.max_pause())).await;
                 }
             }
         }
     }
 
-    /// Returns the pause after a failed read; its maximum is lower until everything has been read.
-    fn pause(&self, dependency: &Dependency) -> Duration {
-        let limit = if self.is_synced() {
+    /// Returns the maximum pause after a failed read, which is lower until everything has been read.
+    fn max_pause(&self) -> Duration {
+        if self.is_synced() {
             MAX_BACKOFF
         } else {
             MAX_STARTUP_BACKOFF
-        };
-        dependency.pause().min(limit)
+        }
     }
 
     /// Waits until a configuration has been read and returns it.
--- a/src/watch/mod.rs
+++ b/src/watch/mod.rs
@@ -4,6 +4,7 @@
 mod error;
 mod follower;
 mod mirror;
+mod pace;
 mod roster;
 
 pub use cursor::Cursor;
@@ -18,4 +19,8 @@
     Mirror,
     Received, //
 };
+pub use pace::{
+    Pace,
+    Read, //
+};
 pub use roster::Roster;
