watch: bound everything between a disruption and the use of a version together

Callers saw: 404 for a route 2,573 ms after the version that adds it was acknowledged, at a machine that had been undisturbed for 4 s. Cause: the time within which all bounds hold again after a disruption was given whole to the first step. A waiting read that got no response was given up after 3.5 s; a pause of up to 1 s, a new connection and another waiting read of 3.5 s followed. Their sum had no bound. Change: wait, timeout of the response and pauses are fractions of settled_after_ms. A failed read is repeated at once, and reads do not wait again until the store has responded, so a mute store is noticed within an eighth of that time; the timeout grows where the store is slow. A response of an earlier era now counts as a failure: it was repeated without any pause. Why it works: half for the wait, an eighth each for its response, for a lost repetition, the pause and the successful read leave an eighth.

--- a/src/watch/follower.rs
+++ b/src/watch/follower.rs
@@ -245,8 +245,11 @@
                         sleep(MIN_BACKOFF).await;
                     }
                 }
-                Err(Error::Expired | Error::Outdated) => cursor.restart(),
+                Err(Error::Expired) => cursor.restart(),
                 Err(error) => {
+                    if error == Error::Outdated {
+                        cursor.restart();
+                    }
                     dependency.record_failure(&error);
                     sleep(pace.record_failure().min(self.max_pause())).await;
                 }
--- a/src/watch/pace.rs
+++ b/src/watch/pace.rs
@@ -2,28 +2,28 @@
 
 use std::time::Duration;
 
-/// Timeout for the store to begin its response to a read that waits for nothing.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
+// The times of one disruption follow one another: a waiting read that gets no response, a read that
+// is lost as well, the pause after it and the read that succeeds. As fractions of the time within
+// which all bounds must hold again, they add up to less than 1.
 
-/// Time that a response to a waiting read may take in addition to the wait.
-const WAIT_MARGIN: Duration = Duration::from_millis(500);
+/// Fraction of that time for which a read waits for a new configuration.
+const WAIT_FRACTION: f64 = 0.5;
 
-/// Time reserved, before all bounds must hold again after a disruption, to time out and repeat a
-/// read that got no response.
-const REPEAT_MARGIN: Duration = Duration::from_millis(1_000);
+/// Fraction of that time within which a response must begin, in addition to the wait.
+const RESPONSE_FRACTION: f64 = 0.125;
 
-/// Minimum time for which a read waits for a new configuration.
-const MIN_WAIT: Duration = Duration::from_millis(500);
+/// Fraction of that time that is the maximum pause after a failed read.
+const MAX_PAUSE_FRACTION: f64 = 0.125;
 
-/// Pause after the first failed read. It doubles with each further failure up to [`MAX_PAUSE`],
-/// because refused reads are charged for as well.
-const MIN_PAUSE: Duration = Duration::from_millis(200);
+/// Fraction of that time up to which the timeout of a read without wait grows if the store is slow.
+const MAX_RESPONSE_FRACTION: f64 = 0.375;
 
-/// Maximum pause after a failed read.
-const MAX_PAUSE: Duration = Duration::from_millis(1_000);
+/// Pause after the second failed read in a row; the first one is repeated at once. It doubles with
+/// each further failure, because refused reads are charged for as well.
+const MIN_PAUSE: Duration = Duration::from_millis(100);
 
-/// Number of doublings after which the pause exceeds [`MAX_PAUSE`].
-const MAX_DOUBLINGS: u32 = 4;
+/// Maximum number of doublings of the pause and of the timeout.
+const MAX_DOUBLINGS: u32 = 8;
 
 /// One read of the configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -36,6 +36,9 @@
 
 /// Chooses the timeouts of reads and the pauses between failed ones.
 ///
+/// After a failure, reads do not wait for a new configuration until the store has responded again: a
+/// waiting read can't tell a store without news from one that does not respond.
+///
 /// # Examples
 ///
 /// ```
@@ -44,8 +47,9 @@
 /// use chestnuthub::watch::Pace;
 ///
 /// let mut pace = Pace::new(Duration::from_secs(4));
-/// assert!(pace.next(true).timeout < Duration::from_secs(4));
-/// assert!(!pace.record_failure().is_zero());
+/// assert_eq!(pace.next(true).wait, Duration::from_secs(2));
+/// assert_eq!(pace.record_failure(), Duration::ZERO);
+/// assert_eq!(pace.next(true).wait, Duration::ZERO);
 /// ```
 #[derive(Debug)]
 pub struct Pace {
@@ -66,17 +70,19 @@
 
     /// Returns the next read. A read can wait only if it starts at a known offset.
     pub fn next(&self, has_offset: bool) -> Read {
-        if !has_offset {
+        let response = self.settled_after.mul_f64(RESPONSE_FRACTION);
+        if has_offset && self.failures == 0 {
+            let wait = self.settled_after.mul_f64(WAIT_FRACTION);
             return Read {
-                wait: Duration::ZERO,
-                timeout: RESPONSE_TIMEOUT,
+                wait,
+                timeout: wait + response,
             };
         }
-        let wait = self.settled_after.saturating_sub(REPEAT_MARGIN);
-        let wait = wait.max(MIN_WAIT);
+        let doublings = self.failures.saturating_sub(1).min(MAX_DOUBLINGS);
+        let maximum = self.settled_after.mul_f64(MAX_RESPONSE_FRACTION);
         Read {
-            wait,
-            timeout: wait + WAIT_MARGIN,
+            wait: Duration::ZERO,
+            timeout: (response * 2_u32.pow(doublings)).min(maximum),
         }
     }
 
@@ -87,8 +93,12 @@
 
     /// Records a failed read and returns the pause before the next one.
     pub fn record_failure(&mut self) -> Duration {
-        let doublings = self.failures.min(MAX_DOUBLINGS);
         self.failures = self.failures.saturating_add(1);
-        (MIN_PAUSE * 2_u32.pow(doublings)).min(MAX_PAUSE)
+        if self.failures == 1 {
+            return Duration::ZERO;
+        }
+        let doublings = (self.failures - 2).min(MAX_DOUBLINGS);
+        let maximum = self.settled_after.mul_f64(MAX_PAUSE_FRACTION);
+        (MIN_PAUSE * 2_u32.pow(doublings)).min(maximum)
     }
 }
