watch: skip an unreadable configuration instead of reading its offset again

Cause: a response with a record that can't be decoded was dropped whole, with the readable records in it, and the same offset was read again and again. Change: the newest record that can be decoded is taken, others are logged. Result: new tests; before, wait_for_change returned the error of the newest record and the follower kept its offset.

--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -4,15 +4,18 @@
 
 use serde::Deserialize;
 
-use crate::deployment::{
-    Configuration,
-    Engine,
-    Kind,
-    Limits,
-    Model,
-    Route,
-    Service,
-    Target, //
+use crate::{
+    deployment::{
+        Configuration,
+        Engine,
+        Kind,
+        Limits,
+        Model,
+        Route,
+        Service,
+        Target, //
+    },
+    report,
 };
 
 #[derive(Debug, Deserialize)]
@@ -116,6 +119,31 @@
     })
 }
 
+/// Returns the newest of the configurations that can be decoded; `values` are in the order in which
+/// they were written. A value that can't be decoded is logged and skipped, so that it holds back no
+/// other.
+///
+/// # Examples
+///
+/// ```
+/// use chestnuthub::platform::configuration;
+///
+/// let values: [&[u8]; 2] = [br#"{"version":7}"#, b"{"];
+/// let newest = configuration::newest(values.into_iter());
+/// assert_eq!(newest.map(|newest| newest.version), Some(7));
+/// ```
+pub fn newest<'a>(values: impl DoubleEndedIterator<Item = &'a [u8]>) -> Option<Configuration> {
+    // A record without value says that the key was dropped.
+    let mut values = values.rev().filter(|value| !value.is_empty());
+    values.find_map(|value| match decode(value) {
+        Ok(configuration) => Some(configuration),
+        Err(error) => {
+            report::warn("configuration_unreadable", &[("error", &error)]);
+            None
+        }
+    })
+}
+
 fn route(wire: WireRoute) -> Route {
     let timeout = millis(wire.timeout_ms);
     let mut targets: Vec<_> = wire.split.into_iter().map(target).collect();
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -155,17 +155,13 @@
             status => return Err(Error::Status(status.as_u16())),
         }
         let (next, records) = records(&answer.body, from)?;
-        let mut newest = None;
-        for record in records {
-            let Some((key, value)) = split_key(record) else {
-                return Err(Error::Malformed("a record without a key".to_owned()));
-            };
-            if key == CONFIGURATION_KEY.as_bytes() && !value.is_empty() {
-                newest = Some(value);
-            }
-        }
+        let values = records
+            .into_iter()
+            .filter_map(split_key)
+            .filter(|(key, _)| *key == CONFIGURATION_KEY.as_bytes())
+            .map(|(_, value)| value);
         Ok(Change {
-            configuration: newest.map(decode).transpose()?,
+            configuration: configuration::newest(values),
             next,
             era: answer.era,
         })
