gateway, loader, platform: log the limits that servers name

Cause: no log line told which limit a process knew, so that an unread header, a restarted gateway and requests of loaders could not be told apart. Change: Server-Limit is decoded in responses to gateways and loaders; events server_limit, server_limit_ended and limit_unreadable. Nothing acts on it yet.

--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 mod budget;
 mod choose;
 mod prefix;
+mod rate;
 
 pub use absence::Absence;
 pub use attempts::{
@@ -28,3 +29,4 @@
     Part,
     Prefixes, //
 };
+pub use rate::RequestRate;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -29,6 +29,7 @@
     },
     message::{
         Outgoing,
+        RequestLimit,
         ResponseHead,
         Rest, //
     },
@@ -196,6 +197,14 @@
         ),
         None => (),
     }
+    match &head.request_limit {
+        Some(RequestLimit::Rate(limit)) => backend.record_limit(Some(*limit)),
+        Some(RequestLimit::Unreadable(text)) => report::warn(
+            "limit_unreadable",
+            &[("request", &job.head.id), ("text", text)],
+        ),
+        None => backend.record_limit(None),
+    }
 }
 
 fn log_error(job: &Job, error: &Error) {
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -31,7 +31,8 @@
     },
     dispatch::{
         Absence,
-        Prefixes, //
+        Prefixes,
+        RequestRate, //
     },
     http::Pool,
     link::{
@@ -84,6 +85,8 @@
     is_leaving: Cell<bool>,
     /// End of the time for which the server wants no requests.
     resting_until: Cell<Time>,
+    /// Limit that the server named in its latest response.
+    named_limit: Cell<Option<RequestRate>>,
     /// Whether the store lists a server at the same address that started later.
     is_superseded: Cell<bool>,
     /// What the loader reported, while the link to it is up.
@@ -123,6 +126,7 @@
             is_replaced: Cell::new(false),
             is_leaving: Cell::new(false),
             resting_until: Cell::new(Time::ZERO),
+            named_limit: Cell::new(None),
             is_superseded: Cell::new(false),
             holdings: RefCell::default(),
             loader_lost_at: Cell::new(Time::now()),
@@ -149,6 +153,7 @@
             self.is_leaving.set(false);
             self.absence.borrow_mut().clear();
             self.resting_until.set(Time::ZERO);
+            self.named_limit.set(None);
             self.prefixes.borrow_mut().clear();
             self.pool.clear();
         }
@@ -220,6 +225,21 @@
         is_resting.then(|| self.resting_until.get().remaining(now))
     }
 
+    /// Records the limit that the server names in a response, or that it names none.
+    pub(super) fn record_limit(&self, limit: Option<RequestRate>) {
+        if self.named_limit.replace(limit) == limit {
+            return;
+        }
+        let server = self.server();
+        match limit {
+            Some(limit) => report::info(
+                "server_limit",
+                &[("server", &server.id), ("per_s", &limit.per_s())],
+            ),
+            None => report::info("server_limit_ended", &[("server", &server.id)]),
+        }
+    }
+
     /// Records whether the server is unresponsive.
     pub(super) fn set_unresponsive(&self, is_unresponsive: bool) {
         self.is_unresponsive.send_replace(is_unresponsive);
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -5,7 +5,10 @@
     time::Duration, //
 };
 
-use crate::dispatch::Part;
+use crate::dispatch::{
+    Part,
+    RequestRate, //
+};
 
 /// The model and adapter that a request uses.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -78,6 +81,17 @@
     pub is_leaving: bool,
     /// Time for which the server wants no requests.
     pub rest: Option<Rest>,
+    /// Limit that the server names on the requests of all processes together.
+    pub request_limit: Option<RequestLimit>,
+}
+
+/// Limit that a server names on the requests of all processes together.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RequestLimit {
+    /// The server states this rate.
+    Rate(RequestRate),
+    /// The server states a rate that can't be read; this is its text.
+    Unreadable(String),
 }
 
 /// Time for which a server that is overloaded wants no requests from this process.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -29,6 +29,7 @@
     ModelName,
     Outgoing,
     RequestHead,
+    RequestLimit,
     ResponseHead,
     Rest, //
 };
--- a/src/loader/engine.rs
+++ b/src/loader/engine.rs
@@ -21,7 +21,11 @@
     Report, //
 };
 use crate::{
-    gateway::Rest,
+    dispatch::RequestRate,
+    gateway::{
+        RequestLimit,
+        Rest, //
+    },
     http::{
         Channel,
         Pool, //
@@ -53,6 +57,8 @@
     leaving_since: Cell<Option<u64>>,
     /// End of the time for which the engine wants no calls.
     resting_until: Cell<Time>,
+    /// Limit on requests that the engine named in its latest response.
+    request_limit: Cell<Option<RequestRate>>,
 }
 
 /// Answer of the engine to a call.
@@ -71,6 +77,7 @@
             holder: holder.to_owned(),
             leaving_since: Cell::new(None),
             resting_until: Cell::new(Time::ZERO),
+            request_limit: Cell::new(None),
         }
     }
 
@@ -113,6 +120,7 @@
             Some(Rest::Unreadable(text)) => report::warn("rest_unreadable", &[("text", &text)]),
             None => (),
         }
+        self.record_limit(header::request_limit(response.headers()));
         let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
         let body = body.collect().await.ok()?.to_bytes();
         self.pool.put(channel, IDLE_TIMEOUT);
@@ -122,4 +130,22 @@
             body,
         })
     }
+
+    fn record_limit(&self, limit: Option<RequestLimit>) {
+        let limit = match limit {
+            Some(RequestLimit::Rate(limit)) => Some(limit),
+            Some(RequestLimit::Unreadable(text)) => {
+                report::warn("limit_unreadable", &[("text", &text)]);
+                return;
+            }
+            None => None,
+        };
+        if self.request_limit.replace(limit) == limit {
+            return;
+        }
+        match limit {
+            Some(limit) => report::info("server_limit", &[("per_s", &limit.per_s())]),
+            None => report::info("server_limit_ended", &[]),
+        }
+    }
 }
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -12,13 +12,17 @@
 };
 
 use crate::{
-    dispatch::Part,
+    dispatch::{
+        Part,
+        RequestRate, //
+    },
     gateway::{
         Load,
         Malformed,
         ModelName,
         Outgoing,
         RequestHead,
+        RequestLimit,
         ResponseHead,
         Rest, //
     },
@@ -41,6 +45,9 @@
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const RETRY_AFTER: HeaderName = HeaderName::from_static("retry-after");
 
+/// Requests per second that a server takes from all machines together.
+const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
+
 /// Set to 1 in all responses of a server that leaves.
 const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 
@@ -150,6 +157,7 @@
         closes: has_connection_option(headers, "close"),
         is_leaving: is_leaving(headers),
         rest: rest(status, headers),
+        request_limit: request_limit(headers),
     }
 }
 
@@ -168,6 +176,15 @@
     Some(time.map_or(Rest::Unreadable(text), Rest::For))
 }
 
+/// Returns the limit that a server names on the requests of all processes together, a decimal number
+/// of requests per second.
+pub(crate) fn request_limit(headers: &HeaderMap) -> Option<RequestLimit> {
+    let value = headers.get(SERVER_LIMIT)?;
+    let text = String::from_utf8_lossy(value.as_bytes()).trim().to_owned();
+    let per_s = text.parse().ok().and_then(RequestRate::from_per_s);
+    Some(per_s.map_or(RequestLimit::Unreadable(text), RequestLimit::Rate))
+}
+
 /// Returns the headers without the hop-by-hop headers.
 pub fn forwarded(headers: &HeaderMap) -> HeaderMap {
     let mut forwarded = headers.clone();
--- a/tests/forwarding.rs
+++ b/tests/forwarding.rs
@@ -124,6 +124,7 @@
         closes: false,
         is_leaving: false,
         rest: None,
+        request_limit: None,
     }
 }
 
