hosted tests, emulator: servers that name a limit; failing test

Cause: servers that had named a limit got more requests than it allows. Change: the emulator's servers and engines name Server-Limit; a test sends 60 requests to servers that name 0.5 a second, another ends a limit.

--- a/src/emulator/site/engine.rs
+++ b/src/emulator/site/engine.rs
@@ -74,6 +74,8 @@
     running_streams: u32,
     /// Number of requests that the engine has refused because it lacks their model.
     refusals: u32,
+    /// Limit on requests that all responses name, as the text of its header.
+    limit: Option<String>,
 }
 
 /// A model engine.
@@ -125,6 +127,10 @@
         self.lock().refusals
     }
 
+    pub(super) fn name_limit(&self, text: Option<&str>) {
+        self.lock().limit = text.map(str::to_owned);
+    }
+
     pub(super) fn drop_model(&self, name: &str) {
         self.lock().models.retain(|model| model.name != name);
     }
@@ -254,8 +260,17 @@
     }
 }
 
-/// Handles a call.
+/// Handles a call. An engine that has a limit names it in every response.
 pub(super) async fn handle(engine: Arc<Engine>, call: Call) -> Response {
+    let limit = engine.lock().limit.clone();
+    let response = respond(engine, call).await;
+    match limit {
+        Some(limit) => response.with_header("Server-Limit", limit),
+        None => response,
+    }
+}
+
+async fn respond(engine: Arc<Engine>, call: Call) -> Response {
     match (call.method.as_str(), call.path.as_str()) {
         ("GET", "/api/report") => engine.report(),
         ("POST", "/api/order") => order(&engine, &call),
--- a/src/emulator/site/mod.rs
+++ b/src/emulator/site/mod.rs
@@ -280,6 +280,18 @@
         self.services[index].server.ask_for_rest(text);
     }
 
+    /// Makes a server of the plain service name a limit in all its responses, as the text of the
+    /// header; `None` ends that.
+    pub fn name_service_limit(&self, index: usize, text: Option<&str>) {
+        self.services[index].server.name_limit(text);
+    }
+
+    /// Makes an engine name a limit in all its responses, as the text of the header; `None` ends
+    /// that.
+    pub fn name_engine_limit(&self, index: usize, text: Option<&str>) {
+        self.engines[index].server.name_limit(text);
+    }
+
     /// Replaces the store's content by a copy that lacks the newest `lost` records of each topic, and
     /// raises its era.
     pub fn restore_store(&self, lost: usize) {
--- a/src/emulator/site/service.rs
+++ b/src/emulator/site/service.rs
@@ -38,6 +38,8 @@
     resting_until: Mutex<Option<Instant>>,
     /// Time for which the next response asks for rest, as the text of its header.
     next_rest: Mutex<Option<String>>,
+    /// Limit on requests that all responses name, as the text of its header.
+    limit: Mutex<Option<String>>,
     records: Arc<Mutex<Records>>,
 }
 
@@ -49,6 +51,7 @@
             is_leaving: AtomicBool::new(false),
             resting_until: Mutex::default(),
             next_rest: Mutex::default(),
+            limit: Mutex::default(),
             records,
         }
     }
@@ -65,6 +68,10 @@
         *guard(&self.next_rest) = Some(text.to_owned());
     }
 
+    pub(super) fn name_limit(&self, text: Option<&str>) {
+        *guard(&self.limit) = text.map(str::to_owned);
+    }
+
     /// Returns the refusal of the request if the server asks for rest. A request during a rest is a
     /// violation.
     fn refusal(&self) -> Option<Response> {
@@ -91,12 +98,16 @@
     value.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Handles a call. A server that leaves announces it in every response.
+/// Handles a call. A server that leaves or has a limit names that in every response.
 pub(super) async fn handle(service: Arc<Service>, call: Call) -> Response {
     let is_leaving = service.is_leaving.load(Ordering::Relaxed);
-    let response = run(service, call).await;
+    let limit = guard(&service.limit).clone();
+    let mut response = run(service, call).await;
     if is_leaving {
-        return response.with_header("Server-Leaving", "1".to_owned());
+        response = response.with_header("Server-Leaving", "1".to_owned());
+    }
+    if let Some(limit) = limit {
+        response = response.with_header("Server-Limit", limit);
     }
     response
 }
--- a/tests/hosted/announcement.rs
+++ b/tests/hosted/announcement.rs
@@ -107,6 +107,72 @@
     }
 }
 
+/// Returns the time in seconds after which a refused request may be sent again.
+fn retry_after(response: &str) -> f64 {
+    let mut lines = response.lines();
+    let text = lines.find_map(|line| line.strip_prefix("retry-after: "));
+    let seconds = text.and_then(|text| text.trim().parse().ok());
+    seconds.expect("a time to retry after")
+}
+
+/// Guards against requests beyond the limit that servers name in their responses, and against
+/// requests that are held although no server takes them.
+#[test]
+fn servers_get_no_more_requests_than_the_limit_that_they_name() {
+    const LIMIT_PER_S: f64 = 0.5;
+    let system = Deployment::start(&Plan::default());
+    for index in 0..2 {
+        system.site.name_service_limit(index, Some("0.5"));
+        system.site.name_engine_limit(index, Some("0.5"));
+    }
+    let requests = [
+        Request::new("told", "/look/x"),
+        Request::model("told", "/chat/x", "m1"),
+    ];
+    for request in requests {
+        let start = Instant::now();
+        let mut served = 0;
+        for number in 0..60 {
+            let id = format!("{}-{number}", request.path.replace('/', ""));
+            let response = system.send(&Request { id: &id, ..request });
+            let is_served = response.starts_with("HTTP/1.1 200");
+            served += u32::from(is_served);
+            assert!(is_served || retry_after(&response) > 0.0, "{response}");
+        }
+        let allowed = 2.0 * (1.5 * LIMIT_PER_S * start.elapsed().as_secs_f64() + 5.0);
+        assert!(
+            f64::from(served) <= allowed,
+            "{}: {served} of 60 requests served, {allowed} allowed",
+            request.path,
+        );
+    }
+}
+
+/// Guards against a limit that stays in force after a server has stopped naming it, or that can't be
+/// read and keeps all requests away.
+#[test]
+fn a_limit_that_is_no_longer_named_ends() {
+    let system = Deployment::start(&Plan::default());
+    for index in 0..2 {
+        system.site.name_service_limit(index, Some("4"));
+    }
+    system.send(&Request::new("told", "/look/x"));
+    for text in [None, Some("many"), Some("-1")] {
+        for index in 0..2 {
+            system.site.name_service_limit(index, text);
+        }
+        let mut number = 0;
+        wait_until("twelve requests in a row are served", || {
+            number += 1;
+            (0..12).all(|part| {
+                let id = format!("{text:?}-{number}-{part}");
+                let response = system.send(&Request::new(&id, "/look/x"));
+                response.starts_with("HTTP/1.1 200")
+            })
+        });
+    }
+}
+
 /// Guards against a gateway that returns to an older configuration, or reads no further one, after
 /// the store came back from a copy that lacks the newest records.
 #[test]
