gateway, dispatch: share the limit that a server names among all gateways

Cause: nothing read Server-Limit, so every gateway sent as if there were none. Change: dispatch::Quota is a gateway's equal share, known without a word from the others: the number of gateways is the largest that loaders have reported in 10 s. Requests are kept for a burst only where the sum over all gateways stays within what the server tolerates in 4 s; else gateways send in turns at random times, which lapse. A loader reports the limit of its engine to all gateways. A request waits up to 1 s for a share, goes to another server, has its model loaded at a server without limit, or is refused at once; refused clients are told one return time after the other. Why it works: the sum is bounded for any arrival of requests, at any delay up to 0.5 s, also where a gateway hears nobody.

--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 mod budget;
 mod choose;
 mod prefix;
+mod quota;
 mod rate;
 
 pub use absence::Absence;
@@ -29,4 +30,8 @@
     Part,
     Prefixes, //
 };
+pub use quota::{
+    Quota,
+    Share, //
+};
 pub use rate::RequestRate;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -114,6 +114,10 @@
     last_event: Option<&str>,
 ) -> Result<Exchange, SendError> {
     let server = backend.server();
+    let sharers = state.fleet.sharers();
+    if !backend.limit.borrow_mut().try_send(sharers, Time::now()) {
+        return Err(SendError::NotSent("the server is at its limit"));
+    }
     let overlap = job.model().map_or(0, |name| {
         let mut prefixes = backend.prefixes.borrow_mut();
         let overlap = prefixes.overlap(&cache_scope(name), &job.head.prompt);
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -20,6 +20,7 @@
         Key,
         Waiting, //
     },
+    limit::Limit,
     link::Link,
     message::Load,
 };
@@ -85,8 +86,8 @@
     is_leaving: Cell<bool>,
     /// End of the time for which the server wants no requests.
     resting_until: Cell<Time>,
-    /// Limit that the server named in its latest response.
-    named_limit: Cell<Option<RequestRate>>,
+    /// The server's limit on the requests of all gateways.
+    pub(super) limit: RefCell<Limit>,
     /// Whether the store lists a server at the same address that started later.
     is_superseded: Cell<bool>,
     /// What the loader reported, while the link to it is up.
@@ -126,7 +127,7 @@
             is_replaced: Cell::new(false),
             is_leaving: Cell::new(false),
             resting_until: Cell::new(Time::ZERO),
-            named_limit: Cell::new(None),
+            limit: RefCell::default(),
             is_superseded: Cell::new(false),
             holdings: RefCell::default(),
             loader_lost_at: Cell::new(Time::now()),
@@ -153,7 +154,7 @@
             self.is_leaving.set(false);
             self.absence.borrow_mut().clear();
             self.resting_until.set(Time::ZERO);
-            self.named_limit.set(None);
+            self.limit.take();
             self.prefixes.borrow_mut().clear();
             self.pool.clear();
         }
@@ -227,7 +228,7 @@
 
     /// Records the limit that the server names in a response, or that it names none.
     pub(super) fn record_limit(&self, limit: Option<RequestRate>) {
-        if self.named_limit.replace(limit) == limit {
+        if !self.limit.borrow_mut().set_named(limit) {
             return;
         }
         let server = self.server();
@@ -240,6 +241,11 @@
         }
     }
 
+    /// Returns whether the server limits the requests of all gateways.
+    pub(super) fn is_limited(&self) -> bool {
+        self.limit.borrow().get().is_some()
+    }
+
     /// Records whether the server is unresponsive.
     pub(super) fn set_unresponsive(&self, is_unresponsive: bool) {
         self.is_unresponsive.send_replace(is_unresponsive);
@@ -327,11 +333,16 @@
             self.backlog_ms.set(state.workload.backlog_ms);
             let (running, waiting) = (state.workload.running, state.workload.queued);
             self.record_load(Load { running, waiting }, now);
+            let mut limit = self.limit.borrow_mut();
+            limit.set_reported(state.workload.request_limit);
             let holdings = &state.holdings;
             if holdings.is_leaving && holdings.started_ms == self.server.borrow().started_ms {
                 self.mark_leaving();
             }
         }
+        if connected.is_none() {
+            self.limit.borrow_mut().set_reported(None);
+        }
         let new = connected.map(|state| state.holdings.clone());
         let old = self.holdings.replace(new);
         let new = self.holdings.borrow();
--- a/src/gateway/cold.rs
+++ b/src/gateway/cold.rs
@@ -38,18 +38,36 @@
     NoLoader,
 }
 
-/// Decides at which server to load the model of a request, among those that it may be sent to.
-pub(super) fn decide(
-    state: &State,
-    job: &Job,
-    progress: &Progress,
-    engine: &Engine,
-    name: &ModelName,
-    current: Option<&Rc<Backend>>,
-) -> Decision {
+/// A request whose model is loaded at no server that takes it.
+pub(super) struct Question<'a> {
+    pub(super) state: &'a State,
+    pub(super) job: &'a Job,
+    pub(super) progress: &'a Progress,
+    pub(super) engine: &'a Engine,
+    /// The request's model and adapter.
+    pub(super) name: &'a ModelName,
+    /// The server at which the request waits.
+    pub(super) current: Option<&'a Rc<Backend>>,
+    /// Whether servers that limit the requests of all gateways are left out.
+    pub(super) needs_unlimited: bool,
+}
+
+/// Decides at which server to load the model of a request, among those that it may be sent to. A
+/// server without a limit on requests is preferred.
+pub(super) fn decide(question: &Question<'_>) -> Decision {
+    let Question {
+        state,
+        job,
+        engine,
+        name,
+        ..
+    } = *question;
     let now = Time::now();
     let backends = state.fleet.of_service(&job.service);
-    let is_excluded = |backend: &Rc<Backend>| progress.is_excluded(&backend.server().id);
+    let is_excluded = |backend: &Rc<Backend>| {
+        let is_out = question.needs_unlimited && backend.is_limited();
+        is_out || question.progress.is_excluded(&backend.server().id)
+    };
     // Requests for a model wait at one server, since a second load would not speed up any of them.
     let can_join = |backend: &&Rc<Backend>| {
         let has_backlog = backend.has_backlog(&name.model) && backend.has_loader();
@@ -57,7 +75,7 @@
     };
     let remaining = job.remaining(now);
     let is_in_time = |ready: Duration| ready + MIN_RUN_TIME <= remaining;
-    let joined = current.filter(|current| can_join(current));
+    let joined = question.current.filter(|current| can_join(current));
     let joined = joined.or_else(|| backends.iter().find(can_join));
     let joined = joined.map(|backend| (backend, ready(backend, engine, name, now)));
     if let Some((backend, ready)) = joined
@@ -67,8 +85,12 @@
     }
     let pool = fleet::pool(state, &job.service, engine, now);
     let ranked = pool.rank(&name.model);
-    let mut ranked = ranked.iter();
-    let best = ranked.find(|candidate| !is_excluded(&backends[candidate.host]));
+    let allowed = || {
+        let ranked = ranked.iter();
+        ranked.filter(|candidate| !is_excluded(&backends[candidate.host]))
+    };
+    let unlimited = allowed().find(|candidate| !backends[candidate.host].is_limited());
+    let best = unlimited.or_else(|| allowed().next());
     let Some(best) = best else {
         return match joined {
             Some((_, ready)) => Decision::Refuse(ready),
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -1,7 +1,10 @@
 //! The backend servers that the gateway knows.
 
 use std::{
-    cell::RefCell,
+    cell::{
+        Cell,
+        RefCell, //
+    },
     collections::{
         BTreeMap,
         BTreeSet, //
@@ -12,6 +15,7 @@
 
 use super::{
     backend::Backend,
+    limit::Gateways,
     link,
     state::State, //
 };
@@ -39,6 +43,8 @@
     by_service: RefCell<BTreeMap<String, Rc<Vec<Rc<Backend>>>>>,
     /// Servers that hold a model, by model.
     holders: RefCell<BTreeMap<String, Vec<Rc<Backend>>>>,
+    /// Number of gateways that share the limits of servers.
+    sharers: Cell<Gateways>,
 }
 
 impl Fleet {
@@ -104,6 +110,18 @@
         known.max().unwrap_or_default().max(1)
     }
 
+    /// Returns the gateways that share the limits of servers.
+    pub(super) fn sharers(&self) -> Gateways {
+        self.sharers.get()
+    }
+
+    /// Records a number of gateways that a loader has reported.
+    pub(super) fn record_gateways(&self, count: u32, now: Time) {
+        let mut sharers = self.sharers.get();
+        sharers.record(count, now);
+        self.sharers.set(sharers);
+    }
+
     /// Updates the servers from the list that was read from the store.
     fn update(&self, state: &Rc<State>) {
         let mut backends = self.backends.borrow_mut();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod forward;
 mod handler;
 mod job;
+mod limit;
 mod link;
 mod message;
 mod pick;
--- a/src/gateway/pick.rs
+++ b/src/gateway/pick.rs
@@ -10,7 +10,8 @@
     backend::Backend,
     cold::{
         self,
-        Decision, //
+        Decision,
+        Question, //
     },
     demand::{
         self,
@@ -38,6 +39,9 @@
 /// Maximum time between checks whether a requested model is loaded.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Maximum time for which a request waits until a server at its limit takes it.
+const MAX_LIMIT_WAIT: Duration = Duration::from_millis(1_000);
+
 /// Time within which servers or loaders are expected to be reachable again after all of them became
 /// unreachable at once.
 const RECOVERY_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -91,7 +95,11 @@
     fn step(&mut self, now: Time) -> Result<Option<Rc<Backend>>, Failure> {
         let service = self.job.configuration.service(&self.job.service);
         let engine = service.and_then(|service| service.engine.as_ref());
-        let eligible = self.eligible(engine, now);
+        let sharers = self.state.fleet.sharers();
+        let (eligible, limited): (Vec<_>, Vec<_>) = self
+            .eligible(engine, now)
+            .into_iter()
+            .partition(|backend| backend.limit.borrow_mut().wait(sharers, now).is_zero());
         match choose_among(self.state, self.job, &eligible, now) {
             // The loader of the chosen server loads the missing adapter.
             Some((backend, true)) if backend.has_loader() => {
@@ -104,6 +112,10 @@
                 }
                 Ok(Some(backend))
             }
+            None if !limited.is_empty() => {
+                self.wait_for_limit(engine, &limited, now)?;
+                Ok(None)
+            }
             None => match (engine, self.job.model()) {
                 (Some(engine), Some(name)) => self.wait_for_model(engine, name, now),
                 _ => self.wait_for_server(now),
@@ -112,7 +124,7 @@
         }
     }
 
-    /// Returns the servers that could run the request now.
+    /// Returns the servers that could run the request now, if their limits allow it.
     fn eligible(&self, engine: Option<&Engine>, now: Time) -> Vec<Rc<Backend>> {
         let service = &self.job.service;
         let is_eligible = |backend: &Rc<Backend>| {
@@ -134,6 +146,23 @@
         }
     }
 
+    fn question<'a>(
+        &'a self,
+        engine: &'a Engine,
+        name: &'a ModelName,
+        needs_unlimited: bool,
+    ) -> Question<'a> {
+        Question {
+            state: self.state,
+            job: self.job,
+            progress: self.progress,
+            engine,
+            name,
+            current: self.requested.as_ref().map(|(backend, _)| backend),
+            needs_unlimited,
+        }
+    }
+
     fn request_load(&mut self, backend: &Rc<Backend>) {
         let requested = self.requested.as_ref();
         let is_same = requested.is_some_and(|(requested, _)| Rc::ptr_eq(requested, backend));
@@ -143,6 +172,38 @@
         }
     }
 
+    /// Lets the search continue if one of the servers at their limits soon takes the request, or if
+    /// another server can load the model. Else refuses the request.
+    fn wait_for_limit(
+        &mut self,
+        engine: Option<&Engine>,
+        limited: &[Rc<Backend>],
+        now: Time,
+    ) -> Result<(), Failure> {
+        let sharers = self.state.fleet.sharers();
+        let wait = |backend: &Rc<Backend>| backend.limit.borrow_mut().wait(sharers, now);
+        let Some(earliest) = limited.iter().min_by_key(|backend| wait(backend)) else {
+            return Ok(());
+        };
+        let max_wait = MAX_LIMIT_WAIT
+            .min(self.job.route.latency_objective)
+            .min(self.job.remaining(now) / 4);
+        if (now - self.started).saturating_add(wait(earliest)) <= max_wait {
+            return Ok(());
+        }
+        if let (Some(engine), Some(name)) = (engine, self.job.model()) {
+            let decision = cold::decide(&self.question(engine, name, true));
+            if let Decision::Wait(backend) = decision {
+                self.request_load(&backend);
+                return Ok(());
+            }
+        }
+        let after = earliest.limit.borrow_mut().reserve_return(sharers, now);
+        Err(self
+            .progress
+            .final_failure_after("all servers are at their limits", after))
+    }
+
     /// Requests a load of the model at a server, or refuses the request if the load takes too long.
     fn wait_for_model(
         &mut self,
@@ -152,7 +213,7 @@
     ) -> Result<(), Failure> {
         let remaining = self.job.remaining(now);
         let current = self.requested.as_ref().map(|(backend, _)| backend);
-        match cold::decide(self.state, self.job, self.progress, engine, name, current) {
+        match cold::decide(&self.question(engine, name, false)) {
             Decision::Wait(backend) => {
                 if !current.is_some_and(|current| Rc::ptr_eq(current, &backend)) {
                     log_cold_wait(self.job, &backend, remaining);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -98,7 +98,11 @@
         let Some(backend) = self.fleet.get(id) else {
             return;
         };
-        let models = backend.apply_state(known, Time::now());
+        let now = Time::now();
+        if let Some(known) = known {
+            self.fleet.record_gateways(known.workload.gateways, now);
+        }
+        let models = backend.apply_state(known, now);
         self.fleet.index(&backend);
         for model in models {
             self.waiters.wake(&model);
--- a/src/gateway/verdict.rs
+++ b/src/gateway/verdict.rs
@@ -39,6 +39,7 @@
 ///     closes: false,
 ///     is_leaving: false,
 ///     rest: None,
+///     request_limit: None,
 /// };
 /// assert_eq!(verdict(&head, "r1", "server-1"), Verdict::Response);
 /// assert_eq!(verdict(&head, "r2", "server-1"), Verdict::Mismatched);
--- a/src/hub/table.rs
+++ b/src/hub/table.rs
@@ -415,6 +415,7 @@
     let change = load(known).abs_diff(load(new));
     let is_large = f64::from(change) >= MIN_LOAD_CHANGE_FRACTION * f64::from(load(known));
     known.gateways != new.gateways
+        || known.request_limit != new.request_limit
         || known.backlog_ms.abs_diff(new.backlog_ms) >= MIN_BACKLOG_CHANGE_MS
         || known.queued.abs_diff(new.queued) >= MIN_LOAD_CHANGE
         || (change >= MIN_LOAD_CHANGE && is_large)
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -11,11 +11,14 @@
 };
 use siphasher::sip::SipHasher13;
 
-use crate::deployment::{
-    Copies,
-    Engine,
-    Replica,
-    Server, //
+use crate::{
+    deployment::{
+        Copies,
+        Engine,
+        Replica,
+        Server, //
+    },
+    dispatch::RequestRate,
 };
 
 /// Time constant in seconds with which the request rate of a model decays.
@@ -311,6 +314,8 @@
     pub gateways: u32,
     /// Estimated time of the loads that requests at all gateways wait for at the server, in ms.
     pub backlog_ms: u32,
+    /// Limit that the server names on the requests of all gateways.
+    pub request_limit: Option<RequestRate>,
 }
 
 /// Message of a loader to a hub.
--- a/src/loader/driver.rs
+++ b/src/loader/driver.rs
@@ -244,6 +244,7 @@
             queued: self.report.queued,
             gateways: self.state.gateways(),
             backlog_ms: self.backlog_ms(backlogs),
+            request_limit: self.engine.request_limit(),
         });
     }
 
--- a/src/loader/engine.rs
+++ b/src/loader/engine.rs
@@ -81,6 +81,11 @@
         }
     }
 
+    /// Returns the limit on requests that the engine named in its latest response.
+    pub(super) fn request_limit(&self) -> Option<RequestRate> {
+        self.request_limit.get()
+    }
+
     /// Reads the engine's report; returns `None` if the call fails.
     pub(super) async fn report(&self) -> Option<Report> {
         let request = engine::report_request(&self.host).ok()?;
