gateway, hub, link: keep a stream at the software version that began it

Callers of a service that is being upgraded could get a stream joined from the pieces of two software versions, which do not fit together. Cause: the version in a server's entry was not read, and a broken stream, or one that its client takes up at another gateway, went on at any server that holds the model. Change: gateways keep the origins of the streams that they began for 60 s and, once a second version is listed, send them to their hub; hubs pass them on to one another and answer gateways that ask for a stream named in Resumes. The search and cold starts keep to the version; a stream of unknown version is refused at once while two serve, one whose version has no server left as well. A version that was just listed gets no new resumable streams until all gateways know of it. With one version nothing is sent.

--- a/src/deployment/server.rs
+++ b/src/deployment/server.rs
@@ -52,6 +52,8 @@
     pub address: SocketAddr,
     /// Failure domain in which the server runs.
     pub failure_domain: String,
+    /// Version of its software, which has no order; what two versions write does not fit together.
+    pub software: String,
     /// Maximum number of requests that it runs at once.
     pub slots: u32,
     /// Whether it accepts new requests.
@@ -72,6 +74,7 @@
             && self.address == other.address
             && self.service == other.service
             && self.failure_domain == other.failure_domain
+            && self.software == other.software
             && self.slots == other.slots
             && self.state == other.state
             && self.warmup_remaining.is_zero() == other.warmup_remaining.is_zero()
--- a/src/emulator/site/engine.rs
+++ b/src/emulator/site/engine.rs
@@ -35,6 +35,9 @@
 /// Accelerator memory of each model in MB.
 const MODEL_MB: f64 = 40.0;
 
+/// Version of the software of an engine that has not been upgraded.
+const FIRST_VERSION: &str = "v1";
+
 /// Maximum number of chunks of a response that are buffered until the caller reads them.
 const MAX_BUFFERED_CHUNKS: usize = 2;
 
@@ -74,6 +77,8 @@
     running_streams: u32,
     /// Number of requests that the engine has refused because it lacks their model.
     refusals: u32,
+    /// Version of the software; the events of a stream name it unless it is the first one.
+    software: Option<String>,
     /// Limit on requests that all responses name, as the text of its header.
     limit: Option<String>,
 }
@@ -127,6 +132,10 @@
         self.lock().refusals
     }
 
+    pub(super) fn upgrade(&self, version: &str) {
+        self.lock().software = Some(version.to_owned());
+    }
+
     pub(super) fn name_limit(&self, text: Option<&str>) {
         self.lock().limit = text.map(str::to_owned);
     }
@@ -157,8 +166,8 @@
     ) -> Value {
         let models = self.models();
         json!({
-            "service": service, "address": address.to_string(), "zone": "z1", "version": "v1",
-            "slots": 8, "state": state, "coldLeftMs": 0, "seq": seq, "born": 1, "models": models,
+            "service": service, "address": address.to_string(), "zone": "z1",
+            "version": self.lock().software.as_deref().unwrap_or(FIRST_VERSION), "slots": 8, "state": state, "coldLeftMs": 0, "seq": seq, "born": 1, "models": models,
             "cachedModels": { "inMemory": [], "onDisk": self.lock().on_disk },
         })
     }
@@ -357,7 +366,11 @@
                 .await;
             break;
         }
-        let text = format!("id: {event}\ndata: e{event}\n\n");
+        let suffix = match engine.lock().software.as_deref() {
+            Some(version) => format!("-{version}"),
+            None => String::new(),
+        };
+        let text = format!("id: {event}\ndata: e{event}{suffix}\n\n");
         if chunks.send(Ok(Bytes::from(text))).await.is_err() {
             abandoned = true;
             break;
--- a/src/emulator/site/mod.rs
+++ b/src/emulator/site/mod.rs
@@ -286,6 +286,13 @@
         self.services[index].server.name_limit(text);
     }
 
+    /// Gives an engine another version of its software and writes its description. The events of its
+    /// streams then end with the version.
+    pub fn upgrade_engine(&self, index: usize, version: &str) {
+        self.engines[index].server.upgrade(version);
+        self.publish_engine(index, "ready");
+    }
+
     /// Makes an engine name a limit in all its responses, as the text of the header; `None` ends
     /// that.
     pub fn name_engine_limit(&self, index: usize, text: Option<&str>) {
--- a/src/gateway/cold.rs
+++ b/src/gateway/cold.rs
@@ -66,7 +66,7 @@
     let backends = state.fleet.of_service(&job.service);
     let is_excluded = |backend: &Rc<Backend>| {
         let is_out = question.needs_unlimited && backend.is_limited();
-        is_out || question.progress.is_excluded(&backend.server().id)
+        is_out || question.progress.is_excluded(&backend.server())
     };
     // Requests for a model wait at one server, since a second load would not speed up any of them.
     let can_join = |backend: &&Rc<Backend>| {
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -17,7 +17,8 @@
     backend::Backend,
     limit::Gateways,
     link,
-    state::State, //
+    state::State,
+    versions::Versions, //
 };
 use crate::{
     deployment::{
@@ -43,6 +44,8 @@
     by_service: RefCell<BTreeMap<String, Rc<Vec<Rc<Backend>>>>>,
     /// Servers that hold a model, by model.
     holders: RefCell<BTreeMap<String, Vec<Rc<Backend>>>>,
+    /// Software versions of the servers of each service.
+    pub(super) versions: Versions,
     /// Number of gateways that share the limits of servers.
     sharers: Cell<Gateways>,
 }
@@ -136,6 +139,7 @@
                 stays
             });
             for (id, server) in servers {
+                self.versions.record(server, Time::now());
                 match backends.get(id) {
                     Some(backend) if backend.server().address == server.address => {
                         log_state_change(backend, server);
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -33,7 +33,7 @@
         Progress, //
     },
     message::Malformed,
-    relay,
+    origins, relay,
     response::{
         self,
         Failure,
@@ -138,9 +138,12 @@
         state.rates.record_request(&name.model, started);
     }
     let mut progress = Progress::new(&job.route);
+    let software = origins::software(state, &job).await;
+    progress.software = software.map_err(|failure| (id.clone(), failure))?;
     let last_event = job.head.last_event.as_deref();
     let exchange = forward::send(state, &job, &mut progress, last_event).await;
     let exchange = exchange.map_err(|failure| (id, failure))?;
+    origins::record(state, &job, &mut progress, &exchange);
     let status = exchange.response.status();
     log_response(&job, &exchange, started);
     state.metrics.count("request", status.as_str());
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -24,7 +24,8 @@
 use crate::{
     deployment::{
         Configuration,
-        Route, //
+        Route,
+        Server, //
     },
     dispatch::{
         Attempts,
@@ -34,6 +35,7 @@
         Channel,
         Response, //
     },
+    link,
     timer::Time,
 };
 
@@ -77,6 +79,8 @@
     /// Servers that the request was sent to. The time is that from which it may be sent there
     /// again; `None` if it may not.
     sent_to: BTreeMap<String, Option<Time>>,
+    /// Digest of the only software version at which the stream may go on.
+    pub(super) software: Option<u64>,
     pub(super) attempts: Attempts,
 }
 
@@ -94,6 +98,7 @@
     pub(super) fn new(route: &Route) -> Self {
         Self {
             sent_to: BTreeMap::new(),
+            software: None,
             attempts: Attempts::new(route.kind.is_repeatable(), route.attempts),
         }
     }
@@ -109,15 +114,25 @@
             .insert(server.to_owned(), Some(now + RESEND_DELAY));
     }
 
+    /// Returns whether a server has the software version that the stream needs.
+    pub(super) fn fits(&self, server: &Server) -> bool {
+        let needed = self.software;
+        needed.is_none_or(|needed| needed == link::digest(&server.software))
+    }
+
     /// Returns whether the request may be sent to a server now.
-    pub(super) fn may_send_to(&self, server: &str, now: Time) -> bool {
-        let resend_at = self.sent_to.get(server);
+    pub(super) fn may_send_to(&self, server: &Server, now: Time) -> bool {
+        if !self.fits(server) {
+            return false;
+        }
+        let resend_at = self.sent_to.get(&server.id);
         resend_at.is_none_or(|from| from.is_some_and(|from| now >= from))
     }
 
     /// Returns whether the request must not be sent to a server again.
-    pub(super) fn is_excluded(&self, server: &str) -> bool {
-        self.sent_to.get(server).is_some_and(Option::is_none)
+    pub(super) fn is_excluded(&self, server: &Server) -> bool {
+        let sent = self.sent_to.get(&server.id);
+        !self.fits(server) || sent.is_some_and(Option::is_none)
     }
 
     /// Returns the failure of a request that is sent to no further server.
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -25,7 +25,10 @@
     },
 };
 
-use super::state::State;
+use super::{
+    origins::Book,
+    state::State, //
+};
 use crate::{
     http, hub,
     link::{
@@ -82,6 +85,8 @@
     is_up: Cell<bool>,
     wants_engine: Cell<bool>,
     wants_listing: Cell<bool>,
+    /// Origins of streams, for clients that take them up again.
+    pub(super) origins: Book,
     /// When hubs that could not be reached may be tried again.
     cooldowns: RefCell<BTreeMap<SocketAddr, Time>>,
 }
@@ -97,6 +102,7 @@
             is_up: Cell::new(false),
             wants_engine: Cell::new(false),
             wants_listing: Cell::new(false),
+            origins: Book::default(),
             cooldowns: RefCell::default(),
         }
     }
@@ -251,6 +257,7 @@
 
 async fn send_demand(state: &State, link: &Link, mut writer: OwnedWriteHalf) -> io::Result<()> {
     let mut last_sent = 0;
+    let mut origins_sent = 0;
     for backend in state.fleet.of_service(&link.service).iter() {
         backend.is_demand_changed.set(true);
     }
@@ -269,6 +276,11 @@
             engine_version: state.engine_version(&link.service),
             engine: engine.flatten(),
             wants_listing: link.wants_listing.take(),
+            origins: match state.fleet.versions.are_several(&link.service, Time::now()) {
+                true => link.origins.new_origins(&mut origins_sent),
+                false => Vec::new(),
+            },
+            unknown_streams: link.origins.take_questions(),
         };
         last_sent = state.rates.newest();
         link::write(&mut writer, &demand).await?;
@@ -292,6 +304,7 @@
     if update.is_full {
         changed.extend(link.mirror.borrow().states().keys().cloned());
     }
+    link.origins.learn(&update.origins, Time::now());
     let listing = link
         .mirror
         .borrow_mut()
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -34,6 +34,8 @@
     pub prompt: Vec<Part>,
     /// Id of the last event that the client received, if it resumes a stream.
     pub last_event: Option<String>,
+    /// Id of the client's attempt that brought the first event of the stream, if it resumes one.
+    pub resumes: Option<String>,
 }
 
 /// Headers that the gateway sets on a request to a server.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod limit;
 mod link;
 mod message;
+mod origins;
 mod pick;
 mod rates;
 mod ready;
@@ -21,6 +22,7 @@
 mod server;
 mod state;
 mod verdict;
+mod versions;
 mod waiters;
 
 pub use events::Events;
--- a/src/gateway/pick.rs
+++ b/src/gateway/pick.rs
@@ -26,7 +26,10 @@
     state::State,
 };
 use crate::{
-    deployment::Engine,
+    deployment::{
+        Engine,
+        Kind, //
+    },
     dispatch::{
         Candidate,
         Ending,
@@ -112,6 +115,9 @@
                 }
                 Ok(Some(backend))
             }
+            None if self.has_no_version_left() => Err(self
+                .progress
+                .final_failure("no server of the stream's software version is left")),
             None if !limited.is_empty() => {
                 self.wait_for_limit(engine, &limited, now)?;
                 Ok(None)
@@ -127,8 +133,11 @@
     /// Returns the servers that could run the request now, if their limits allow it.
     fn eligible(&self, engine: Option<&Engine>, now: Time) -> Vec<Rc<Backend>> {
         let service = &self.job.service;
+        let is_too_new = self.new_software_filter(now);
         let is_eligible = |backend: &Rc<Backend>| {
-            self.progress.may_send_to(&backend.server().id, now) && backend.is_usable(now)
+            !is_too_new(backend)
+                && self.progress.may_send_to(&backend.server(), now)
+                && backend.is_usable(now)
         };
         match (engine, self.job.model()) {
             (Some(_), Some(name)) => {
@@ -146,6 +155,29 @@
         }
     }
 
+    /// Returns a filter for servers whose software version is too new to begin a resumable stream
+    /// there. There is none while no server of an older version is left.
+    fn new_software_filter(&self, now: Time) -> impl Fn(&Rc<Backend>) -> bool {
+        let spread = self.state.settings.get().listing_spread();
+        let versions = &self.state.fleet.versions;
+        let is_new = move |backend: &Rc<Backend>| versions.is_new(&backend.server(), spread, now);
+        let begins_stream =
+            self.job.route.kind == Kind::ResumableStream && self.progress.software.is_none();
+        let backends = self.state.fleet.of_service(&self.job.service);
+        let mut ready = backends.iter().filter(|backend| backend.is_ready());
+        let is_applied = begins_stream
+            && versions.are_several(&self.job.service, now)
+            && ready.any(|backend| !is_new(backend));
+        move |backend| is_applied && is_new(backend)
+    }
+
+    /// Returns whether the stream needs a software version that no server has.
+    fn has_no_version_left(&self) -> bool {
+        let backends = self.state.fleet.of_service(&self.job.service);
+        let mut ready = backends.iter().filter(|backend| backend.is_ready());
+        self.progress.software.is_some() && !ready.any(|b| self.progress.fits(&b.server()))
+    }
+
     fn question<'a>(
         &'a self,
         engine: &'a Engine,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -161,7 +161,7 @@
     let mut others = holders.filter(|backend| !Rc::ptr_eq(backend, current));
     others.any(|backend| {
         let holds = backend.replica(&name.model, |_| ()).is_some();
-        holds && backend.is_usable(now) && progress.may_send_to(&backend.server().id, now)
+        holds && backend.is_usable(now) && progress.may_send_to(&backend.server(), now)
     })
 }
 
--- a/src/hosted/settings.rs
+++ b/src/hosted/settings.rs
@@ -151,6 +151,13 @@
         self.listing_interval() + DELIVERY_TIME
     }
 
+    /// Returns the time after which all gateways know of a server that this one has read of.
+    pub(crate) fn listing_spread(&self) -> Duration {
+        /// Time for a read of the list that is delayed or repeated.
+        const READ_TIME: Duration = Duration::from_millis(1_000);
+        self.gateway_listing_age() + READ_TIME
+    }
+
     /// Returns the age of the list of servers at which a loader reads it itself, because it gets
     /// none from a hub.
     pub(crate) fn loader_listing_age(&self) -> Duration {
--- a/src/hub/mod.rs
+++ b/src/hub/mod.rs
@@ -10,6 +10,7 @@
 mod description;
 mod port;
 mod probe;
+mod relay;
 mod sent;
 mod table;
 
@@ -23,5 +24,6 @@
     Hub,
     serve, //
 };
+pub(crate) use relay::Relay;
 pub use sent::Sent;
 pub use table::Table;
--- a/src/hub/port.rs
+++ b/src/hub/port.rs
@@ -30,6 +30,7 @@
 
 use super::{
     Description,
+    Relay,
     Sent,
     Table,
     probe, //
@@ -82,6 +83,7 @@
     follower: Rc<Follower>,
     /// The description of the engine, which the loader of this process uses as well.
     description: Rc<RefCell<Description>>,
+    relay: Rc<Relay>,
     /// Version of the table; wakes the connections of gateways.
     version: watch::Sender<u64>,
     /// Wakes the connections to the loader of a server, by server id.
@@ -97,10 +99,12 @@
     pub(crate) fn new(
         follower: Rc<Follower>,
         description: Rc<RefCell<Description>>,
+        relay: Rc<Relay>,
         engine_addr: SocketAddr,
     ) -> Self {
         Self {
             engine_addr,
+            relay,
             table: RefCell::default(),
             follower,
             description,
@@ -221,6 +225,7 @@
             };
             hub.table.borrow_mut().remove_gateway(connection);
             hub.description.borrow_mut().remove_gateway(connection);
+            hub.relay.remove_gateway(connection);
             result
         }
         Hello::Probe => link::write(&mut writer, &Needs::default()).await,
@@ -251,6 +256,8 @@
             hub.follower.refresh_servers();
         }
         let now = Time::now();
+        hub.relay.record_own(&demand.origins, now);
+        hub.relay.ask(connection, &demand.unknown_streams);
         if let Some(description) = demand.engine.take() {
             hub.description.borrow_mut().update(description);
         } else if let Some(version) = demand.engine_version
@@ -281,6 +288,7 @@
         let status: Status = timeout(LOADER_TIMEOUT, link::read(reader)).await??;
         let is_observer = status.is_observer;
         let wants_engine = status.wants_engine;
+        hub.relay.record_others(&status.origins, Time::now());
         let server = hub.table.borrow_mut().set_status(connection, status);
         hub.publish();
         let said = Loader {
@@ -299,18 +307,22 @@
 async fn send_updates(mut writer: OwnedWriteHalf, hub: &Hub, connection: u64) -> io::Result<()> {
     let mut version = hub.version.subscribe();
     let mut description_request = hub.description_request.subscribe();
+    let mut answered = hub.relay.answered.subscribe();
     let mut sent = Sent::default();
     loop {
         version.mark_unchanged();
         description_request.mark_unchanged();
+        answered.mark_unchanged();
         let mut update = sent.update(&hub.table.borrow(), Time::now());
         update.wants_engine = hub.description.borrow().is_requested(connection);
+        update.origins = hub.relay.take_answers(connection);
         link::write(&mut writer, &update).await?;
         sleep(GATEWAY_BATCH).await;
         // Waiting for changes can't fail: the hub owns the senders.
         tokio::select! {
             _ = version.changed() => (),
             _ = description_request.changed() => (),
+            _ = answered.changed() => (),
             () = sleep(GATEWAY_HEARTBEAT) => (),
         }
     }
--- a/src/hub/table.rs
+++ b/src/hub/table.rs
@@ -346,6 +346,7 @@
         let since = self.known_version(since);
         let changed = self.servers.values().filter(|entry| entry.changed > since);
         Update {
+            origins: Vec::new(),
             is_full: since == 0,
             servers: changed.map(|entry| entry.state(since)).collect(),
             removed: self.removed.since(since),
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -11,6 +11,7 @@
 };
 use siphasher::sip::SipHasher13;
 
+use super::Origin;
 use crate::{
     deployment::{
         Copies,
@@ -100,6 +101,10 @@
     pub engine: Option<EngineDescription>,
     /// Whether there are signs that the list of servers has changed.
     pub wants_listing: bool,
+    /// Origins of streams that began lately, while servers of several software versions serve.
+    pub origins: Vec<Origin>,
+    /// Streams whose origins the gateway asks for.
+    pub unknown_streams: Vec<u64>,
 }
 
 /// Message of a hub to a loader: what the requests of the hub's gateways need.
@@ -170,6 +175,8 @@
     pub listing: Option<Listing>,
     /// Whether the hub requests the gateway's description of the engine.
     pub wants_engine: bool,
+    /// Origins of streams that the gateway has asked for.
+    pub origins: Vec<Origin>,
 }
 
 /// Version of an engine description.
@@ -329,4 +336,6 @@
     pub is_observer: bool,
     /// Whether the loader requests the hub's description of the engine.
     pub wants_engine: bool,
+    /// Origins that gateways have sent to the hub in the loader's process.
+    pub origins: Vec<Origin>,
 }
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -6,6 +6,7 @@
 
 mod codec;
 mod message;
+mod origin;
 
 pub(crate) use codec::{
     read,
@@ -34,3 +35,9 @@
     RATE_TIME_CONSTANT_S,
     RECENT_TIME_CONSTANT_S, //
 };
+pub(crate) use origin::RETENTION as ORIGIN_RETENTION;
+pub use origin::{
+    Origin,
+    Origins,
+    digest, //
+};
--- a/src/loader/mod.rs
+++ b/src/loader/mod.rs
@@ -69,6 +69,7 @@
     let hub = Rc::new(Hub::new(
         follower.clone(),
         state.description.clone(),
+        state.relay.clone(),
         engine,
     ));
     tokio::task::spawn_local(async move { follower.follow_servers().await });
--- a/src/loader/state.rs
+++ b/src/loader/state.rs
@@ -22,7 +22,10 @@
         Server, //
     },
     hosted::Live,
-    hub::Description,
+    hub::{
+        Description,
+        Relay, //
+    },
     link::{
         Backlog,
         EngineDescription,
@@ -57,6 +60,8 @@
     rates: RefCell<BTreeMap<u64, Rates>>,
     /// The description of the engine, which the hub in this process uses as well.
     pub(super) description: Rc<RefCell<Description>>,
+    /// The origins of streams that the hub in this process passes on.
+    pub(super) relay: Rc<Relay>,
     next_connection: Cell<u64>,
     /// The hub at which the loader follows the other servers.
     pub(super) observed: Cell<Option<SocketAddr>>,
@@ -79,6 +84,7 @@
             needs: RefCell::default(),
             rates: RefCell::default(),
             description: Rc::default(),
+            relay: Rc::default(),
             next_connection: Cell::new(0),
             observed: Cell::new(None),
             mirror: RefCell::default(),
--- a/src/loader/uplink.rs
+++ b/src/loader/uplink.rs
@@ -54,6 +54,9 @@
 /// Maximum time between messages to a hub.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Minimum time between messages to a hub, in which changes are collected.
+const BATCH_DELAY: Duration = Duration::from_millis(5);
+
 /// Timeout for the next message of a hub, after which the connection is closed.
 const RECEIVE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
@@ -204,6 +207,8 @@
 ) -> io::Result<()> {
     let mut holdings = state.holdings.subscribe();
     let mut workload = state.workload.subscribe();
+    let mut origins = state.relay.own_changed.subscribe();
+    let mut origins_sent = 0;
     holdings.mark_changed();
     while links.is_wanted(hub) {
         let changed = holdings.has_changed().unwrap_or(true);
@@ -212,10 +217,13 @@
             holdings: changed.then(|| holdings.borrow_and_update().as_ref().clone()),
             is_observer: state.observed.get() == Some(hub),
             wants_engine: state.wants_engine(connection),
+            origins: state.relay.new_origins(&mut origins_sent),
         };
         link::write(&mut writer, &status).await?;
+        sleep(BATCH_DELAY).await;
         tokio::select! {
             _ = holdings.changed() => holdings.mark_changed(),
+            _ = origins.changed() => (),
             () = sleep(HEARTBEAT_INTERVAL) => (),
         }
     }
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -37,6 +37,9 @@
 const TOKENS: HeaderName = HeaderName::from_static("token-count");
 const PROMPT: HeaderName = HeaderName::from_static("prompt-prefix");
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+/// Id of the attempt that brought the first event of a stream that its client takes up again.
+const RESUMES: HeaderName = HeaderName::from_static("resumes");
+
 const PRIORITY: HeaderName = HeaderName::from_static("request-priority");
 const SIGNATURE: HeaderName = HeaderName::from_static("response-signature");
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("not-executed");
@@ -52,7 +55,7 @@
 const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 
 /// Headers that may occur only once. If one were repeated, two readers could use different values.
-const SINGLE_VALUED: [HeaderName; 8] = [
+const SINGLE_VALUED: [HeaderName; 9] = [
     HeaderName::from_static("host"),
     REQUEST_ID,
     DEADLINE,
@@ -60,6 +63,7 @@
     TOKENS,
     PROMPT,
     LAST_EVENT,
+    RESUMES,
     HeaderName::from_static("content-length"),
 ];
 
@@ -116,6 +120,7 @@
             .unwrap_or_default(),
         prompt,
         last_event: text(headers, &LAST_EVENT).map(str::to_owned),
+        resumes: text(headers, &RESUMES).map(str::to_owned),
     })
 }
 
--- a/src/platform/server.rs
+++ b/src/platform/server.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use serde::Deserialize;
+use serde_json::Value;
 
 use crate::deployment::{
     Copies,
@@ -18,6 +19,8 @@
     address: String,
     #[serde(default)]
     zone: String,
+    /// Version of the server's software, not of its models' weights.
+    version: Option<Value>,
     slots: f64,
     state: String,
     /// Remaining time for which the server is slow after its start, not an amount of work.
@@ -91,6 +94,7 @@
         address: wire.address.parse().ok()?,
         service: wire.service,
         failure_domain: wire.zone,
+        software: wire.version.map_or_else(String::new, software),
         slots: wire.slots as u32,
         state,
         warmup_remaining: Duration::try_from_secs_f64(cold_left_ms / 1_000.0).ok()?,
@@ -98,3 +102,11 @@
         copies: wire.cached_models.unwrap_or_default().into(),
     })
 }
+
+/// Returns the name of a software version; numbers are taken as they are written.
+fn software(version: Value) -> String {
+    match version {
+        Value::String(name) => name,
+        other => other.to_string(),
+    }
+}
--- a/tests/hosted/deployment.rs
+++ b/tests/hosted/deployment.rs
@@ -35,6 +35,8 @@
     pub(crate) ready_addr: SocketAddr,
     /// Address of the gateway's metrics.
     pub(crate) metrics_addr: SocketAddr,
+    /// Port of the hubs.
+    peer_port: u16,
 }
 
 impl Deployment {
@@ -77,15 +79,25 @@
             caller_addr,
             ready_addr,
             metrics_addr: SocketAddr::from((Ipv4Addr::LOCALHOST, metrics_port)),
+            peer_port,
         }
     }
 
+    /// Starts a further gateway for the clients at the address that is returned, and waits until it
+    /// is ready.
+    pub(crate) fn start_gateway(&self, name: &str) -> (Daemon, SocketAddr) {
+        let clients = SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()));
+        let ready = SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()));
+        let mut settings = settings(self.site.store_addr(), name, clients, self.peer_port);
+        settings["metrics_port"] = json!(free_port());
+        settings["listen"] = json!({ "callers": clients.to_string(), "ready": ready.to_string() });
+        let gateway = Daemon::start("gateway", &settings, Stdio::null());
+        wait_until("the further gateway is ready", || is_ready(ready));
+        (gateway, clients)
+    }
+
     pub(crate) fn is_ready(&self) -> bool {
-        let response = send_raw(
-            self.ready_addr,
-            "GET /api/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
-        );
-        response.starts_with("HTTP/1.1 200")
+        is_ready(self.ready_addr)
     }
 
     /// Sends a request on a connection of its own and returns all bytes of the response.
@@ -94,6 +106,14 @@
     }
 }
 
+fn is_ready(address: SocketAddr) -> bool {
+    let response = send_raw(
+        address,
+        "GET /api/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
+    );
+    response.starts_with("HTTP/1.1 200")
+}
+
 /// A client's request.
 pub(crate) struct Request<'a> {
     pub(crate) id: &'a str,
--- a/tests/hosted/main.rs
+++ b/tests/hosted/main.rs
@@ -5,6 +5,7 @@
 mod machine;
 #[path = "../site_support/mod.rs"]
 mod site_support;
+mod upgrade;
 
 use std::{io::Write, net::TcpStream, thread, time::Duration};
 
--- /dev/null
+++ b/tests/hosted/upgrade.rs
@@ -0,0 +1,166 @@
+//! Streams while servers of two software versions serve.
+
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use chestnuthub::emulator::site::Plan;
+
+use crate::{
+    deployment::{
+        Deployment,
+        Request, //
+    },
+    site_support::{
+        HOST,
+        events,
+        is_terminated,
+        send_raw,
+        wait_until, //
+    },
+};
+
+/// Number of events of a stream.
+const EVENTS: usize = 6;
+
+fn plan() -> Plan {
+    Plan {
+        engines: vec![vec!["m1"], vec!["m1"], vec!["m1"], vec!["m1"]],
+        ..Plan::default()
+    }
+}
+
+/// Time within which gateways have read of an upgrade and use the new version for all streams.
+const UPGRADE_TIME: Duration = Duration::from_millis(5_000);
+
+/// Upgrades engines and waits until gateways know.
+fn upgrade(system: &Deployment, indices: &[usize], version: &str) {
+    for index in indices {
+        system.site.upgrade_engine(*index, version);
+    }
+    thread::sleep(UPGRADE_TIME);
+}
+
+/// Returns the software versions that wrote the events of a response.
+fn versions(response: &str) -> BTreeSet<String> {
+    let version = |event: &str| event.split_once('-').map_or("v1", |(_, v)| v).to_owned();
+    events(response).into_iter().map(version).collect()
+}
+
+/// Begins streams until one comes from the version; returns the id of its request.
+fn begin(system: &Deployment, name: &str, version: &str) -> String {
+    let mut number = 0;
+    let mut id = String::new();
+    wait_until("a stream begins at the version", || {
+        number += 1;
+        id = format!("{name}-{number}");
+        let response = system.send(&Request::model(&id, "/review/x", "m1"));
+        versions(&response) == BTreeSet::from([version.to_owned()])
+    });
+    id
+}
+
+/// Takes a stream up again after its event 2; returns the response.
+fn take_up(address: SocketAddr, id: &str, resumes: &str) -> String {
+    let text = format!(
+        "POST /review/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: 5000\r\n\
+         Model: m1\r\nResumes: {resumes}\r\nLast-Event-Id: 2\r\nConnection: close\r\n\
+         Content-Length: 0\r\n\r\n"
+    );
+    send_raw(address, &text)
+}
+
+fn assert_goes_on(response: &str, version: &str) {
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    assert_eq!(events(response).len(), EVENTS - 3, "{response}");
+    let expected = BTreeSet::from([version.to_owned()]);
+    assert_eq!(versions(response), expected, "{response}");
+}
+
+/// Guards against a response that joins the pieces of two software versions, because a broken stream
+/// is resumed at any server that holds its model.
+#[test]
+fn a_broken_stream_resumes_at_the_version_that_began_it() {
+    let system = Deployment::start(&plan());
+    upgrade(&system, &[0, 1], "v2");
+    let mut resumed = BTreeSet::new();
+    for number in 0..60 {
+        system.site.clear_breaks();
+        system.site.break_next_stream(number % 4, 3);
+        let id = format!("broken-{number}");
+        let response = system.send(&Request::model(&id, "/review/x", "m1"));
+        let versions = versions(&response);
+        assert_eq!(versions.len(), 1, "{response}");
+        assert!(is_terminated(&response), "{response}");
+        assert_eq!(events(&response).len(), EVENTS, "{response}");
+        if system
+            .site
+            .runs()
+            .iter()
+            .filter(|run| run.request == id)
+            .count()
+            > 1
+        {
+            resumed.extend(versions);
+        }
+    }
+    assert_eq!(resumed.len(), 2, "streams of each version were resumed");
+}
+
+/// Guards against a stream that goes on at another version, or not at all, when its client takes it
+/// up at another gateway, also after the first gateway is gone.
+#[test]
+fn a_stream_taken_up_at_another_gateway_goes_on_at_its_version() {
+    let system = Deployment::start(&plan());
+    let before = begin(&system, "before", "v1");
+    let (_second, clients) = system.start_gateway("front-2");
+    upgrade(&system, &[0, 1], "v2");
+    let new = begin(&system, "new", "v2");
+    let old = begin(&system, "old", "v1");
+    for number in 0..6 {
+        for (begun, version) in [(&before, "v1"), (&new, "v2"), (&old, "v1")] {
+            let id = format!("again-{begun}-{number}");
+            assert_goes_on(&take_up(clients, &id, begun), version);
+        }
+    }
+    thread::sleep(Duration::from_millis(500));
+    system.gateway.signal("KILL");
+    let (_third, clients) = system.start_gateway("front-3");
+    for (begun, version) in [(&before, "v1"), (&new, "v2"), (&old, "v1")] {
+        let id = format!("after-{begun}");
+        assert_goes_on(&take_up(clients, &id, begun), version);
+    }
+}
+
+/// Guards against a stream of unknown version that is joined or held, and against one that is
+/// refused although all servers have the same version.
+#[test]
+fn a_stream_of_unknown_version_is_refused_at_once_while_two_serve() {
+    let system = Deployment::start(&plan());
+    assert_goes_on(&take_up(system.caller_addr, "alone", "unknown"), "v1");
+    upgrade(&system, &[0], "v2");
+    let start = Instant::now();
+    let response = take_up(system.caller_addr, "refused", "never-seen");
+    assert!(start.elapsed() < Duration::from_secs(2));
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    assert!(response.contains("retry-after: "), "{response}");
+}
+
+/// Guards against a stream that is held to its deadline because no server of its version is left.
+#[test]
+fn a_stream_whose_version_is_gone_is_refused_at_once() {
+    let system = Deployment::start(&plan());
+    upgrade(&system, &[0], "v2");
+    let new = begin(&system, "new", "v2");
+    upgrade(&system, &[0], "v3");
+    let start = Instant::now();
+    let response = take_up(system.caller_addr, "gone", &new);
+    assert!(start.elapsed() < Duration::from_secs(2));
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+}
