--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -46,7 +46,7 @@
     holders: RefCell<BTreeMap<String, Vec<Rc<Backend>>>>,
     /// Software versions of the servers of each service.
     pub(super) versions: Versions,
-    /// Number of gateways that share the limits of servers.
+    /// Number of gateways that share the limits of servers and the retry budget.
     sharers: Cell<Gateways>,
 }
 
@@ -113,7 +113,7 @@
         known.max().unwrap_or_default().max(1)
     }
 
-    /// Returns the gateways that share the limits of servers.
+    /// Returns the gateways that share the limits of servers and the retry budget.
     pub(super) fn sharers(&self) -> Gateways {
         self.sharers.get()
     }
--- a/src/gateway/limit.rs
+++ b/src/gateway/limit.rs
@@ -15,16 +15,32 @@
 /// missing from the number for a moment.
 const COUNT_HOLD_TIME: Duration = Duration::from_secs(10);
 
-/// Number of gateways that is assumed until one is known.
-const UNKNOWN_COUNT: u32 = 16;
+/// Number of gateways that is assumed where no loader reports one.
+const UNKNOWN_COUNT: u32 = 64;
 
-/// Number of gateways that share limits.
-#[derive(Debug, Clone, Copy, Default)]
+/// Time after the start of the process within which loaders report the number of gateways.
+const START_TIME: Duration = Duration::from_millis(3_000);
+
+/// Number of gateways that is assumed in that time.
+const START_COUNT: u32 = 2;
+
+/// Number of gateways that share the limits of servers and the retry budget.
+#[derive(Debug, Clone, Copy)]
 pub(super) struct Gateways {
+    started_at: Time,
     /// The largest number within [`COUNT_HOLD_TIME`], and when it was known.
     largest: Option<(u32, Time)>,
 }
 
+impl Default for Gateways {
+    fn default() -> Self {
+        Self {
+            started_at: Time::now(),
+            largest: None,
+        }
+    }
+}
+
 impl Gateways {
     /// Records a number of gateways that a loader has reported.
     pub(super) fn record(&mut self, count: u32, now: Time) {
@@ -35,9 +51,13 @@
         }
     }
 
-    /// Returns the number of gateways that share limits.
-    pub(super) fn count(&self) -> u32 {
-        self.largest.map_or(UNKNOWN_COUNT, |(count, _)| count)
+    /// Returns the number of gateways that share limits and the retry budget.
+    pub(super) fn count(&self, now: Time) -> u32 {
+        match self.largest {
+            Some((count, _)) => count,
+            None if now - self.started_at < START_TIME => START_COUNT,
+            None => UNKNOWN_COUNT,
+        }
     }
 }
 
@@ -82,7 +102,7 @@
     fn quota(&mut self, gateways: Gateways, now: Time) -> Option<&mut Quota> {
         let share = Share {
             limit: self.get()?,
-            processes: gateways.count(),
+            processes: gateways.count(now),
         };
         let quota = self
             .quota
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -152,7 +152,7 @@
 
     /// Returns whether the retry budget of a service allows a retry, and records the retry if it does.
     pub(super) fn try_retry(&self, service: &str, now: Time) -> bool {
-        let limit = self.retry_limit();
+        let limit = self.retry_limit(now);
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.to_owned()).or_default();
         budget.try_retry(now, &limit)
@@ -160,19 +160,19 @@
 
     /// Returns whether the retry budget of a service allows a retry, without recording one.
     pub(super) fn allows_retry(&self, service: &str, now: Time) -> bool {
-        let limit = self.retry_limit();
+        let limit = self.retry_limit(now);
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.to_owned()).or_default();
         budget.allows_retry(now, &limit)
     }
 
-    fn retry_limit(&self) -> Limit {
+    fn retry_limit(&self, now: Time) -> Limit {
         let settings = self.settings.get();
         Limit {
             ratio: settings.retry.ratio,
             slack: settings.retry.slack,
             window: settings.retry_window(),
-            processes: self.fleet.gateways(),
+            processes: self.fleet.sharers().count(now),
         }
     }
 
--- a/tests/hosted/deployment.rs
+++ b/tests/hosted/deployment.rs
@@ -49,13 +49,28 @@
         deployment
     }
 
+    /// Starts a site at which no loader stands beside any engine, and waits until the gateway is
+    /// ready.
+    pub(crate) fn start_without_loaders(plan: &Plan) -> Self {
+        let site = Site::start(plan).expect("the site starts");
+        site.configure(&configuration(1, &[]));
+        let deployment = Self::start_daemons(site, 0);
+        wait_until("the gateway is ready", || deployment.is_ready());
+        deployment
+    }
+
     /// Starts the daemons for a site without writing a configuration or waiting for readiness.
     pub(crate) fn start_unconfigured(site: Site) -> Self {
+        let loaders = site.engine_count();
+        Self::start_daemons(site, loaders)
+    }
+
+    fn start_daemons(site: Site, loader_count: usize) -> Self {
         let peer_port = free_port();
         let caller_addr = SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()));
         let ready_addr = SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()));
         let mut loaders = Vec::new();
-        for index in 0..site.engine_count() {
+        for index in 0..loader_count {
             let engine = site.engine_addr(index);
             let mut settings = settings(
                 site.store_addr(),
--- a/tests/hosted/main.rs
+++ b/tests/hosted/main.rs
@@ -7,7 +7,15 @@
 mod site_support;
 mod upgrade;
 
-use std::{io::Write, net::TcpStream, thread, time::Duration};
+use std::{
+    io::Write,
+    net::TcpStream,
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
 
 use chestnuthub::emulator::site::{
     Plan,
@@ -106,6 +114,38 @@
     }
 }
 
+/// Guards against gateways that each use the whole retry budget, because no loader tells them how
+/// many share it.
+#[test]
+fn gateways_without_loaders_share_the_retry_budget() {
+    const REQUESTS: usize = 40;
+    let system = Deployment::start_without_loaders(&Plan::default());
+    for index in 0..2 {
+        let fault = json!({ "kind": "drop_after", "path": "/look/" });
+        system.site.service_fault(index, fault);
+    }
+    let others: Vec<_> = (2..5)
+        .map(|number| system.start_gateway(&format!("front-{number}")))
+        .collect();
+    let gateways: Vec<_> = others.iter().map(|(_, address)| *address).collect();
+    let start = Instant::now();
+    for number in 0..REQUESTS {
+        for (index, gateway) in gateways.iter().chain([&system.caller_addr]).enumerate() {
+            let id = format!("l{index}-{number}");
+            send_raw(*gateway, &Request::new(&id, "/look/x").text());
+        }
+    }
+    let requests = REQUESTS * (gateways.len() + 1);
+    let retries = system.site.runs().len() - requests;
+    // The settings allow 0.2 retries for each request and 54 more in 10 s.
+    let windows = (start.elapsed().as_secs_f64() / 10.0).ceil();
+    let allowed = 0.2 * requests as f64 + 54.0 * windows;
+    assert!(
+        retries as f64 <= allowed,
+        "{retries} retries, {allowed} allowed"
+    );
+}
+
 /// Guards against a resumed stream that lacks or repeats an event after its server closed the
 /// connection in the middle of one.
 #[test]
