link: send the origins of streams in messages of a limited size

Cause: a new connection to a hub was sent all origins of the last 60 s in one message. At the planned size that is 17,000 origins or some 340 kB, above the 256 KiB that a message may have, so the connection would have failed again and again. Change: 2,048 origins at most in a message, the rest follows at once. Result: 20,000 origins in messages below 64 KiB, each sent once.

--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -270,21 +270,27 @@
         let changed = backends
             .iter()
             .filter(|backend| backend.is_demand_changed.take());
+        let versions = &state.fleet.versions;
+        let needs_origins = versions.are_several(&link.service, Time::now());
         let demand = Demand {
             servers: changed.map(|backend| backend.demand()).collect(),
             rates: state.rates.since(last_sent, Time::now()),
             engine_version: state.engine_version(&link.service),
             engine: engine.flatten(),
             wants_listing: link.wants_listing.take(),
-            origins: match state.fleet.versions.are_several(&link.service, Time::now()) {
-                true => link.origins.new_origins(&mut origins_sent),
-                false => Vec::new(),
+            origins: if needs_origins {
+                link.origins.new_origins(&mut origins_sent)
+            } else {
+                Vec::new()
             },
             unknown_streams: link.origins.take_questions(),
         };
         last_sent = state.rates.newest();
         link::write(&mut writer, &demand).await?;
         sleep(BATCH_DELAY).await;
+        if needs_origins && link.origins.has_new_origins(origins_sent) {
+            continue;
+        }
         // A change of the demand ends the wait.
         let _ = timeout(HEARTBEAT_INTERVAL, link.demand_changed.notified()).await;
     }
--- a/src/gateway/origins.rs
+++ b/src/gateway/origins.rs
@@ -59,6 +59,11 @@
         origins
     }
 
+    /// Returns whether there are origins that have not been sent on a connection.
+    pub(super) fn has_new_origins(&self, position: u64) -> bool {
+        self.begun.borrow().has_new(position)
+    }
+
     /// Returns the streams to ask for, once.
     pub(super) fn take_questions(&self) -> Vec<u64> {
         self.questions.take()
--- a/src/hub/relay.rs
+++ b/src/hub/relay.rs
@@ -119,6 +119,11 @@
         origins
     }
 
+    /// Returns whether there are origins to pass on from this position on.
+    pub(crate) fn has_new_origins(&self, position: u64) -> bool {
+        self.own.borrow().has_new(position)
+    }
+
     fn version(&self, stream: u64) -> Option<u64> {
         let own = self.own.borrow().version(stream);
         own.or_else(|| self.others.borrow().version(stream))
--- a/src/link/origin.rs
+++ b/src/link/origin.rs
@@ -20,6 +20,9 @@
 /// Time for which the origin of a stream is kept; clients take up streams within their time budget.
 pub(crate) const RETENTION: Duration = Duration::from_secs(60);
 
+/// Maximum number of origins in one message, which has a maximum size.
+const MAX_BATCH: usize = 2_048;
+
 /// The software version of the server that began a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Origin {
@@ -84,12 +87,19 @@
         self.versions.get(&stream).copied()
     }
 
-    /// Returns the origins that were recorded from this position on, and the next position.
+    /// Returns origins that were recorded from this position on, as many as a message may contain,
+    /// and the next position.
     pub fn since(&self, position: u64) -> (Vec<Origin>, u64) {
         let skipped = position.saturating_sub(self.removed) as usize;
-        let new = self.recorded.iter().skip(skipped);
-        let end = self.removed + self.recorded.len() as u64;
-        (new.map(|(_, origin)| *origin).collect(), end)
+        let new = self.recorded.iter().skip(skipped).take(MAX_BATCH);
+        let new: Vec<_> = new.map(|(_, origin)| *origin).collect();
+        let next = position.max(self.removed) + new.len() as u64;
+        (new, next)
+    }
+
+    /// Returns whether origins were recorded from this position on.
+    pub fn has_new(&self, position: u64) -> bool {
+        position < self.removed + self.recorded.len() as u64
     }
 
     /// Returns the number of origins that are kept.
--- a/src/loader/uplink.rs
+++ b/src/loader/uplink.rs
@@ -221,6 +221,9 @@
         };
         link::write(&mut writer, &status).await?;
         sleep(BATCH_DELAY).await;
+        if state.relay.has_new_origins(origins_sent) {
+            continue;
+        }
         tokio::select! {
             _ = holdings.changed() => holdings.mark_changed(),
             _ = origins.changed() => (),
--- a/tests/origin.rs
+++ b/tests/origin.rs
@@ -7,6 +7,7 @@
 
 use chestnuthub::{
     link::{
+        Demand,
         Origin,
         Origins, //
     },
@@ -88,6 +89,33 @@
     }
 }
 
+/// Guards against a connection that fails again and again, because all origins of a large fleet do
+/// not fit into one message.
+#[test]
+fn origins_are_sent_in_messages_of_a_limited_size() {
+    const STREAMS: u64 = 20_000;
+    let mut origins = Origins::default();
+    for stream in 0..STREAMS {
+        let version = u64::MAX;
+        let stream = u64::MAX - stream;
+        origins.record(Origin { stream, version }, Time::from_millis(0));
+    }
+    let (mut position, mut sent) = (0, 0);
+    while origins.has_new(position) {
+        let (new, next) = origins.since(position);
+        let demand = Demand {
+            origins: new.clone(),
+            ..Demand::default()
+        };
+        let bytes = postcard::to_stdvec(&demand).expect("a message");
+        assert!(bytes.len() < 64 << 10, "{} bytes", bytes.len());
+        assert!(next > position);
+        sent += new.len() as u64;
+        position = next;
+    }
+    assert_eq!(sent, STREAMS);
+}
+
 /// Guards against memory that grows with the number of all streams instead of those that may still
 /// be taken up.
 #[test]
