link: one module for connections between hubs, gateways and loaders

Cause: connecting, socket options, buffering, framing and the limit on silence stood in the gateway's link, the hub's port and probe and the loader's uplink. Change: link::Reader and link::Writer own them; the probe sets the socket options now as well. Behaviour is otherwise the same.

--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -13,11 +13,7 @@
 };
 
 use tokio::{
-    io::BufReader,
-    net::{
-        TcpStream,
-        tcp::OwnedWriteHalf, //
-    },
+    net::TcpStream,
     sync::Notify,
     time::{
         sleep,
@@ -30,12 +26,13 @@
     state::State, //
 };
 use crate::{
-    http, hub,
+    hub,
     link::{
         self,
         Demand,
         Hello,
-        Update, //
+        Update,
+        Writer, //
     },
     report,
     timer::Time,
@@ -238,14 +235,12 @@
 }
 
 async fn exchange(state: &State, link: &Link, stream: TcpStream) -> io::Result<()> {
-    http::configure(&stream)?;
     link.connection.set(link.connection.get() + 1);
-    let (reader, mut writer) = stream.into_split();
-    link::write(&mut writer, &Hello::Gateway).await?;
-    let mut reader = BufReader::with_capacity(4096, reader);
+    let (mut reader, mut writer) = link::split(stream)?;
+    writer.send(&Hello::Gateway).await?;
     let read = async {
         loop {
-            let update: Update = timeout(RECEIVE_TIMEOUT, link::read(&mut reader)).await??;
+            let update: Update = reader.next(RECEIVE_TIMEOUT).await?;
             apply(state, link, update);
         }
     };
@@ -255,7 +250,7 @@
     }
 }
 
-async fn send_demand(state: &State, link: &Link, mut writer: OwnedWriteHalf) -> io::Result<()> {
+async fn send_demand(state: &State, link: &Link, mut writer: Writer) -> io::Result<()> {
     let mut last_sent = 0;
     let mut origins_sent = 0;
     for backend in state.fleet.of_service(&link.service).iter() {
@@ -286,7 +281,7 @@
             unknown_streams: link.origins.take_questions(),
         };
         last_sent = state.rates.newest();
-        link::write(&mut writer, &demand).await?;
+        writer.send(&demand).await?;
         sleep(BATCH_DELAY).await;
         if needs_origins && link.origins.has_new_origins(origins_sent) {
             continue;
--- a/src/hub/port.rs
+++ b/src/hub/port.rs
@@ -13,19 +13,9 @@
 };
 
 use tokio::{
-    io::BufReader,
-    net::{
-        TcpStream,
-        tcp::{
-            OwnedReadHalf,
-            OwnedWriteHalf, //
-        },
-    },
+    net::TcpStream,
     sync::watch,
-    time::{
-        sleep,
-        timeout, //
-    },
+    time::sleep, //
 };
 
 use super::{
@@ -38,12 +28,14 @@
 use crate::{
     http,
     link::{
-        self,
+        self, //
         Contact,
         Demand,
         Hello,
         Needs,
-        Status, //
+        Reader,
+        Status,
+        Writer,
     },
     report,
     timer::Time,
@@ -74,8 +66,6 @@
 /// Minimum time between messages to a loader that contain rates, unless it has none yet.
 const RATES_INTERVAL: Duration = Duration::from_millis(950);
 
-type Reader = BufReader<OwnedReadHalf>;
-
 /// State that the connections of a hub share.
 #[derive(Debug)]
 pub(crate) struct Hub {
@@ -212,11 +202,9 @@
 }
 
 async fn serve_connection(stream: TcpStream, hub: &Hub) -> io::Result<()> {
-    http::configure(&stream)?;
-    let (reader, mut writer) = stream.into_split();
-    let mut reader = BufReader::with_capacity(1024, reader);
+    let (mut reader, mut writer) = link::split(stream)?;
     let connection = hub.connect();
-    match timeout(HELLO_TIMEOUT, link::read(&mut reader)).await?? {
+    match reader.next(HELLO_TIMEOUT).await? {
         Hello::Gateway => {
             hub.table.borrow_mut().add_gateway(connection);
             let result = tokio::select! {
@@ -228,7 +216,7 @@
             hub.relay.remove_gateway(connection);
             result
         }
-        Hello::Probe => link::write(&mut writer, &Needs::default()).await,
+        Hello::Probe => writer.send(&Needs::default()).await,
         Hello::Loader => {
             let loader = watch::Sender::new(Loader::default());
             let result = tokio::select! {
@@ -251,7 +239,7 @@
 
 async fn read_demand(reader: &mut Reader, hub: &Hub, connection: u64) -> io::Result<()> {
     loop {
-        let mut demand: Demand = timeout(GATEWAY_TIMEOUT, link::read(reader)).await??;
+        let mut demand: Demand = reader.next(GATEWAY_TIMEOUT).await?;
         if demand.wants_listing {
             hub.follower.refresh_servers();
         }
@@ -285,7 +273,7 @@
     loader: &watch::Sender<Loader>,
 ) -> io::Result<()> {
     loop {
-        let status: Status = timeout(LOADER_TIMEOUT, link::read(reader)).await??;
+        let status: Status = reader.next(LOADER_TIMEOUT).await?;
         let is_observer = status.is_observer;
         let wants_engine = status.wants_engine;
         hub.relay.record_others(&status.origins, Time::now());
@@ -304,7 +292,7 @@
     }
 }
 
-async fn send_updates(mut writer: OwnedWriteHalf, hub: &Hub, connection: u64) -> io::Result<()> {
+async fn send_updates(mut writer: Writer, hub: &Hub, connection: u64) -> io::Result<()> {
     let mut version = hub.version.subscribe();
     let mut description_request = hub.description_request.subscribe();
     let mut answered = hub.relay.answered.subscribe();
@@ -316,7 +304,7 @@
         let mut update = sent.update(&hub.table.borrow(), Time::now());
         update.wants_engine = hub.description.borrow().is_requested(connection);
         update.origins = hub.relay.take_answers(connection);
-        link::write(&mut writer, &update).await?;
+        writer.send(&update).await?;
         sleep(GATEWAY_BATCH).await;
         // Waiting for changes can't fail: the hub owns the senders.
         tokio::select! {
@@ -329,7 +317,7 @@
 }
 
 async fn send_needs(
-    mut writer: OwnedWriteHalf,
+    mut writer: Writer,
     hub: &Hub,
     mut loader: watch::Receiver<Loader>,
 ) -> io::Result<()> {
@@ -353,7 +341,7 @@
         } else {
             sent = Sent::default();
         }
-        link::write(&mut writer, &needs).await?;
+        writer.send(&needs).await?;
         sleep(LOADER_BATCH).await;
         // Waiting for changes can't fail: the hub and the caller own the senders.
         tokio::select! {
--- a/src/hub/probe.rs
+++ b/src/hub/probe.rs
@@ -10,12 +10,9 @@
     time::Duration, //
 };
 
-use tokio::{
-    net::TcpStream,
-    time::{
-        sleep,
-        timeout, //
-    },
+use tokio::time::{
+    sleep,
+    timeout, //
 };
 
 use super::port::Hub;
@@ -53,9 +50,9 @@
 }
 
 async fn probe(loader: SocketAddr) -> io::Result<()> {
-    let mut stream = TcpStream::connect(loader).await?;
-    link::write(&mut stream, &Hello::Probe).await?;
-    link::read::<Needs, _>(&mut stream).await.map(|_| ())
+    let (mut reader, mut writer) = link::open(loader, TIMEOUT).await?;
+    writer.send(&Hello::Probe).await?;
+    reader.next::<Needs>(TIMEOUT).await.map(|_| ())
 }
 
 /// Returns what the answer to a probe says. A machine that refuses the connection is up.
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -5,12 +5,15 @@
 //! is lost with a connection: the next one begins with everything again.
 
 mod codec;
+mod connection;
 mod message;
 mod origin;
 
-pub(crate) use codec::{
-    read,
-    write, //
+pub(crate) use connection::{
+    Reader,
+    Writer,
+    open,
+    split, //
 };
 pub use message::{
     Backlog,
--- a/src/loader/uplink.rs
+++ b/src/loader/uplink.rs
@@ -13,26 +13,20 @@
     time::Duration, //
 };
 
-use tokio::{
-    io::BufReader,
-    net::{
-        TcpStream,
-        tcp::OwnedWriteHalf, //
-    },
-    time::{
-        sleep,
-        timeout, //
-    },
+use tokio::time::{
+    sleep,
+    timeout, //
 };
 
 use super::state::State;
 use crate::{
-    http, hub,
+    hub,
     link::{
         self,
         Hello,
         Needs,
-        Status, //
+        Status,
+        Writer, //
     },
     report,
     timer::Time,
@@ -178,14 +172,11 @@
     hub: SocketAddr,
     connection: u64,
 ) -> io::Result<()> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(hub)).await??;
-    http::configure(&stream)?;
-    let (reader, mut writer) = stream.into_split();
-    link::write(&mut writer, &Hello::Loader).await?;
-    let mut reader = BufReader::with_capacity(1024, reader);
+    let (mut reader, mut writer) = link::open(hub, CONNECT_TIMEOUT).await?;
+    writer.send(&Hello::Loader).await?;
     let read = async {
         loop {
-            let needs: Needs = timeout(RECEIVE_TIMEOUT, link::read(&mut reader)).await??;
+            let needs: Needs = reader.next(RECEIVE_TIMEOUT).await?;
             if links.connected.borrow_mut().insert(hub) {
                 state.observed.set(links.observed());
             }
@@ -199,7 +190,7 @@
 }
 
 async fn send_status(
-    mut writer: OwnedWriteHalf,
+    mut writer: Writer,
     state: &State,
     links: &Links,
     hub: SocketAddr,
@@ -219,7 +210,7 @@
             wants_engine: state.wants_engine(connection),
             origins: state.relay.new_origins(&mut origins_sent),
         };
-        link::write(&mut writer, &status).await?;
+        writer.send(&status).await?;
         sleep(BATCH_DELAY).await;
         if state.relay.has_new_origins(origins_sent) {
             continue;
