gateway, platform: log waits at servers without limit and records without key

Cause: read as a newcomer, a request that leaves a server at its limit and waits for its model elsewhere left no cold_wait line, and a record without a key was dropped in silence. Change: one method requests and logs the wait; records_without_key counts the records. Tests of the headers Server-Limit and Resumes.

--- a/src/gateway/pick.rs
+++ b/src/gateway/pick.rs
@@ -195,6 +195,15 @@
         }
     }
 
+    /// Requests a load of the model at a server, and logs it if the request waited elsewhere.
+    fn wait_at(&mut self, backend: &Rc<Backend>, now: Time) {
+        let current = self.requested.as_ref().map(|(backend, _)| backend);
+        if !current.is_some_and(|current| Rc::ptr_eq(current, backend)) {
+            log_cold_wait(self.job, backend, self.job.remaining(now));
+        }
+        self.request_load(backend);
+    }
+
     fn request_load(&mut self, backend: &Rc<Backend>) {
         let requested = self.requested.as_ref();
         let is_same = requested.is_some_and(|(requested, _)| Rc::ptr_eq(requested, backend));
@@ -226,7 +235,7 @@
         if let (Some(engine), Some(name)) = (engine, self.job.model()) {
             let decision = cold::decide(&self.question(engine, name, true));
             if let Decision::Wait(backend) = decision {
-                self.request_load(&backend);
+                self.wait_at(&backend, now);
                 return Ok(());
             }
         }
@@ -244,13 +253,9 @@
         now: Time,
     ) -> Result<(), Failure> {
         let remaining = self.job.remaining(now);
-        let current = self.requested.as_ref().map(|(backend, _)| backend);
         match cold::decide(&self.question(engine, name, false)) {
             Decision::Wait(backend) => {
-                if !current.is_some_and(|current| Rc::ptr_eq(current, &backend)) {
-                    log_cold_wait(self.job, &backend, remaining);
-                }
-                self.request_load(&backend);
+                self.wait_at(&backend, now);
                 Ok(())
             }
             Decision::Defer => Ok(()),
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -39,6 +39,7 @@
         Server, //
     },
     http::Pool,
+    report,
     watch::{
         Change,
         Error,
@@ -155,9 +156,16 @@
             status => return Err(Error::Status(status.as_u16())),
         }
         let (next, records) = records(&answer.body, from)?;
-        let values = records
+        let (keyed, others): (Vec<_>, Vec<_>) = records
             .into_iter()
-            .filter_map(split_key)
+            .map(split_key)
+            .partition(Option::is_some);
+        if !others.is_empty() {
+            report::warn("records_without_key", &[("count", &others.len())]);
+        }
+        let values = keyed
+            .into_iter()
+            .flatten()
             .filter(|(key, _)| *key == CONFIGURATION_KEY.as_bytes())
             .map(|(_, value)| value);
         Ok(Change {
--- a/tests/header.rs
+++ b/tests/header.rs
@@ -3,11 +3,15 @@
 use std::time::Duration;
 
 use chestnuthub::{
-    dispatch::Part,
+    dispatch::{
+        Part,
+        RequestRate, //
+    },
     gateway::{
         Malformed,
         ModelName,
         Outgoing,
+        RequestLimit,
         Rest, //
     },
     platform::header, //
@@ -197,3 +201,35 @@
         );
     }
 }
+
+/// Guards against a limit that a server names and that is not read, or read as another one, and
+/// against an unreadable one that is taken for a limit of zero.
+#[test]
+fn limits_are_read_from_responses() {
+    let limit =
+        |pairs: &[(&str, &str)]| header::decode_response(200, &headers(pairs)).request_limit;
+    for (text, per_s) in [("1", 1.0), ("0.25", 0.25), (" 12.5 ", 12.5), ("0", 0.0)] {
+        let rate = RequestRate::from_per_s(per_s).expect("a rate");
+        let expected = Some(RequestLimit::Rate(rate));
+        assert_eq!(limit(&[("server-limit", text)]), expected, "{text}");
+    }
+    assert_eq!(limit(&[]), None);
+    for text in ["many", "-1", "", "1e300", "NaN"] {
+        let expected = Some(RequestLimit::Unreadable(text.to_owned()));
+        assert_eq!(limit(&[("server-limit", text)]), expected, "{text}");
+    }
+}
+
+/// Guards against a stream that is taken for another one because two headers name what it resumes.
+#[test]
+fn the_stream_that_a_request_resumes_is_read() {
+    let request = [
+        ("request-id", "r2"),
+        ("resumes", "r1"),
+        ("last-event-id", "4"),
+    ];
+    let head = header::decode_request(&headers(&request)).expect("a request");
+    assert_eq!(head.resumes.as_deref(), Some("r1"));
+    let repeated = [("request-id", "r2"), ("resumes", "r1"), ("resumes", "r3")];
+    assert!(header::decode_request(&headers(&repeated)).is_err());
+}
