gateway, dispatch: keep what a server has said of a model when its loader is lost

Callers saw: when a gateway gave up the loader of a server that lacks a model, all requests that waited for the model were sent to that server at once, each for a 421; one went there a second time at the cost of the retry budget.

Cause: `Backend::apply_state` forgot the absence of each model whose replica differs between the old and the new holdings, also where there are no new holdings because the loader is lost. With the entry gone, `Absence::ask` had nothing to hold the other requests back with. Whether the test met this depended on whether the hub's first message arrived before the loader was killed.

Change: a lost loader forgets nothing. A loader that appears ends the pause, so that one request asks and the others wait for its answer; its report may be older than what the server said. Only a change between two reports forgets. Daemons of the hosted tests write logs that stay after a failure.

--- a/src/dispatch/absence.rs
+++ b/src/dispatch/absence.rs
@@ -67,7 +67,32 @@
         self.entries.get(key).is_some_and(|entry| now < entry.until)
     }
 
-    /// Forgets what the server has said of a model, because its description has changed.
+    /// Ends the pauses for a model, because the server is described anew. One request asks the server
+    /// and the others wait for the answer, since the description may be older than what the server
+    /// has said.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::dispatch::Absence;
+    /// use chestnuthub::timer::Time;
+    ///
+    /// let key = ("m1".to_owned(), None);
+    /// let mut absence = Absence::default();
+    /// absence.record(&key, Time::from_millis(0));
+    /// absence.end_pause("m1", Time::from_millis(100));
+    /// assert!(!absence.contains(&key, Time::from_millis(100)));
+    /// absence.ask(&key, Time::from_millis(100));
+    /// assert!(absence.contains(&key, Time::from_millis(101)));
+    /// ```
+    pub fn end_pause(&mut self, model: &str, now: Time) {
+        let entries = self.entries.iter_mut();
+        for (_, entry) in entries.filter(|((known, _), _)| known == model) {
+            entry.until = entry.until.min(now);
+        }
+    }
+
+    /// Forgets what the server has said of a model, because it has changed since.
     pub fn forget(&mut self, model: &str) {
         self.entries.retain(|(known, _), _| known != model);
     }
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -355,8 +355,14 @@
             self.record_loader_lost(now);
         }
         let changed = changed_models(old.as_ref(), new.as_ref());
-        for model in &changed {
-            self.absence.borrow_mut().forget(model);
+        let mut absence = self.absence.borrow_mut();
+        match (&old, &*new) {
+            (Some(_), Some(_)) => changed.iter().for_each(|model| absence.forget(model)),
+            (None, Some(_)) => changed
+                .iter()
+                .for_each(|model| absence.end_pause(model, now)),
+            // A loader that is lost says nothing about its server.
+            (_, None) => (),
         }
         changed
             .into_iter()
--- a/tests/hosted/deployment.rs
+++ b/tests/hosted/deployment.rs
@@ -1,18 +1,24 @@
 //! A gateway and loaders that run as real processes against an emulated site.
 
 use std::{
+    fs::File,
     net::{
         Ipv4Addr,
         SocketAddr, //
     },
+    path::PathBuf,
     process::Stdio,
+    thread,
 };
 
 use chestnuthub::emulator::site::{
     Plan,
     Site, //
 };
-use serde_json::json;
+use serde_json::{
+    Value,
+    json, //
+};
 
 use crate::site_support::{
     Daemon,
@@ -79,14 +85,14 @@
                 peer_port,
             );
             settings["engine_addr"] = json!(engine.to_string());
-            loaders.push(Daemon::start("loader", &settings, Stdio::null()));
+            loaders.push(Daemon::start("loader", &settings, log(&settings)));
         }
         let mut settings = settings(site.store_addr(), "front-1", caller_addr, peer_port);
         let metrics_port = free_port();
         settings["metrics_port"] = json!(metrics_port);
         settings["listen"] =
             json!({ "callers": caller_addr.to_string(), "ready": ready_addr.to_string() });
-        let gateway = Daemon::start("gateway", &settings, Stdio::null());
+        let gateway = Daemon::start("gateway", &settings, log(&settings));
         Self {
             site,
             gateway,
@@ -106,7 +112,7 @@
         let mut settings = settings(self.site.store_addr(), name, clients, self.peer_port);
         settings["metrics_port"] = json!(free_port());
         settings["listen"] = json!({ "callers": clients.to_string(), "ready": ready.to_string() });
-        let gateway = Daemon::start("gateway", &settings, Stdio::null());
+        let gateway = Daemon::start("gateway", &settings, log(&settings));
         wait_until("the further gateway is ready", || is_ready(ready));
         (gateway, clients)
     }
@@ -121,6 +127,17 @@
     }
 }
 
+/// Creates the file for the log of a daemon, `hosted-<test>-<instance>.log` in cargo's directory for
+/// temporary files of tests. It stays after the run.
+fn log(settings: &Value) -> Stdio {
+    let thread = thread::current();
+    let test = thread.name().unwrap_or("unnamed").replace("::", "-");
+    let instance = settings["instance"].as_str().unwrap_or("unnamed");
+    let name = format!("hosted-{test}-{instance}.log");
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    Stdio::from(File::create(path).expect("the log is created"))
+}
+
 fn is_ready(address: SocketAddr) -> bool {
     let response = send_raw(
         address,
--- a/tests/hosted/machine.rs
+++ b/tests/hosted/machine.rs
@@ -145,6 +145,28 @@
     };
     let mut system = Deployment::start(&plan);
     system.loaders.clear();
+    assert_rarely_asked(&system);
+}
+
+/// Guards against all waiting requests being sent at once to a server that lacks their model, when
+/// the gateway gives up the server's loader.
+#[test]
+fn a_lost_loader_does_not_say_that_its_server_has_a_model() {
+    let plan = Plan {
+        engines: vec![vec!["m1"]],
+        ..Plan::default()
+    };
+    let mut system = Deployment::start(&plan);
+    // A model is loaded only once the gateway is connected to the loader.
+    let response = system.send(&Request::model("loaded", "/chat/x", "m2"));
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    system.loaders.clear();
+    assert_rarely_asked(&system);
+}
+
+/// Makes the first engine drop a model that its description lists, and asserts that requests for the
+/// model are refused and hardly reach the engine.
+fn assert_rarely_asked(system: &Deployment) {
     system.site.drop_model(0, "m1");
     let clients = (0..12).map(|number| {
         let caller_addr = system.caller_addr;
--- a/tests/outage.rs
+++ b/tests/outage.rs
@@ -67,7 +67,8 @@
     session.fleet.entries[0].restart().expect("a restart");
     wait_until("the entry is ready", || session.fleet.entries[0].is_ready());
     let response = session.fleet.caller(0).chat(&model(), "again", 4, TIMEOUT);
-    assert!(response.expect("a response").is_complete());
+    let response = response.expect("a response");
+    assert!(response.is_complete(), "{response:?}");
     assert_eq!(
         session
             .fleet
