operator: a daemon is ready once it has read the decisions too

Callers saw: an entry that had just started while the log was down answered 503 "no server takes the target yet" with a time to return of 5 s and more, although its load balancer had been told that it was ready and servers had the model.

Cause: readiness asked for the catalogue and the list of instances. A neighbour sends the catalogue first and the decisions after it; a request between the two finds no slot, and is refused at once because the streams count as not in touch with the log.

Change: ready also needs all records of both streams, read from the log or equal to those of a neighbour that has read them. The time up to which they are known is not used for that: it cannot be expressed on a machine that started after the log went down. The test of the three conditions marks the streams as read, which it left out before; it asks for more than it did.

--- a/src/gossip/node.rs
+++ b/src/gossip/node.rs
@@ -257,6 +257,9 @@
         // applied at that time.
         let complete = heads.releases <= self.releases.applied()
             && heads.decisions <= self.decisions.applied();
+        if complete && heads.news_age_ms < u64::MAX {
+            self.view.record_equal_peer();
+        }
         if complete && let Some(time) = now.as_millis().checked_sub(heads.news_age_ms) {
             let time = Time::from_millis(time);
             self.view.record_sync(Catalogue::STREAM, time);
--- a/src/operator/status.rs
+++ b/src/operator/status.rs
@@ -62,13 +62,15 @@
     memory_mb: u64,
 }
 
-/// Returns whether the daemon can serve requests: it isn't stopping and has read the catalogue and
-/// the instance list.
+/// Returns whether the daemon can serve requests: it isn't stopping and has read the catalogue, the
+/// decisions and the instance list.
 pub(super) fn is_ready(context: &Context) -> bool {
     let stopping = *context.stopping.borrow();
     let catalogue = context.view.catalogue().applied() > 0;
     let list = !context.view.instances().is_empty();
-    !stopping && catalogue && list
+    // Part of the decisions would not do: the entry would take models for ones without a slot.
+    let decisions = context.view.is_complete();
+    !stopping && catalogue && list && decisions
 }
 
 /// Returns the current status of the daemon.
--- a/src/view.rs
+++ b/src/view.rs
@@ -27,11 +27,15 @@
     changed: watch::Sender<u64>,
 }
 
-/// Times up to which the streams have been read, one for each stream.
+/// How far the streams have been read.
 #[derive(Debug, Default)]
 struct Synced {
+    /// Time up to which the releases are known.
     releases: Option<Time>,
+    /// Time up to which the decisions are known.
     decisions: Option<Time>,
+    /// Whether a peer that had read both streams had no more records than this daemon.
+    equals_peer: bool,
 }
 
 impl Default for View {
@@ -68,6 +72,12 @@
         synced.releases.zip(synced.decisions).map(|(a, b)| a.min(b))
     }
 
+    /// Returns whether all records of both streams have been read, from the log or through peers. They
+    /// may be older than this machine's clock if the log has been down for long.
+    pub fn is_complete(&self) -> bool {
+        read(&self.synced).equals_peer || self.synced_at().is_some()
+    }
+
     /// Returns a receiver that is notified of each change of the catalogue, the table or the list.
     pub fn changes(&self) -> watch::Receiver<u64> {
         self.changed.subscribe()
@@ -120,6 +130,11 @@
         *known = Some(known.map_or(time, |known| known.max(time)));
     }
 
+    /// Records that a peer that has read both streams has no more records than this daemon.
+    pub fn record_equal_peer(&self) {
+        write(&self.synced).equals_peer = true;
+    }
+
     fn notify(&self) {
         self.changed.send_modify(|count| *count += 1);
     }
--- a/tests/caller_port/operator.rs
+++ b/tests/caller_port/operator.rs
@@ -1,6 +1,12 @@
 //! Tests the operator port.
 
-use chestnuthub::operator;
+use chestnuthub::{
+    catalogue::Catalogue,
+    decision::Table,
+    follow::Fold,
+    operator,
+    timer::Time, //
+};
 
 use super::harness::*;
 
@@ -22,12 +28,36 @@
 #[tokio::test]
 async fn an_instance_is_ready_once_it_has_the_catalogue_and_instance_list() {
     let system = System::start(1);
+    system.mark_synced();
     assert_eq!(get(&system, "/healthz", None).await.0, 200);
     assert_eq!(get(&system, "/readyz", None).await.0, 200);
     system.context.view.set_instances(Vec::new());
     assert_eq!(get(&system, "/readyz", None).await.0, 503);
 }
 
+/// Guards against an entry that is reported ready while it reads the decisions, and refuses requests
+/// because it knows no slots yet.
+#[tokio::test]
+async fn an_instance_is_not_ready_before_it_has_read_the_decisions() {
+    let system = System::start_without_slots(1);
+    let view = &system.context.view;
+    view.record_sync(Catalogue::STREAM, Time::now());
+    assert_eq!(get(&system, "/readyz", None).await.0, 503);
+    grant(view, "gearmind-1");
+    assert_eq!(get(&system, "/readyz", None).await.0, 503);
+    view.record_sync(Table::STREAM, Time::now());
+    assert_eq!(get(&system, "/readyz", None).await.0, 200);
+}
+
+/// Guards against an entry that is never ready, because the log has been down for longer than the
+/// clock of its machine runs.
+#[tokio::test]
+async fn an_instance_is_ready_with_decisions_from_before_its_clock() {
+    let system = System::start(1);
+    system.context.view.record_equal_peer();
+    assert_eq!(get(&system, "/readyz", None).await.0, 200);
+}
+
 /// Guards against an instance that is reported ready while it stops, so that the load balancer
 /// keeps sending clients to it.
 #[tokio::test]
