gateway: use no server for resumable streams whose newest start is not listed

Callers would see: a stream that goes on with pieces of another software version (ORDER), when a server has started anew with another version under its id and the list of servers does not say so yet.

Cause: the version of a server was taken from its description alone. Its loader reports the new start within 0.3 s; the list follows up to a second later, and much later while the store is away.

Change: a resumable stream begins or goes on only at a server whose loader has reported no later start than the description's. The version of a stream is that of the description when the request was sent, not when the response came. Upgraded engines of the emulator now start anew: their streams break, and they count orders from 0.

--- a/src/emulator/site/engine.rs
+++ b/src/emulator/site/engine.rs
@@ -79,6 +79,8 @@
     refusals: u32,
     /// Version of the software; the events of a stream name it unless it is the first one.
     software: Option<String>,
+    /// Number of times that the engine has started anew.
+    restarts: u64,
     /// Limit on requests that all responses name, as the text of its header.
     limit: Option<String>,
 }
@@ -132,8 +134,14 @@
         self.lock().refusals
     }
 
+    /// Starts the engine anew with another version of its software. It holds the same models, and the
+    /// streams that it runs break.
     pub(super) fn upgrade(&self, version: &str) {
-        self.lock().software = Some(version.to_owned());
+        let mut state = self.lock();
+        state.software = Some(version.to_owned());
+        state.restarts += 1;
+        state.accepted = 0;
+        state.is_busy = false;
     }
 
     pub(super) fn name_limit(&self, text: Option<&str>) {
@@ -167,11 +175,17 @@
         let models = self.models();
         json!({
             "service": service, "address": address.to_string(), "zone": "z1",
-            "version": self.lock().software.as_deref().unwrap_or(FIRST_VERSION), "slots": 8, "state": state, "coldLeftMs": 0, "seq": seq, "born": 1, "models": models,
+            "version": self.lock().software.as_deref().unwrap_or(FIRST_VERSION), "slots": 8, "state": state,
+            "coldLeftMs": 0, "seq": seq, "born": self.started_ms(), "models": models,
             "cachedModels": { "inMemory": [], "onDisk": self.lock().on_disk },
         })
     }
 
+    /// Returns the time of the engine's start in Unix milliseconds.
+    fn started_ms(&self) -> u64 {
+        1 + self.lock().restarts
+    }
+
     fn models(&self) -> Vec<Value> {
         let state = self.lock();
         let models = state.models.iter();
@@ -183,13 +197,14 @@
     /// Returns the status report of the engine.
     fn report(&self) -> Response {
         let models = self.models();
+        let started_ms = self.started_ms();
         let state = self.lock();
         Response::json(
             200,
             &json!({
                 "stage": "unified", "models": models, "busy": state.is_busy, "seq": state.accepted,
                 "queued": 0, "running": state.running_streams, "kvUsed": 0, "kvTotal": 1000,
-                "born": 1, "cachedModels": { "inMemory": [], "onDisk": state.on_disk },
+                "born": started_ms, "cachedModels": { "inMemory": [], "onDisk": state.on_disk },
                 "pending": [],
             }),
         )
@@ -355,8 +370,9 @@
 ) -> bool {
     engine.lock().running_streams += 1;
     let mut abandoned = false;
+    let started_ms = engine.started_ms();
     for event in first..engine.plan.events {
-        if break_after == Some(event) {
+        if break_after == Some(event) || engine.started_ms() != started_ms {
             // A crashing server may break the stream in the middle of an event.
             let _ = chunks
                 .send(Ok(Bytes::from(format!("id: {event}\nda"))))
--- a/src/emulator/site/mod.rs
+++ b/src/emulator/site/mod.rs
@@ -286,13 +286,18 @@
         self.services[index].server.name_limit(text);
     }
 
-    /// Gives an engine another version of its software and writes its description. The events of its
-    /// streams then end with the version.
+    /// Starts an engine anew with another version of its software and writes its description. The
+    /// streams that it runs break, and the events of its streams then end with the version.
     pub fn upgrade_engine(&self, index: usize, version: &str) {
-        self.engines[index].server.upgrade(version);
+        self.upgrade_engine_unlisted(index, version);
         self.publish_engine(index, "ready");
     }
 
+    /// Like [`Self::upgrade_engine`], but the store keeps the description of the earlier start.
+    pub fn upgrade_engine_unlisted(&self, index: usize, version: &str) {
+        self.engines[index].server.upgrade(version);
+    }
+
     /// Makes an engine name a limit in all its responses, as the text of the header; `None` ends
     /// that.
     pub fn name_engine_limit(&self, index: usize, text: Option<&str>) {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -172,6 +172,7 @@
     record_announcements(job, backend, &response_head);
     let exchange = Exchange {
         in_flight,
+        server,
         channel,
         response,
         response_head,
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -171,6 +171,16 @@
         self.is_ready() && is_open && is_present
     }
 
+    /// Returns whether the server's loader has reported a start that is later than the one that is
+    /// described. The software version of such a server is not known.
+    pub(super) fn is_start_undescribed(&self) -> bool {
+        let holdings = self.holdings.borrow();
+        let described_ms = self.server.borrow().started_ms;
+        holdings
+            .as_ref()
+            .is_some_and(|holdings| holdings.started_ms > described_ms)
+    }
+
     /// Records that another server has the address. This server gets no requests until it is seen
     /// to have restarted.
     pub(super) fn mark_replaced(&self) {
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -68,6 +68,8 @@
 #[derive(Debug)]
 pub(super) struct Exchange {
     pub(super) in_flight: InFlight,
+    /// Description of the server when the request was sent.
+    pub(super) server: Rc<Server>,
     pub(super) channel: Channel,
     pub(super) response: Response,
     pub(super) response_head: ResponseHead,
--- a/src/gateway/origins.rs
+++ b/src/gateway/origins.rs
@@ -144,8 +144,7 @@
     if job.route.kind != Kind::ResumableStream {
         return;
     }
-    let server = exchange.in_flight.backend.server();
-    let version = link::digest(&server.software);
+    let version = link::digest(&exchange.server.software);
     progress.software = Some(version);
     let first_attempt = job.head.resumes.as_ref().unwrap_or(&job.head.id);
     let origin = Origin {
--- a/src/gateway/pick.rs
+++ b/src/gateway/pick.rs
@@ -49,6 +49,14 @@
 /// unreachable at once.
 const RECOVERY_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Returns whether a request may be sent to a server now.
+pub(super) fn may_send(job: &Job, progress: &Progress, backend: &Backend, now: Time) -> bool {
+    let needs_version = job.route.kind == Kind::ResumableStream;
+    progress.may_send_to(&backend.server(), now)
+        && backend.is_usable(now)
+        && !(needs_version && backend.is_start_undescribed())
+}
+
 /// Chooses the server for a request.
 pub(super) async fn pick(
     state: &State,
@@ -135,9 +143,7 @@
         let service = &self.job.service;
         let is_too_new = self.new_software_filter(now);
         let is_eligible = |backend: &Rc<Backend>| {
-            !is_too_new(backend)
-                && self.progress.may_send_to(&backend.server(), now)
-                && backend.is_usable(now)
+            !is_too_new(backend) && may_send(self.job, self.progress, backend, now)
         };
         match (engine, self.job.model()) {
             (Some(_), Some(name)) => {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -28,6 +28,7 @@
         Job,
         Progress, //
     },
+    pick,
     state::State,
 };
 use crate::{
@@ -161,7 +162,7 @@
     let mut others = holders.filter(|backend| !Rc::ptr_eq(backend, current));
     others.any(|backend| {
         let holds = backend.replica(&name.model, |_| ()).is_some();
-        holds && backend.is_usable(now) && progress.may_send_to(&backend.server(), now)
+        holds && pick::may_send(job, progress, &backend, now)
     })
 }
 
--- a/tests/hosted/upgrade.rs
+++ b/tests/hosted/upgrade.rs
@@ -164,3 +164,20 @@
     assert!(start.elapsed() < Duration::from_secs(2));
     assert!(response.starts_with("HTTP/1.1 503"), "{response}");
 }
+
+/// Guards against a stream that goes on at a server which has started anew with another version,
+/// before the list of servers says so.
+#[test]
+fn a_stream_does_not_go_on_at_a_server_that_started_anew_unlisted() {
+    let system = Deployment::start(&plan());
+    let begun = begin(&system, "begun", "v1");
+    for index in 0..3 {
+        system.site.upgrade_engine_unlisted(index, "v2");
+    }
+    // Loaders read their engines' reports every 0.3 s.
+    thread::sleep(Duration::from_millis(1_000));
+    for number in 0..12 {
+        let id = format!("again-{number}");
+        assert_goes_on(&take_up(system.caller_addr, &id, &begun), "v1");
+    }
+}
