gateway, hub, dispatch: take a stream up only where its version is certain

Callers would see: answers joined from two software versions (ORDER) at a gateway that does not know that two served: one that started after an upgrade was complete, or one that had been cut off from the store while a version came and went.

Cause: a gateway that knew one version sent a stream of unknown origin to any server. What it knows is the list that it has read itself, since it started, when it could.

Change: `dispatch::Lineage` decides from what is known. A hub says with each message whether it knows any origin, thus whether any gateway in its reach knows several versions; gateways then send theirs too and ask. Without a hub a stream goes on only where lists were read without a gap for as long as a stream may be taken up. A hub that has just started does not say that it knows none. Services without hubs use those of another service: their streams were refused at other gateways during an upgrade. `dispatch::Versions` moved there from the gateway.

A hosted test of a gateway that reaches neither store nor hub failed before.

--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -4,9 +4,11 @@
 mod attempts;
 mod budget;
 mod choose;
+mod lineage;
 mod prefix;
 mod quota;
 mod rate;
+mod versions;
 
 pub use absence::Absence;
 pub use attempts::{
@@ -26,6 +28,11 @@
     ENGINE_WAITING_MS,
     PREFILL_TOKENS_PER_MS, //
 };
+pub use lineage::{
+    Continuation,
+    Knowledge,
+    Lineage, //
+};
 pub use prefix::{
     Part,
     Prefixes, //
@@ -35,3 +42,4 @@
     Share, //
 };
 pub use rate::RequestRate;
+pub use versions::Versions;
--- /dev/null
+++ b/src/dispatch/versions.rs
@@ -0,0 +1,120 @@
+//! Software versions of the servers of each service.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+use crate::{
+    link::ORIGIN_RETENTION,
+    timer::Time, //
+};
+
+/// When servers of a software version were listed.
+#[derive(Debug, Clone, Copy)]
+struct Listed {
+    /// First time; the start of the clock for versions of the first list.
+    first: Time,
+    last: Time,
+}
+
+/// Software versions of the servers of each service.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use chestnuthub::dispatch::Versions;
+/// use chestnuthub::timer::Time;
+///
+/// let now = Time::from_millis(5_000);
+/// let versions = Versions::default();
+/// assert!(versions.record("llm", "v1", now));
+/// assert!(!versions.are_several("llm", now));
+/// versions.record("llm", "v2", now);
+/// assert!(versions.are_several("llm", now));
+/// versions.record_reading(now, Duration::from_secs(2));
+/// assert!(!versions.has_history(now));
+/// ```
+#[derive(Debug, Default)]
+pub struct Versions {
+    services: RefCell<BTreeMap<String, BTreeMap<String, Listed>>>,
+    /// When the list of servers was last read, and since when it has been read without a gap.
+    readings: Cell<Option<Readings>>,
+}
+
+/// Reads of the list of servers.
+#[derive(Debug, Clone, Copy)]
+struct Readings {
+    since: Time,
+    last: Time,
+}
+
+impl Versions {
+    /// Records that a server of a version is listed; returns whether the version was not known.
+    pub fn record(&self, service: &str, version: &str, now: Time) -> bool {
+        let mut services = self.services.borrow_mut();
+        let versions = services.entry(service.to_owned()).or_default();
+        let is_first = versions.is_empty();
+        if let Some(listed) = versions.get_mut(version) {
+            listed.last = now;
+            return false;
+        }
+        let listed = Listed {
+            first: if is_first { Time::ZERO } else { now },
+            last: now,
+        };
+        versions.insert(version.to_owned(), listed);
+        true
+    }
+
+    /// Records that the list of servers was read. In a gap longer than `max_gap` a version may have come
+    /// and gone.
+    pub fn record_reading(&self, read_at: Time, max_gap: Duration) {
+        let known = self
+            .readings
+            .get()
+            .filter(|known| read_at - known.last <= max_gap);
+        let since = known.map_or(read_at, |known| known.since);
+        let last = known.map_or(read_at, |known| known.last.max(read_at));
+        self.readings.set(Some(Readings { since, last }));
+    }
+
+    /// Returns whether every version is known that served within the time for which a stream may be
+    /// taken up.
+    pub fn has_history(&self, now: Time) -> bool {
+        let readings = self.readings.get();
+        readings.is_some_and(|readings| now - readings.since >= ORIGIN_RETENTION)
+    }
+
+    /// Returns whether servers of several software versions of a service serve, or served within the
+    /// time for which a stream may be taken up again.
+    pub fn are_several(&self, service: &str, now: Time) -> bool {
+        let services = self.services.borrow();
+        let versions = services.get(service).into_iter().flatten();
+        let recent = versions.filter(|(_, listed)| now - listed.last < ORIGIN_RETENTION);
+        recent.count() > 1
+    }
+
+    /// Returns whether [`Self::are_several`] holds for any service.
+    pub fn any_are_several(&self, now: Time) -> bool {
+        let services: Vec<_> = self.services.borrow().keys().cloned().collect();
+        services
+            .iter()
+            .any(|service| self.are_several(service, now))
+    }
+
+    /// Returns whether a version has been listed for less than `period`. Other gateways may not know
+    /// of it yet, and would take its streams for those of the version that they know.
+    pub fn is_new(&self, service: &str, version: &str, period: Duration, now: Time) -> bool {
+        let services = self.services.borrow();
+        let versions = services.get(service);
+        let listed = versions.and_then(|versions| versions.get(version));
+        listed.is_some_and(|listed| now - listed.first < period)
+    }
+}
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -11,21 +11,24 @@
     },
     net::IpAddr,
     rc::Rc,
+    time::Duration,
 };
 
 use super::{
     backend::Backend,
     limit::Gateways,
     link,
-    state::State,
-    versions::Versions, //
+    state::State, //
 };
 use crate::{
     deployment::{
         self,
         Engine, //
     },
-    dispatch::ENGINE_WAITING_MS,
+    dispatch::{
+        ENGINE_WAITING_MS,
+        Versions, //
+    },
     link::Traffic,
     placement::{
         Host,
@@ -125,9 +128,34 @@
         self.sharers.set(sharers);
     }
 
+    /// Returns whether a server has a software version that other gateways may not know yet, and that
+    /// therefore begins no streams.
+    pub(super) fn has_new_version(&self, server: &deployment::Server, spread: Duration) -> bool {
+        let (service, version) = (&server.service, &server.software);
+        self.versions.is_new(service, version, spread, Time::now())
+    }
+
+    fn record_version(&self, server: &deployment::Server) {
+        let (service, version) = (&server.service, &server.software);
+        if self.versions.record(service, version, Time::now()) {
+            report::info(
+                "software_version",
+                &[
+                    ("service", service),
+                    ("version", version),
+                    ("server", &server.id),
+                ],
+            );
+        }
+    }
+
     /// Updates the servers from the list that was read from the store.
     fn update(&self, state: &Rc<State>) {
         let mut backends = self.backends.borrow_mut();
+        if let Some(read_at) = state.follower.listed_at() {
+            let max_gap = state.settings.get().listing_spread();
+            self.versions.record_reading(read_at, max_gap);
+        }
         state.follower.with_roster(|roster| {
             let servers = roster.servers();
             backends.retain(|id, backend| {
@@ -139,7 +167,7 @@
                 stays
             });
             for (id, server) in servers {
-                self.versions.record(server, Time::now());
+                self.record_version(server);
                 match backends.get(id) {
                     Some(backend) if backend.server().address == server.address => {
                         log_state_change(backend, server);
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -26,6 +26,7 @@
     state::State, //
 };
 use crate::{
+    dispatch::Knowledge,
     hub,
     link::{
         self,
@@ -82,6 +83,8 @@
     is_up: Cell<bool>,
     wants_engine: Cell<bool>,
     wants_listing: Cell<bool>,
+    /// Whether the hub knows origins of streams, if it can tell.
+    hub_has_origins: Cell<Option<bool>>,
     /// Origins of streams, for clients that take them up again.
     pub(super) origins: Book,
     /// When hubs that could not be reached may be tried again.
@@ -99,6 +102,7 @@
             is_up: Cell::new(false),
             wants_engine: Cell::new(false),
             wants_listing: Cell::new(false),
+            hub_has_origins: Cell::new(None),
             origins: Book::default(),
             cooldowns: RefCell::default(),
         }
@@ -109,6 +113,30 @@
         !self.is_started.replace(true)
     }
 
+    /// Returns whether the link is maintained, because the service has hubs.
+    pub(super) fn is_started(&self) -> bool {
+        self.is_started.get()
+    }
+
+    /// Returns what the hub knows of a stream for which it has given no answer.
+    pub(super) fn hub_knowledge(&self) -> Knowledge {
+        if !self.is_up.get() {
+            return Knowledge::Unreachable;
+        }
+        match self.hub_has_origins.get() {
+            Some(true) => Knowledge::Unanswered,
+            Some(false) => Knowledge::Empty,
+            None => Knowledge::Unsettled,
+        }
+    }
+
+    /// Returns whether origins of streams are sent to the hub: this gateway or another one knows
+    /// several software versions.
+    pub(super) fn needs_origins(&self, state: &State) -> bool {
+        let versions = &state.fleet.versions;
+        self.hub_has_origins.get() == Some(true) || versions.any_are_several(Time::now())
+    }
+
     /// Asks the hub for a newer list of servers. Returns false if there is no hub.
     pub(super) fn request_listing(&self) -> bool {
         if self.is_up.get() && !self.wants_listing.replace(true) {
@@ -265,8 +293,7 @@
         let changed = backends
             .iter()
             .filter(|backend| backend.is_demand_changed.take());
-        let versions = &state.fleet.versions;
-        let needs_origins = versions.are_several(&link.service, Time::now());
+        let needs_origins = link.needs_origins(state);
         let demand = Demand {
             servers: changed.map(|backend| backend.demand()).collect(),
             rates: state.rates.since(last_sent, Time::now()),
@@ -306,6 +333,10 @@
         changed.extend(link.mirror.borrow().states().keys().cloned());
     }
     link.origins.learn(&update.origins, Time::now());
+    let knew = link.hub_has_origins.replace(update.has_origins);
+    if knew != update.has_origins && update.has_origins == Some(true) {
+        link.demand_changed.notify_one();
+    }
     let listing = link
         .mirror
         .borrow_mut()
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -22,7 +22,6 @@
 mod server;
 mod state;
 mod verdict;
-mod versions;
 mod waiters;
 
 pub use events::Events;
--- a/src/gateway/origins.rs
+++ b/src/gateway/origins.rs
@@ -22,6 +22,11 @@
 };
 use crate::{
     deployment::Kind,
+    dispatch::{
+        Continuation,
+        Knowledge,
+        Lineage, //
+    },
     link::{
         self,
         Origin,
@@ -91,36 +96,76 @@
 ///
 /// # Errors
 ///
-/// Refuses a stream of unknown origin while several versions serve: what two versions write does not
-/// fit together.
+/// Refuses a stream of unknown origin where several versions may serve: what two versions write does
+/// not fit together.
 pub(super) async fn software(state: &State, job: &Job) -> Result<Option<u64>, Failure> {
-    let is_taken_up = job.route.kind == Kind::ResumableStream && job.head.last_event.is_some();
-    if !is_taken_up || !state.fleet.versions.are_several(&job.service, Time::now()) {
+    let is_taken_up = job.head.last_event.is_some() || job.head.resumes.is_some();
+    if job.route.kind != Kind::ResumableStream || !is_taken_up {
         return Ok(None);
     }
-    let stream = job.head.resumes.as_deref().map(link::digest);
-    let version = match stream {
-        Some(stream) => find(state, job, stream).await,
-        None => None,
-    };
+    let mut lineage = lineage(state, job);
+    let mut continuation = lineage.continuation();
+    if continuation == Continuation::Ask {
+        lineage.version = ask(state, job).await;
+        lineage.hub = state.origin_link(&job.service).hub_knowledge();
+        continuation = lineage.continuation();
+    }
+    log_taken_up(job, &lineage);
+    match continuation {
+        Continuation::At(version) => Ok(Some(version)),
+        Continuation::Anywhere => Ok(None),
+        Continuation::Ask | Continuation::Nowhere => Err(Failure::Refused(
+            "the stream's software version is not known",
+            UNKNOWN_RETRY_AFTER,
+        )),
+    }
+}
+
+/// Returns what this gateway knows about the stream that a request takes up.
+fn lineage(state: &State, job: &Job) -> Lineage {
+    let now = Time::now();
+    let link = state.origin_link(&job.service);
+    let are_several = state.fleet.versions.are_several(&job.service, now);
+    let spread = state.settings.get().listing_spread();
+    let listed_at = state.follower.listed_at();
+    let has_hubs = link.is_started();
+    Lineage {
+        version: stream(job).and_then(|stream| link.origins.version(stream)),
+        are_several,
+        is_list_recent: listed_at.is_some_and(|at| now - at <= spread),
+        // Without hubs there is nobody to ask what this gateway has not seen.
+        has_history: state.fleet.versions.has_history(now) || !has_hubs,
+        hub: match link.hub_knowledge() {
+            Knowledge::Empty if !are_several => Knowledge::Empty,
+            _ if has_hubs => Knowledge::Unasked,
+            _ => Knowledge::Unreachable,
+        },
+    }
+}
+
+/// Returns the digest of the request that began the stream, if the client names it.
+fn stream(job: &Job) -> Option<u64> {
+    job.head.resumes.as_deref().map(link::digest)
+}
+
+fn log_taken_up(job: &Job, lineage: &Lineage) {
     report::info(
         "stream_taken_up",
         &[
             ("request", &job.head.id),
             ("resumes", &job.head.resumes.as_deref().unwrap_or_default()),
-            ("known", &version.is_some()),
+            ("known", &lineage.version.is_some()),
+            ("several_versions", &lineage.are_several),
+            ("list_recent", &lineage.is_list_recent),
+            ("hub", &format!("{:?}", lineage.hub)),
         ],
     );
-    let unknown = Failure::Refused(
-        "the stream's software version is not known",
-        UNKNOWN_RETRY_AFTER,
-    );
-    version.map(Some).ok_or(unknown)
 }
 
-/// Looks a stream up here, then at a hub.
-async fn find(state: &State, job: &Job, stream: u64) -> Option<u64> {
-    let link = state.link(&job.service);
+/// Asks a hub which version began the stream that a request takes up.
+async fn ask(state: &State, job: &Job) -> Option<u64> {
+    let stream = stream(job)?;
+    let link = state.origin_link(&job.service);
     let answer = async {
         loop {
             let answered = link.origins.answered.notified();
@@ -130,10 +175,8 @@
             answered.await;
         }
     };
-    if link.origins.version(stream).is_none() {
-        link.origins.questions.borrow_mut().push(stream);
-        link.demand_changed.notify_one();
-    }
+    link.origins.questions.borrow_mut().push(stream);
+    link.demand_changed.notify_one();
     let max_wait = ORIGIN_TIMEOUT.min(job.remaining(Time::now()) / 4);
     timeout(max_wait, answer).await.ok()
 }
@@ -152,9 +195,9 @@
         version,
     };
     let now = Time::now();
-    let link = state.link(&job.service);
+    let link = state.origin_link(&job.service);
     link.origins.begun.borrow_mut().record(origin, now);
-    if state.fleet.versions.are_several(&job.service, now) {
+    if link.needs_origins(state) {
         link.demand_changed.notify_one();
     }
 }
--- a/src/gateway/pick.rs
+++ b/src/gateway/pick.rs
@@ -165,14 +165,14 @@
     /// there. There is none while no server of an older version is left.
     fn new_software_filter(&self, now: Time) -> impl Fn(&Rc<Backend>) -> bool {
         let spread = self.state.settings.get().listing_spread();
-        let versions = &self.state.fleet.versions;
-        let is_new = move |backend: &Rc<Backend>| versions.is_new(&backend.server(), spread, now);
+        let fleet = &self.state.fleet;
+        let is_new = move |backend: &Rc<Backend>| fleet.has_new_version(&backend.server(), spread);
         let begins_stream =
             self.job.route.kind == Kind::ResumableStream && self.progress.software.is_none();
         let backends = self.state.fleet.of_service(&self.job.service);
         let mut ready = backends.iter().filter(|backend| backend.is_ready());
         let is_applied = begins_stream
-            && versions.are_several(&self.job.service, now)
+            && fleet.versions.are_several(&self.job.service, now)
             && ready.any(|backend| !is_new(backend));
         move |backend| is_applied && is_new(backend)
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -82,6 +82,18 @@
         link.or_insert_with(|| Rc::new(Link::new(service))).clone()
     }
 
+    /// Returns the link that carries the origins of a service's streams. A service without hubs uses
+    /// those of another one.
+    pub(super) fn origin_link(&self, service: &str) -> Rc<Link> {
+        let own = self.link(service);
+        if own.is_started() {
+            return own;
+        }
+        let links = self.links.borrow();
+        let other = links.values().find(|link| link.is_started());
+        other.cloned().unwrap_or(own)
+    }
+
     /// Asks for a newer list of servers, on signs that it has changed: a hub if there is one, else
     /// the store.
     pub(super) fn refresh_servers(&self) {
--- a/src/hub/port.rs
+++ b/src/hub/port.rs
@@ -304,6 +304,7 @@
         let mut update = sent.update(&hub.table.borrow(), Time::now());
         update.wants_engine = hub.description.borrow().is_requested(connection);
         update.origins = hub.relay.take_answers(connection);
+        update.has_origins = hub.relay.has_origins(Time::now());
         writer.send(&update).await?;
         sleep(GATEWAY_BATCH).await;
         // Waiting for changes can't fail: the hub owns the senders.
--- a/src/hub/relay.rs
+++ b/src/hub/relay.rs
@@ -2,7 +2,8 @@
 
 use std::{
     cell::RefCell,
-    collections::BTreeMap, //
+    collections::BTreeMap,
+    time::Duration, //
 };
 
 use tokio::sync::watch;
@@ -18,12 +19,16 @@
 /// Maximum number of streams of one gateway that wait for their origins.
 const MAX_QUESTIONS: usize = 1_024;
 
+/// Time after the start of a hub within which gateways and other hubs send it what they know.
+const SETTLING_TIME: Duration = Duration::from_millis(2_000);
+
 /// The origins of streams that a hub knows.
 ///
 /// What the hub's own gateways send is passed on to the other hubs, over the connections that the
 /// loader in the same process has to them; what other hubs send is not.
 #[derive(Debug)]
 pub(crate) struct Relay {
+    started_at: Time,
     /// Origins from the hub's gateways.
     own: RefCell<Origins>,
     /// Origins from other hubs.
@@ -39,6 +44,7 @@
 impl Default for Relay {
     fn default() -> Self {
         Self {
+            started_at: Time::now(),
             own: RefCell::default(),
             others: RefCell::default(),
             questions: RefCell::default(),
@@ -51,25 +57,37 @@
 impl Relay {
     /// Records origins that a gateway of this hub has sent.
     pub(super) fn record_own(&self, origins: &[Origin], now: Time) {
+        let is_first = self.has_origins(now) != Some(true);
         if record(&self.own, origins, now) {
             self.own_changed.send_replace(());
-            self.notify_askers();
+            self.notify_gateways(is_first);
         }
     }
 
     /// Records origins that another hub has sent.
     pub(super) fn record_others(&self, origins: &[Origin], now: Time) {
+        let is_first = self.has_origins(now) != Some(true);
         if record(&self.others, origins, now) {
-            self.notify_askers();
+            self.notify_gateways(is_first);
         }
     }
 
-    fn notify_askers(&self) {
-        if !self.questions.borrow().is_empty() {
+    /// Wakes the connections of gateways if one waits for an origin, or if all are to learn that there
+    /// are origins.
+    fn notify_gateways(&self, is_first: bool) {
+        if is_first || !self.questions.borrow().is_empty() {
             self.answered.send_replace(());
         }
     }
 
+    /// Returns whether any origin is known, thus whether a gateway knows several software versions;
+    /// `None` if that can't be told yet, because the hub has just started.
+    pub(super) fn has_origins(&self, now: Time) -> Option<bool> {
+        let has_recent = self.own.borrow().has_recent(now) || self.others.borrow().has_recent(now);
+        let is_settled = now - self.started_at >= SETTLING_TIME;
+        (has_recent || is_settled).then_some(has_recent)
+    }
+
     /// Records the streams that a gateway asks for.
     pub(super) fn ask(&self, connection: u64, streams: &[u64]) {
         if streams.is_empty() {
--- a/src/hub/table.rs
+++ b/src/hub/table.rs
@@ -347,6 +347,7 @@
         let changed = self.servers.values().filter(|entry| entry.changed > since);
         Update {
             origins: Vec::new(),
+            has_origins: None,
             is_full: since == 0,
             servers: changed.map(|entry| entry.state(since)).collect(),
             removed: self.removed.since(since),
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -177,6 +177,9 @@
     pub wants_engine: bool,
     /// Origins of streams that the gateway has asked for.
     pub origins: Vec<Origin>,
+    /// Whether the hub knows origins of streams, because a gateway knows several software versions;
+    /// `None` if the hub can't tell yet.
+    pub has_origins: Option<bool>,
 }
 
 /// Version of an engine description.
--- a/src/link/origin.rs
+++ b/src/link/origin.rs
@@ -102,6 +102,12 @@
         position < self.removed + self.recorded.len() as u64
     }
 
+    /// Returns whether a stream began within the time for which its client may take it up.
+    pub fn has_recent(&self, now: Time) -> bool {
+        let newest = self.recorded.back();
+        newest.is_some_and(|(at, _)| now - *at <= RETENTION)
+    }
+
     /// Returns the number of origins that are kept.
     pub fn len(&self) -> usize {
         self.recorded.len()
--- a/tests/hosted/upgrade.rs
+++ b/tests/hosted/upgrade.rs
@@ -11,6 +11,7 @@
 };
 
 use chestnuthub::emulator::site::Plan;
+use serde_json::json;
 
 use crate::{
     deployment::{
@@ -152,6 +153,19 @@
     assert!(response.contains("retry-after: "), "{response}");
 }
 
+/// Guards against a stream that is joined at a gateway which has not heard of the upgrade, because it
+/// reaches neither the store nor a hub.
+#[test]
+fn a_stream_of_unknown_version_is_refused_where_the_list_of_servers_is_old() {
+    let mut system = Deployment::start(&plan());
+    system.site.store_fault(json!({ "kind": "refuse" }));
+    system.loaders.clear();
+    system.site.upgrade_engine_unlisted(0, "v2");
+    thread::sleep(UPGRADE_TIME);
+    let response = take_up(system.caller_addr, "refused", "begun-elsewhere");
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+}
+
 /// Guards against a stream that is held to its deadline because no server of its version is left.
 #[test]
 fn a_stream_whose_version_is_gone_is_refused_at_once() {
