gateway: do not take a stream up where its connection has just broken

Callers would see: an answer joined from two software versions, when a server breaks a stream because it starts anew with another version and the client takes the stream up at once; and a broken stream that is held to its deadline although no server of its version is left.

Cause: neither loader nor list know the new start yet, for 0.3 s and more. The search counted the server that had broken the stream as one of its version, although the request may not be sent there again.

Change: while several versions serve, resumable streams leave a server out for 1 s after it broke a connection at work; a search ends where only servers are left to which the stream may not go.

--- a/src/emulator/site/engine.rs
+++ b/src/emulator/site/engine.rs
@@ -315,9 +315,13 @@
     let (status, is_load) = engine.order(&order);
     if is_load {
         let engine = engine.clone();
+        let started_ms = engine.started_ms();
         tokio::spawn(async move {
             sleep(engine.plan.load).await;
-            engine.finish_load(order.model);
+            // A new start has ended the load.
+            if engine.started_ms() == started_ms {
+                engine.finish_load(order.model);
+            }
         });
     }
     Response::json(status, &json!({}))
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -165,7 +165,7 @@
         if error.was_not_sent() {
             return SendError::NotRun("the connection had ended");
         }
-        backend.record_outcome(true);
+        backend.record_broken(Time::now());
         SendError::Unknown("no answer")
     })?;
     let response_head = header::decode_response(response.status().as_u16(), response.headers());
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -49,6 +49,9 @@
 /// Time for which a server gets no requests after a failed connection.
 const CONNECT_COOLDOWN: Duration = Duration::from_millis(1_000);
 
+/// Time after a broken connection within which a loader reports that its server has started anew.
+const RESTART_REPORT_TIME: Duration = Duration::from_millis(1_000);
+
 /// Weight of the newest request in the moving average of failed requests.
 const FAILURE_WEIGHT: f64 = 0.2;
 
@@ -78,6 +81,8 @@
     load: Cell<Option<(Load, Time)>>,
     failure_rate: Cell<f64>,
     cooldown_until: Cell<Time>,
+    /// When a connection to the server broke while a request was at work.
+    broken_at: Cell<Option<Time>>,
     /// Whether the server is unresponsive: either its machine is silent, or the server does not
     /// respond to its loader.
     is_unresponsive: watch::Sender<bool>,
@@ -123,6 +128,7 @@
             load: Cell::new(None),
             failure_rate: Cell::new(0.0),
             cooldown_until: Cell::new(Time::ZERO),
+            broken_at: Cell::new(None),
             is_unresponsive: watch::Sender::new(false),
             is_replaced: Cell::new(false),
             is_leaving: Cell::new(false),
@@ -171,6 +177,18 @@
         self.is_ready() && is_open && is_present
     }
 
+    /// Records that a connection broke while a request was at work.
+    pub(super) fn record_broken(&self, now: Time) {
+        self.record_outcome(true);
+        self.broken_at.set(Some(now));
+    }
+
+    /// Returns whether the server may have started anew without this gateway having heard of it.
+    pub(super) fn may_have_restarted(&self, now: Time) -> bool {
+        let broken_at = self.broken_at.get();
+        broken_at.is_some_and(|at| now - at < RESTART_REPORT_TIME) || self.is_start_undescribed()
+    }
+
     /// Returns whether the server's loader has reported a start that is later than the one that is
     /// described. The software version of such a server is not known.
     pub(super) fn is_start_undescribed(&self) -> bool {
--- a/src/gateway/pick.rs
+++ b/src/gateway/pick.rs
@@ -49,12 +49,22 @@
 /// unreachable at once.
 const RECOVERY_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Returns whether a request may be sent to a server now.
-pub(super) fn may_send(job: &Job, progress: &Progress, backend: &Backend, now: Time) -> bool {
-    let needs_version = job.route.kind == Kind::ResumableStream;
+/// Returns whether a request may be sent to a server now. A resumable stream needs a server whose
+/// software version is known; while one version serves, a broken connection says nothing about it.
+pub(super) fn may_send(
+    state: &State,
+    job: &Job,
+    progress: &Progress,
+    backend: &Backend,
+    now: Time,
+) -> bool {
+    let is_version_known = || match state.fleet.versions.are_several(&job.service, now) {
+        true => !backend.may_have_restarted(now),
+        false => !backend.is_start_undescribed(),
+    };
     progress.may_send_to(&backend.server(), now)
         && backend.is_usable(now)
-        && !(needs_version && backend.is_start_undescribed())
+        && (job.route.kind != Kind::ResumableStream || is_version_known())
 }
 
 /// Chooses the server for a request.
@@ -143,7 +153,7 @@
         let service = &self.job.service;
         let is_too_new = self.new_software_filter(now);
         let is_eligible = |backend: &Rc<Backend>| {
-            !is_too_new(backend) && may_send(self.job, self.progress, backend, now)
+            !is_too_new(backend) && may_send(self.state, self.job, self.progress, backend, now)
         };
         match (engine, self.job.model()) {
             (Some(_), Some(name)) => {
@@ -177,11 +187,14 @@
         move |backend| is_applied && is_new(backend)
     }
 
-    /// Returns whether the stream needs a software version that no server has.
+    /// Returns whether the stream needs a software version that no server has to which it may be sent.
     fn has_no_version_left(&self) -> bool {
         let backends = self.state.fleet.of_service(&self.job.service);
         let mut ready = backends.iter().filter(|backend| backend.is_ready());
-        self.progress.software.is_some() && !ready.any(|b| self.progress.fits(&b.server()))
+        let may_go_on = |backend: &Rc<Backend>| {
+            !self.progress.is_excluded(&backend.server()) && !backend.is_start_undescribed()
+        };
+        self.progress.software.is_some() && !ready.any(may_go_on)
     }
 
     fn question<'a>(
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -105,7 +105,7 @@
                 let _ = chunks.send(Err(Incomplete)).await;
                 return;
             }
-            End::Lost => exchange.in_flight.backend.record_outcome(true),
+            End::Lost => exchange.in_flight.backend.record_broken(Time::now()),
         }
         // The response is incomplete, so the connection can't be used again.
         drop((body, exchange.channel, exchange.in_flight));
@@ -162,7 +162,7 @@
     let mut others = holders.filter(|backend| !Rc::ptr_eq(backend, current));
     others.any(|backend| {
         let holds = backend.replica(&name.model, |_| ()).is_some();
-        holds && pick::may_send(job, progress, &backend, now)
+        holds && pick::may_send(state, job, progress, &backend, now)
     })
 }
 
--- a/tests/hosted/deployment.rs
+++ b/tests/hosted/deployment.rs
@@ -8,7 +8,10 @@
     },
     path::PathBuf,
     process::Stdio,
-    thread,
+    thread::{
+        self,
+        JoinHandle, //
+    },
 };
 
 use chestnuthub::emulator::site::{
@@ -121,6 +124,12 @@
         is_ready(self.ready_addr)
     }
 
+    /// Sends a request in a thread, which returns the response.
+    pub(crate) fn start_request(&self, request: &Request<'_>) -> JoinHandle<String> {
+        let (caller_addr, text) = (self.caller_addr, request.text());
+        thread::spawn(move || send_raw(caller_addr, &text))
+    }
+
     /// Sends a request on a connection of its own and returns all bytes of the response.
     pub(crate) fn send(&self, request: &Request<'_>) -> String {
         send_raw(self.caller_addr, &request.text())
--- a/tests/hosted/upgrade.rs
+++ b/tests/hosted/upgrade.rs
@@ -139,6 +139,36 @@
     }
 }
 
+/// Guards against a stream that goes on at the server that began it, after that has broken the stream
+/// because it starts anew with another version, before its loader has noticed.
+#[test]
+fn a_stream_does_not_go_on_at_once_where_its_connection_broke() {
+    let plan = Plan {
+        engines: vec![vec!["m1"], vec!["m1"]],
+        events: 40,
+        ..Plan::default()
+    };
+    let system = Deployment::start(&plan);
+    upgrade(&system, &[0], "v2");
+    for number in 0.. {
+        let id = format!("broken-{number}");
+        let client = system.start_request(&Request::model(&id, "/review/x", "m1"));
+        wait_until("the stream runs", || {
+            system.site.running_streams(0) + system.site.running_streams(1) > 0
+        });
+        if system.site.running_streams(1) == 0 {
+            client.join().expect("the client ends");
+            continue;
+        }
+        system.site.upgrade_engine_unlisted(1, "v2");
+        let response = client.join().expect("the client ends");
+        assert!(!is_terminated(&response), "{response}");
+        let response = take_up(system.caller_addr, "again", &id);
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+        return;
+    }
+}
+
 /// Guards against a stream of unknown version that is joined or held, and against one that is
 /// refused although all servers have the same version.
 #[test]
