soak: kept connections, series of signals and upgrades, streams taken up

Cause: clients used a new connection for each request, faults came one by one, all servers had one software version and no client took a stream up; the users' terms for the soak ask for all of them.

Change: every second client keeps its connections until the gateway closes them. Three series of configurations, SIGHUP, rolled gateways or upgrades follow one another within a second, also while others are under way. A client that has received part of a resumable stream takes it up at any gateway with Resumes and Last-Event-Id; what it receives over all tries must be complete, in order and of one version. CHESTNUTHUB_SOAK_SCALE multiplies the size.

--- a/tests/soak/client.rs
+++ b/tests/soak/client.rs
@@ -1,6 +1,7 @@
 //! Clients, the records of their requests, and the rules that each request must keep.
 
 use std::{
+    collections::BTreeSet,
     io::{
         Read,
         Write, //
@@ -80,7 +81,38 @@
 pub(crate) struct Record {
     pub(crate) id: String,
     pub(crate) kind: Kind,
+    model: &'static str,
     pub(crate) response: String,
+    /// What the client had received of the stream that this request takes up.
+    earlier: Option<Earlier>,
+}
+
+/// What a client has received of a stream that was broken.
+#[derive(Debug, Clone)]
+pub(crate) struct Earlier {
+    /// Id of the request that brought the first event.
+    first: String,
+    model: &'static str,
+    /// The events in order.
+    events: Vec<String>,
+}
+
+impl Earlier {
+    /// Returns what a client takes up again after a request, if that was a stream which may be
+    /// resumed and which broke after an event.
+    fn after(record: &Record) -> Option<Self> {
+        let is_broken = record.kind == Kind::Review && !is_complete(&record.response);
+        let events = record.all_events();
+        let is_partial = !events.is_empty() && events.len() < EVENTS;
+        (is_broken && is_partial).then(|| Self {
+            first: match &record.earlier {
+                Some(earlier) => earlier.first.clone(),
+                None => record.id.clone(),
+            },
+            model: record.model,
+            events,
+        })
+    }
 }
 
 impl Record {
@@ -88,6 +120,21 @@
         self.response.split(' ').nth(1).unwrap_or_default()
     }
 
+    /// Returns whether the request takes a stream up again.
+    pub(crate) fn is_taken_up(&self) -> bool {
+        self.earlier.is_some()
+    }
+
+    /// Returns the events that the client has received of the stream over all its tries.
+    fn all_events(&self) -> Vec<String> {
+        let earlier = self.earlier.iter();
+        let mut all: Vec<_> = earlier.flat_map(|earlier| earlier.events.clone()).collect();
+        if self.status() == "200" {
+            all.extend(events(&self.response).into_iter().map(str::to_owned));
+        }
+        all
+    }
+
     /// Returns whether the client received the complete response of a server.
     pub(crate) fn is_served(&self) -> bool {
         self.status() == "200" && is_complete(&self.response)
@@ -138,11 +185,17 @@
         );
         if self.kind.is_stream() {
             let expected: Vec<_> = (0..EVENTS).map(|event| format!("data: e{event}")).collect();
-            let received = events(&self.response);
+            let all = self.all_events();
+            // The software version follows the number of an event, unless it is the first one.
+            let parts = all
+                .iter()
+                .map(|event| event.split_once('-').unwrap_or((event, "v1")));
+            let (received, versions): (Vec<_>, BTreeSet<_>) = parts.unzip();
             check(
                 received.len() <= EVENTS && received == expected[..received.len()],
                 "events missing, repeated or out of order",
             );
+            check(versions.len() <= 1, "events of two software versions");
             check(
                 !is_complete(&self.response) || received.len() == EVENTS,
                 "incomplete stream looks complete",
@@ -170,7 +223,8 @@
     }
 }
 
-/// Sends random requests one after another until `stop` is set, and returns their records.
+/// Sends random requests one after another until `stop` is set, and returns their records. With an
+/// even `seed`, the client keeps its connections until the gateways close them.
 pub(crate) fn run(
     gateways: &[SocketAddr],
     seed: u64,
@@ -178,12 +232,14 @@
     stop: &AtomicBool,
 ) -> Vec<Record> {
     let mut random = Rng::with_seed(seed);
-    let mut records = Vec::new();
+    let mut kept: Vec<_> = gateways.iter().map(|_| None).collect();
+    let mut records: Vec<Record> = Vec::new();
     while !stop.load(Ordering::Relaxed) {
         let id = format!("{name}-{}", records.len());
+        let earlier = records.last().and_then(Earlier::after);
         let kind = KINDS[random.usize(..KINDS.len())];
         let model = ["m1", "m2", "m3", "m4", "m1/a1", "m3/a2"][random.usize(..6)];
-        let gateway = gateways[random.usize(..gateways.len())];
+        let index = random.usize(..gateways.len());
         // One request in 20 is abandoned early, usually before its response is complete.
         let leaves = random.u32(..20) == 0;
         let timeout = if leaves {
@@ -191,42 +247,98 @@
         } else {
             CLIENT_TIMEOUT
         };
-        records.push(send(gateway, &id, kind, kind.path(), model, timeout));
+        let kind = earlier.as_ref().map_or(kind, |_| Kind::Review);
+        let model = earlier.as_ref().map_or(model, |earlier| earlier.model);
+        let request = Request {
+            id: &id,
+            kind,
+            path: kind.path(),
+            model,
+            earlier,
+        };
+        let connection = &mut kept[index];
+        records.push(send(gateways[index], &request, connection, timeout));
+        if seed % 2 == 1 {
+            *connection = None;
+        }
         sleep(Duration::from_millis(random.u64(..40)));
     }
     records
 }
 
-/// Sends a request and reads the response until the connection ends or a read times out.
+/// A request to send.
+pub(crate) struct Request<'a> {
+    pub(crate) id: &'a str,
+    pub(crate) kind: Kind,
+    pub(crate) path: &'a str,
+    pub(crate) model: &'static str,
+    /// What the client has received of the stream that it takes up.
+    pub(crate) earlier: Option<Earlier>,
+}
+
+impl Request<'_> {
+    fn text(&self) -> String {
+        let model = match self.kind.is_stream() {
+            true => format!("Model: {}\r\n", self.model),
+            false => String::new(),
+        };
+        let earlier = match &self.earlier {
+            Some(earlier) => format!(
+                "Resumes: {}\r\nLast-Event-Id: {}\r\n",
+                earlier.first,
+                earlier.events.len() - 1
+            ),
+            None => String::new(),
+        };
+        format!(
+            "POST {} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {}\r\nDeadline-Ms: {DEADLINE_MS}\r\n\
+             {model}{earlier}Content-Length: {}\r\n\r\n{}",
+            self.path,
+            self.id,
+            self.id.len(),
+            self.id
+        )
+    }
+}
+
+/// Sends a request on the kept connection, or on a new one if there is none, and reads the response
+/// until it is complete, the connection ends or a read times out. Keeps the connection if it may be
+/// used again.
 pub(crate) fn send(
     gateway: SocketAddr,
-    id: &str,
-    kind: Kind,
-    path: &str,
-    model: &str,
+    request: &Request<'_>,
+    kept: &mut Option<TcpStream>,
     timeout: Duration,
 ) -> Record {
-    let model = if kind.is_stream() {
-        format!("Model: {model}\r\n")
-    } else {
-        String::new()
+    let mut record = Record {
+        id: request.id.to_owned(),
+        kind: request.kind,
+        model: request.model,
+        response: String::new(),
+        earlier: request.earlier.clone(),
+    };
+    let stream = kept
+        .take()
+        .map_or_else(|| TcpStream::connect_timeout(&gateway, timeout), Ok);
+    let Ok(mut stream) = stream else {
+        return record;
     };
-    let text = format!(
-        "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: {DEADLINE_MS}\r\n\
-         {model}Connection: close\r\nContent-Length: {}\r\n\r\n{id}",
-        id.len()
-    );
+    let _ = stream.set_read_timeout(Some(timeout));
     let mut response = Vec::new();
-    if let Ok(mut stream) = TcpStream::connect_timeout(&gateway, timeout) {
-        // An error after part of the response is no failure: the record keeps what was read.
-        let _ = stream.set_read_timeout(Some(timeout));
-        let _ = stream
-            .write_all(text.as_bytes())
-            .and_then(|()| stream.read_to_end(&mut response).map(|_| ()));
-    }
-    Record {
-        id: id.to_owned(),
-        kind,
-        response: String::from_utf8_lossy(&response).into_owned(),
+    if stream.write_all(request.text().as_bytes()).is_ok() {
+        let mut buffer = [0; 4096];
+        // An error or the end after part of the response is no failure: the record keeps that part.
+        while let Ok(count) = stream.read(&mut buffer)
+            && count > 0
+        {
+            response.extend_from_slice(&buffer[..count]);
+            record.response = String::from_utf8_lossy(&response).into_owned();
+            if is_complete(&record.response) {
+                let closes = record.response.contains("connection: close\r\n");
+                *kept = (!closes).then_some(stream);
+                break;
+            }
+        }
     }
+    record
 }
--- a/tests/soak/fault.rs
+++ b/tests/soak/fault.rs
@@ -19,6 +19,9 @@
 /// Number of faults in a schedule.
 const FAULT_COUNT: usize = 10;
 
+/// Number of series of signals, restarts, upgrades or configurations in a schedule.
+const SERIES_COUNT: usize = 3;
+
 /// A process of the system under test.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Process {
@@ -68,6 +71,10 @@
     Undrain(usize),
     /// Writes a configuration with a new route.
     Configure,
+    /// Sends SIGHUP.
+    Hangup(Process),
+    /// Starts an engine anew with this software version.
+    Upgrade(usize, &'static str),
 }
 
 /// Number of gateways, engines and servers of the plain service. Each engine has one loader.
@@ -90,10 +97,38 @@
             actions.push((Duration::from_millis(end), end_action));
         }
     }
+    for _ in 0..SERIES_COUNT {
+        actions.extend(random_series(random, size));
+    }
     actions.sort_by_key(|(at, _)| *at);
     actions
 }
 
+/// Returns actions of one kind that follow one another, some before the one before has ended.
+fn random_series(random: &mut Rng, size: Size) -> Vec<(Duration, Action)> {
+    let kind = random.u32(..4);
+    let mut at = random.u64(..SCHEDULE_MS);
+    let mut actions = Vec::new();
+    for number in 0..random.usize(2..6) {
+        at += random.u64(20..800);
+        let mut push = |at, action| actions.push((Duration::from_millis(at), action));
+        match kind {
+            0 => push(at, Action::Configure),
+            1 => push(at, Action::Hangup(random_process(random, size))),
+            2 => {
+                let gateway = Process::Gateway(number % size.gateways);
+                push(at, Action::Stop(gateway));
+                push(at + random.u64(50..3_000), Action::Start(gateway));
+            }
+            _ => {
+                let version = ["v1", "v2", "v2"][random.usize(..3)];
+                push(at, Action::Upgrade(number % size.engines, version));
+            }
+        }
+    }
+    actions
+}
+
 /// Returns the action that begins a random fault and the one that ends it, if any.
 fn random_fault(random: &mut Rng, size: Size) -> (Action, Option<Action>) {
     let process = random_process(random, size);
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -3,6 +3,7 @@
 //!
 //! Each seed generates its own schedule of faults. The environment variable
 //! `CHESTNUTHUB_SOAK_SEEDS` sets the number of seeds, which run in order from 0; the default is 2.
+//! `CHESTNUTHUB_SOAK_SCALE` multiplies the numbers of gateways, engines and clients.
 //! Each daemon writes its log to `soak-<seed>-<role>-<index>.log` in cargo's directory for
 //! temporary files of tests, where it stays after the run.
 
@@ -40,8 +41,9 @@
 };
 use system::{
     RECOVERY,
-    SIZE,
-    System, //
+    System,
+    scale,
+    size, //
 };
 
 /// Environment variable that sets the number of seeds.
@@ -50,8 +52,8 @@
 /// Number of seeds to run if the variable is not set. A seed takes about 10 s.
 const DEFAULT_SEEDS: u64 = 2;
 
-/// Number of clients that send requests concurrently.
-const CLIENTS: u64 = 5;
+/// Number of clients that send requests concurrently to a system of the usual size.
+const CLIENTS: usize = 5;
 
 /// Guards against wrong outcomes of requests under combinations of faults that no other test
 /// covers: processes are killed, stopped and frozen, links cut, and servers and the store fail
@@ -69,15 +71,18 @@
 fn run_seed(seed: u64) -> Vec<String> {
     let mut system = System::start(seed);
     let stop = Arc::new(AtomicBool::new(false));
-    let clients: Vec<_> = (0..CLIENTS)
+    let client_count = (CLIENTS * scale()) as u64;
+    let clients: Vec<_> = (0..client_count)
         .map(|number| {
             let (gateways, stop) = (system.caller_addrs(), stop.clone());
             let name = format!("c{number}");
-            thread::spawn(move || client::run(&gateways, seed * CLIENTS + number, &name, &stop))
+            thread::spawn(move || {
+                client::run(&gateways, seed * client_count + number, &name, &stop)
+            })
         })
         .collect();
     let start = Instant::now();
-    let schedule = fault::schedule(&mut fastrand::Rng::with_seed(seed), SIZE);
+    let schedule = fault::schedule(&mut fastrand::Rng::with_seed(seed), size());
     for (at, action) in &schedule {
         sleep(at.saturating_sub(start.elapsed()));
         println!("seed={seed} at_ms={} action={action:?}", at.as_millis());
@@ -111,9 +116,16 @@
             .entry((record.status(), record.is_served()))
             .or_insert(0) += 1;
     }
+    let taken_up: Vec<_> = records
+        .iter()
+        .filter(|record| record.is_taken_up())
+        .collect();
+    let went_on = taken_up.iter().filter(|record| record.status() == "200");
     println!(
-        "seed={seed} requests={} outcomes={outcomes:?}",
-        records.len()
+        "seed={seed} requests={} outcomes={outcomes:?} taken_up={} went_on={}",
+        records.len(),
+        taken_up.len(),
+        went_on.count()
     );
 }
 
@@ -127,7 +139,14 @@
         let gateways = system.caller_addrs().into_iter();
         gateways.map(move |gateway| {
             let id = format!("after-{}", fastrand::u64(..));
-            client::send(gateway, &id, kind, path, "m1", RECOVERY)
+            let request = client::Request {
+                id: &id,
+                kind,
+                path,
+                model: "m1",
+                earlier: None,
+            };
+            client::send(gateway, &request, &mut None, RECOVERY)
         })
     });
     records.into_iter().find(|record| !record.is_served())
--- a/tests/soak/system.rs
+++ b/tests/soak/system.rs
@@ -1,6 +1,7 @@
 //! The system under test: gateways, loaders and an emulated site, with a proxy on every link.
 
 use std::{
+    env,
     fs::File,
     net::{
         IpAddr,
@@ -55,12 +56,22 @@
 /// the recovery time that the users' platform requires.
 pub(crate) const RECOVERY: Duration = Duration::from_secs(12);
 
-/// Size of the system under test.
-pub(crate) const SIZE: Size = Size {
-    gateways: 2,
-    engines: 3,
-    services: 2,
-};
+/// Environment variable with the multiple of the usual size that is tested.
+const SCALE_VARIABLE: &str = "CHESTNUTHUB_SOAK_SCALE";
+
+/// Returns how many times the usual size the system under test has.
+pub(crate) fn scale() -> usize {
+    env::var(SCALE_VARIABLE).map_or(1, |scale| scale.parse().expect("a number"))
+}
+
+/// Returns the size of the system under test.
+pub(crate) fn size() -> Size {
+    Size {
+        gateways: 2 * scale(),
+        engines: 3 * scale(),
+        services: 2,
+    }
+}
 
 /// A daemon that can be restarted with the same settings.
 struct Restartable {
@@ -114,9 +125,11 @@
             .enable_all()
             .build();
         let runtime = runtime.expect("the runtime starts");
+        let size = size();
+        let models = [vec!["m1", "m2"], vec!["m1"], vec!["m3"]];
         let plan = Plan {
-            engines: vec![vec!["m1", "m2"], vec!["m1"], vec!["m3"]],
-            services: SIZE.services,
+            engines: models.into_iter().cycle().take(size.engines).collect(),
+            services: size.services,
             ..Plan::default()
         };
         let mut system = Self {
@@ -131,15 +144,15 @@
         };
         system.site.configure(&configuration(1, &[]));
         let peer_port = free_port();
-        for index in 0..SIZE.engines {
+        for index in 0..size.engines {
             system.add_loader(seed, index, peer_port);
         }
-        for index in 0..SIZE.services {
+        for index in 0..size.services {
             let target = system.site.service_addr(index);
             let proxy = system.add_proxy(Link::Service(index), loopback(6, index, 0), target);
             system.site.publish_service_at(index, proxy);
         }
-        for index in 0..SIZE.gateways {
+        for index in 0..size.gateways {
             system.add_gateway(seed, index, peer_port);
         }
         wait_until("all gateways are ready", || system.is_ready());
@@ -230,6 +243,13 @@
             Action::Drain(index) => self.site.publish_service(*index, "draining"),
             Action::Undrain(index) => self.site.publish_service(*index, "ready"),
             Action::Configure => self.configure(),
+            Action::Hangup(process) => self.process_mut(*process).signal("HUP"),
+            Action::Upgrade(index, version) => {
+                for model in ["m1", "m2", "m3", "m4"] {
+                    self.site.drop_model(*index, model);
+                }
+                self.site.upgrade_engine(*index, version);
+            }
         }
     }
 
@@ -259,7 +279,7 @@
             proxy.set(Mode::Pass);
         }
         self.site.clear_faults();
-        for index in 0..SIZE.services {
+        for index in 0..size().services {
             self.site.publish_service(index, "ready");
         }
         for process in self.gateways.iter_mut().chain(&mut self.loaders) {
