--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -52,6 +52,9 @@
 /// Number of seeds to run if the variable is not set. A seed takes about 10 s.
 const DEFAULT_SEEDS: u64 = 2;
 
+/// Time for which all processes are gone after a loss of power.
+const POWER_OFF: Duration = Duration::from_millis(500);
+
 /// Number of clients that send requests concurrently to a system of the usual size.
 const CLIENTS: usize = 5;
 
@@ -88,6 +91,10 @@
         println!("seed={seed} at_ms={} action={action:?}", at.as_millis());
         system.apply(action);
     }
+    if seed % 2 == 1 {
+        system.kill_all();
+        sleep(POWER_OFF);
+    }
     system.recover(unserved);
     stop.store(true, Ordering::Relaxed);
     let records: Vec<_> = clients
--- a/tests/soak/system.rs
+++ b/tests/soak/system.rs
@@ -91,11 +91,19 @@
         self.daemon = Some(Daemon::start(self.role, &self.settings, Stdio::from(log)));
     }
 
-    fn signal(&self, name: &str) {
-        if let Some(daemon) = &self.daemon {
+    /// Sends a signal to the process if it runs.
+    fn signal(&mut self, name: &str) {
+        if !self.has_ended()
+            && let Some(daemon) = &self.daemon
+        {
             daemon.signal(name);
         }
     }
+
+    fn has_ended(&mut self) -> bool {
+        let daemon = self.daemon.as_mut();
+        daemon.is_none_or(|daemon| daemon.ended().is_some())
+    }
 }
 
 /// The system under test.
@@ -272,6 +280,13 @@
             .configure(&configuration(self.version, &[&prefix]));
     }
 
+    /// Kills all processes at the same moment, as when all machines lose power.
+    pub(crate) fn kill_all(&mut self) {
+        for process in self.gateways.iter_mut().chain(&mut self.loaders) {
+            process.signal("KILL");
+        }
+    }
+
     /// Ends all faults, writes a last configuration, and waits until `unserved` returns `None`.
     /// Fails if this takes longer than `RECOVERY`.
     pub(crate) fn recover(&mut self, unserved: impl Fn(&Self) -> Option<Record>) {
@@ -283,10 +298,10 @@
             self.site.publish_service(index, "ready");
         }
         for process in self.gateways.iter_mut().chain(&mut self.loaders) {
-            process.signal("CONT");
-            let daemon = process.daemon.as_mut();
-            if daemon.is_none_or(|daemon| daemon.ended().is_some()) {
+            if process.has_ended() {
                 process.start();
+            } else {
+                process.signal("CONT");
             }
         }
         self.configure();
