gateway, dispatch: tie a stream that is taken up to the version that is listed

Callers would see: events of two software versions, when a client takes a stream up just before a new version is listed and the stream waits for its model.

Cause: a stream of unknown origin might go on anywhere while one version was listed. That was decided before the wait for a server; the version that was listed meanwhile counted as any other.

Change: such a stream goes on only at the version that is listed when it is taken up. What the gateway knows is read again after the hub was asked.

Result: the new test printed events e3-v2 to e5-v2 of a stream that began elsewhere, and passes now; the nine upgrade tests pass.

--- a/src/dispatch/versions.rs
+++ b/src/dispatch/versions.rs
@@ -63,10 +63,20 @@
     /// Returns whether servers of several software versions of a service serve, or served within the
     /// time for which a stream may be taken up again.
     pub fn are_several(&self, service: &str, now: Time) -> bool {
+        self.recent(service, now).len() > 1
+    }
+
+    /// Returns the software version of a service, unless [`Self::are_several`] holds.
+    pub fn single(&self, service: &str, now: Time) -> Option<String> {
+        let mut recent = self.recent(service, now);
+        recent.pop().filter(|_| recent.is_empty())
+    }
+
+    fn recent(&self, service: &str, now: Time) -> Vec<String> {
         let services = self.services.borrow();
         let versions = services.get(service).into_iter().flatten();
         let recent = versions.filter(|(_, listed)| now - listed.last < ORIGIN_RETENTION);
-        recent.count() > 1
+        recent.map(|(version, _)| version.clone()).collect()
     }
 
     /// Returns whether [`Self::are_several`] holds for any service.
--- a/src/gateway/origins.rs
+++ b/src/gateway/origins.rs
@@ -109,12 +109,17 @@
     if continuation == Continuation::Ask {
         lineage.version = ask(state, job, &lineage).await;
         lineage.hub = state.origin_link(&job.service).hub_knowledge();
+        lineage.are_several = state.fleet.versions.are_several(&job.service, Time::now());
         continuation = lineage.continuation();
     }
     log_taken_up(job, &lineage);
     match continuation {
         Continuation::At(version) => Ok(Some(version)),
-        Continuation::Anywhere => Ok(None),
+        // Another version may be listed while the request waits for a server.
+        Continuation::Anywhere => {
+            let single = state.fleet.versions.single(&job.service, Time::now());
+            Ok(single.as_deref().map(link::digest))
+        }
         Continuation::Ask | Continuation::Nowhere => Err(Failure::Refused(
             "the stream's software version is not known",
             UNKNOWN_RETRY_AFTER,
--- a/tests/hosted/upgrade.rs
+++ b/tests/hosted/upgrade.rs
@@ -67,11 +67,16 @@
     id
 }
 
-/// Takes a stream up again after its event 2; returns the response.
+/// Takes a stream of `m1` up again after its event 2; returns the response.
 fn take_up(address: SocketAddr, id: &str, resumes: &str) -> String {
+    take_up_model(address, id, resumes, "m1")
+}
+
+/// Takes a stream of a model up again after its event 2; returns the response.
+fn take_up_model(address: SocketAddr, id: &str, resumes: &str, model: &str) -> String {
     let text = format!(
         "POST /review/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: 5000\r\n\
-         Model: m1\r\nResumes: {resumes}\r\nLast-Event-Id: 2\r\nConnection: close\r\n\
+         Model: {model}\r\nResumes: {resumes}\r\nLast-Event-Id: 2\r\nConnection: close\r\n\
          Content-Length: 0\r\n\r\n"
     );
     send_raw(address, &text)
@@ -226,6 +231,21 @@
     }
 }
 
+/// Guards against a stream that waits for its model and goes on at a version that is listed meanwhile.
+#[test]
+fn a_stream_that_waits_does_not_go_on_at_a_version_listed_meanwhile() {
+    let system = Deployment::start(&Plan {
+        load: Duration::from_millis(1_500),
+        ..plan()
+    });
+    let caller_addr = system.caller_addr;
+    let client = thread::spawn(move || take_up_model(caller_addr, "again", "elsewhere", "m2"));
+    thread::sleep(Duration::from_millis(300));
+    upgrade(&system, &[0, 1, 2, 3], "v2");
+    let response = client.join().expect("the client ends");
+    assert!(!response.contains("-v2"), "{response}");
+}
+
 /// Guards against streams that wait for a load although the server that holds their model takes them,
 /// because its software version has been listed only lately.
 #[test]
