gateway, http: log how an answer is framed and whether it ends inside an event

Change: http::Body knows the framing of a response; entry::sse::Position follows a stream of events without buffering it, also with CR line ends; the end line names both. What clients get is unchanged.

--- a/src/entry/sse.rs
+++ b/src/entry/sse.rs
@@ -8,16 +8,108 @@
 /// First bytes of the event that ends a complete stream.
 const DONE: &[u8] = b"data: [DONE]";
 
-/// Maximum length in bytes of the line ends that terminate an event.
-const MAX_END_BYTES: usize = 3;
-
 /// Maximum number of bytes buffered of an incomplete event. A longer event is forwarded in parts.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Position in a stream of events.
+///
+/// An event ends with an empty line. A line ends with CR, LF or both, and one that begins with a
+/// colon is a comment, which belongs to no event.
+#[derive(Debug, Default)]
+pub struct Position {
+    line: Line,
+    /// Whether the current event has a line.
+    has_fields: bool,
+    /// Whether the last byte is a CR, so that an LF after it belongs to the same end of line.
+    after_cr: bool,
+}
+
+/// Part of a line that has been read.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+enum Line {
+    #[default]
+    Empty,
+    Field,
+    Comment,
+}
+
+/// What a byte means in a stream of events.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Step {
+    /// The byte is part of an event or lies between two events.
+    Within,
+    /// The byte ends an event.
+    Ends,
+    /// The byte belongs to the end of line that the byte before it began.
+    Joins,
+}
+
+impl Position {
+    /// Returns whether the stream would break off an event if it ended here.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::entry::sse::Position;
+    ///
+    /// let mut position = Position::default();
+    /// position.advance(b"data: a\r\n\r\nda");
+    /// assert!(position.is_inside_event());
+    /// position.advance(b"ta: b\n\n");
+    /// assert!(!position.is_inside_event());
+    /// ```
+    pub fn is_inside_event(&self) -> bool {
+        self.has_fields || self.line != Line::Empty
+    }
+
+    /// Moves past bytes of the stream.
+    pub fn advance(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.step(*byte);
+        }
+    }
+
+    fn step(&mut self, byte: u8) -> Step {
+        let joins = byte == b'\n' && self.after_cr;
+        self.after_cr = byte == b'\r';
+        if joins {
+            return Step::Joins;
+        }
+        match (byte, self.line) {
+            (b'\n' | b'\r', line) => self.end_line(line),
+            (b':', Line::Empty) => self.begin(Line::Comment),
+            (_, Line::Empty) => self.begin(Line::Field),
+            _ => Step::Within,
+        }
+    }
+
+    fn begin(&mut self, line: Line) -> Step {
+        self.line = line;
+        Step::Within
+    }
+
+    fn end_line(&mut self, line: Line) -> Step {
+        self.line = Line::Empty;
+        match line {
+            Line::Comment => Step::Within,
+            Line::Field => {
+                self.has_fields = true;
+                Step::Within
+            }
+            Line::Empty if self.has_fields => {
+                self.has_fields = false;
+                Step::Ends
+            }
+            Line::Empty => Step::Within,
+        }
+    }
+}
+
 /// Splits a byte stream at the ends of events, so that it can be resumed after a whole event.
 #[derive(Debug, Default)]
 pub struct Splitter {
     pending: BytesMut,
+    position: Position,
     events: u64,
     done: bool,
 }
@@ -33,6 +125,11 @@
         self.done
     }
 
+    /// Returns whether the bytes pushed so far end inside an event.
+    pub fn is_inside_event(&self) -> bool {
+        self.position.is_inside_event()
+    }
+
     /// Appends bytes and returns the whole events that are now complete, possibly none.
     ///
     /// # Examples
@@ -46,15 +143,19 @@
     /// assert_eq!(splitter.events(), 2);
     /// ```
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
-        // An event that ended before these bytes would have been returned already.
-        let mut scanned = self.pending.len().saturating_sub(MAX_END_BYTES);
+        let scanned = self.pending.len();
         self.pending.extend_from_slice(bytes);
         let mut whole = 0;
-        while let Some(end) = event_end(&self.pending, scanned) {
-            self.done |= self.pending[whole..end].starts_with(DONE);
-            self.events += 1;
-            whole = end;
-            scanned = end;
+        for index in scanned..self.pending.len() {
+            match self.position.step(self.pending[index]) {
+                Step::Ends => {
+                    self.done |= self.pending[whole..].starts_with(DONE);
+                    self.events += 1;
+                    whole = index + 1;
+                }
+                Step::Joins if whole == index => whole = index + 1,
+                Step::Joins | Step::Within => (),
+            }
         }
         if self.pending.len() - whole > MAX_EVENT_BYTES {
             whole = self.pending.len();
@@ -65,6 +166,7 @@
     /// Discards the bytes of an incomplete event, for a stream that is resumed after whole events.
     pub fn restart(&mut self) {
         self.pending.clear();
+        self.position = Position::default();
     }
 
     /// Returns the remaining bytes of a stream that ended within an event.
@@ -72,16 +174,3 @@
         self.pending.split().freeze()
     }
 }
-
-/// Returns the index of the end of the first empty line after `from`.
-fn event_end(bytes: &[u8], from: usize) -> Option<usize> {
-    let indexed = bytes.iter().enumerate().skip(from);
-    for (index, _) in indexed.filter(|(_, byte)| **byte == b'\n') {
-        match bytes[index + 1..] {
-            [b'\n', ..] => return Some(index + 2),
-            [b'\r', b'\n', ..] => return Some(index + 3),
-            _ => (),
-        }
-    }
-    None
-}
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -2,7 +2,10 @@
 
 use bytes::Bytes;
 
-use crate::entry::sse::Splitter;
+use crate::entry::sse::{
+    Position,
+    Splitter, //
+};
 
 /// The part of a server's response that was passed on to the client.
 ///
@@ -20,38 +23,83 @@
 /// ```
 #[derive(Debug)]
 pub struct Events {
-    is_resumable: bool,
-    splitter: Splitter,
+    form: Form,
     last: Option<String>,
 }
 
+/// Form of a response's body.
+#[derive(Debug)]
+enum Form {
+    /// Events of which only whole ones are passed on.
+    Resumable(Splitter),
+    /// Events whose bytes are passed on as they arrive.
+    Direct(Position),
+    /// No events.
+    Plain,
+}
+
 impl Events {
-    /// Returns the state before the first event. `last` is the id of the last event that the client
-    /// received before this response, if any.
+    /// Returns the state before the first event of a stream. `last` is the id of the last event that
+    /// the client received before this response, if any.
     pub fn new(is_resumable: bool, last: Option<String>) -> Self {
+        let form = if is_resumable {
+            Form::Resumable(Splitter::default())
+        } else {
+            Form::Direct(Position::default())
+        };
+        Self { form, last }
+    }
+
+    /// Returns the state of a response that is no stream of events.
+    pub fn plain() -> Self {
         Self {
-            is_resumable,
-            splitter: Splitter::default(),
-            last,
+            form: Form::Plain,
+            last: None,
         }
     }
 
     /// Returns whether another server may continue the response.
     pub fn is_resumable(&self) -> bool {
-        self.is_resumable
+        matches!(self.form, Form::Resumable(_))
     }
 
     /// Returns the number of whole events that were passed on; 0 if the response is not resumable.
     pub fn count(&self) -> u64 {
-        self.splitter.events()
+        match &self.form {
+            Form::Resumable(splitter) => splitter.events(),
+            Form::Direct(_) | Form::Plain => 0,
+        }
+    }
+
+    /// Returns whether the response would break off an event if it ended here.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::gateway::Events;
+    ///
+    /// let mut events = Events::new(false, None);
+    /// events.push(b"id: 0\ndata: a\n\nid: 1\nda".as_slice().into());
+    /// assert!(events.is_inside_event());
+    /// ```
+    pub fn is_inside_event(&self) -> bool {
+        match &self.form {
+            Form::Resumable(splitter) => splitter.is_inside_event(),
+            Form::Direct(position) => position.is_inside_event(),
+            Form::Plain => false,
+        }
     }
 
     /// Takes bytes of the response and returns the bytes to pass on.
     pub fn push(&mut self, data: Bytes) -> Bytes {
-        if !self.is_resumable {
-            return data;
-        }
-        let whole = self.splitter.push(&data);
+        let whole = match &mut self.form {
+            Form::Resumable(splitter) => splitter.push(&data),
+            Form::Direct(position) => {
+                position.advance(&data);
+                return data;
+            }
+            Form::Plain => return data,
+        };
         if let Some(id) = last_id(&whole) {
             self.last = Some(id);
         }
@@ -60,19 +108,24 @@
 
     /// Returns the bytes after the last whole event, at the end of a complete response.
     pub fn rest(&mut self) -> Bytes {
-        self.splitter.rest()
+        match &mut self.form {
+            Form::Resumable(splitter) => splitter.rest(),
+            Form::Direct(_) | Form::Plain => Bytes::new(),
+        }
     }
 
     /// Returns where another server may continue: `Some(Some(id))` after the event with this id,
     /// `Some(None)` from the start, `None` if it may not continue.
     pub fn resume_point(&self) -> Option<Option<String>> {
         let is_known = self.count() == 0 || self.last.is_some();
-        (self.is_resumable && is_known).then(|| self.last.clone())
+        (self.is_resumable() && is_known).then(|| self.last.clone())
     }
 
     /// Discards the bytes of an event that its server did not complete.
     pub fn restart(&mut self) {
-        self.splitter.restart();
+        if let Form::Resumable(splitter) = &mut self.form {
+            splitter.restart();
+        }
     }
 }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -7,8 +7,6 @@
 };
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use tokio::{
     sync::mpsc::Sender,
     time::{
@@ -33,6 +31,11 @@
 };
 use crate::{
     deployment::Kind,
+    http::{
+        Body,
+        Framing,
+        Piece, //
+    },
     report,
     timer::Time, //
 };
@@ -74,10 +77,10 @@
     mut exchange: Exchange,
     chunks: Sender<Result<Bytes, Incomplete>>,
 ) {
-    let is_resumable = job.route.kind == Kind::ResumableStream;
-    let mut events = Events::new(is_resumable, job.head.last_event.clone());
+    let mut events = events(&job);
     loop {
-        let mut body = exchange.response.into_body();
+        let mut body = Body::new(exchange.response);
+        let framing = body.framing();
         let backend = exchange.in_flight.backend.clone();
         let is_movable = || can_move(&state, &job, &progress, &backend);
         let silence = Silence {
@@ -93,15 +96,15 @@
                     exchange.channel,
                     &exchange.response_head,
                 );
-                log_end(&job, "complete", events.count());
+                log_end(&job, "complete", framing, &events);
                 return;
             }
             End::Abandoned => {
-                log_end(&job, "abandoned", events.count());
+                log_end(&job, "abandoned", framing, &events);
                 return;
             }
             End::TimedOut => {
-                log_end(&job, "late", events.count());
+                log_end(&job, "late", framing, &events);
                 let _ = chunks.send(Err(Incomplete)).await;
                 return;
             }
@@ -121,7 +124,7 @@
             None => None,
         };
         let Some(next) = next.filter(|next| next.response_head.status == 200) else {
-            log_end(&job, "broken", events.count());
+            log_end(&job, "broken", framing, &events);
             let _ = chunks.send(Err(Incomplete)).await;
             return;
         };
@@ -138,13 +141,24 @@
     }
 }
 
-fn log_end(job: &Job, outcome: &str, events: u64) {
+/// Returns the state before the first byte of a response.
+fn events(job: &Job) -> Events {
+    match job.route.kind {
+        Kind::ResumableStream => Events::new(true, job.head.last_event.clone()),
+        Kind::Stream => Events::new(false, None),
+        _ => Events::plain(),
+    }
+}
+
+fn log_end(job: &Job, outcome: &str, framing: Framing, events: &Events) {
     report::info(
         "end",
         &[
             ("request", &job.head.id),
             ("outcome", &outcome),
-            ("events", &events),
+            ("framing", &framing.as_str()),
+            ("inside_event", &events.is_inside_event()),
+            ("events", &events.count()),
             ("left_ms", &job.deadline.remaining(Time::now()).as_millis()),
         ],
     );
@@ -190,24 +204,24 @@
 async fn pass_on(
     job: &Job,
     events: &mut Events,
-    body: &mut Incoming,
+    body: &mut Body,
     in_flight: &mut InFlight,
     silence: &Silence<'_>,
     chunks: &Sender<Result<Bytes, Incomplete>>,
 ) -> End {
     loop {
         let remaining = job.remaining(Time::now());
-        let frame = tokio::select! {
+        let piece = tokio::select! {
             () = chunks.closed() => return End::Abandoned,
             // An unresponsive server ends only a stream that another server can continue.
             () = silence.wait(), if events.is_resumable() => return End::Lost,
-            frame = timeout(remaining, body.frame()) => frame,
+            piece = timeout(remaining, body.next()) => piece,
         };
-        let data = match frame {
+        let data = match piece {
             Err(_) => return End::TimedOut,
-            Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-            Ok(Some(Err(_))) => return End::Lost,
-            Ok(None) => {
+            Ok(Ok(Piece::Data(data))) => data,
+            Ok(Err(_)) => return End::Lost,
+            Ok(Ok(Piece::End)) => {
                 let rest = events.rest();
                 if rest.is_empty() || chunks.send(Ok(rest)).await.is_ok() {
                     return End::Complete;
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,10 +1,16 @@
 //! Asynchronous HTTP/1.1 connections, without a thread for each call. Connections to servers are
 //! kept for reuse.
 
+mod body;
 mod channel;
 mod listener;
 mod pool;
 
+pub(crate) use body::{
+    Body,
+    Framing,
+    Piece, //
+};
 pub(crate) use channel::{
     Channel,
     Error,
