emulator, hosted tests: answers framed and broken off in every way; failing test

Cause: no emulated server ever answered without length or chunks, so nothing here played an answer that ends with its connection. Change: emulator::raw writes responses itself: by length, chunks or the end of the connection, broken off after any byte, ended in order, by a reset or by a crash, in seeded pieces. A table of 96 broken answers (framing x ending x kind x place) judges what clients can tell of them.

--- a/src/emulator/http.rs
+++ b/src/emulator/http.rs
@@ -82,6 +82,20 @@
 }
 
 impl Call {
+    /// Creates a call that no fault affects and whose caller stays connected.
+    pub(super) fn new(method: Method, path: String, headers: HeaderMap, body: Bytes) -> Self {
+        Self {
+            method,
+            path,
+            query: BTreeMap::new(),
+            headers,
+            body,
+            injection: Injection::default(),
+            cleared: watch::channel(0).1,
+            caller: watch::channel(()).1,
+        }
+    }
+
     /// Returns the segments of the path.
     pub(super) fn segments(&self) -> Vec<&str> {
         self.path.trim_start_matches('/').split('/').collect()
@@ -121,9 +135,12 @@
 /// A chunk of a streamed body; an error closes the connection.
 pub(super) type Chunk = io::Result<Bytes>;
 
+/// Body of a response.
 #[derive(Debug)]
-enum Content {
+pub(super) enum Content {
+    /// The whole body.
     Buffered(Bytes),
+    /// The chunks of the body as they are produced.
     Streamed(mpsc::Receiver<Chunk>),
 }
 
@@ -157,6 +174,11 @@
         }
     }
 
+    /// Returns the status, the headers and the body.
+    pub(super) fn into_parts(self) -> (u16, Vec<(&'static str, String)>, Content) {
+        (self.status, self.headers, self.content)
+    }
+
     /// Adds a header.
     pub(super) fn with_header(mut self, name: &'static str, value: String) -> Self {
         self.headers.push((name, value));
--- a/src/emulator/mod.rs
+++ b/src/emulator/mod.rs
@@ -22,6 +22,7 @@
 mod http;
 mod list;
 mod log;
+mod raw;
 mod service;
 pub mod site;
 mod store;
--- a/src/emulator/site/mod.rs
+++ b/src/emulator/site/mod.rs
@@ -35,7 +35,14 @@
         Fault,
         Faults, //
     },
-    http,
+    http, raw,
+};
+
+pub use super::raw::{
+    Delivery,
+    Ending,
+    Endless,
+    Framing, //
 };
 
 /// What a site consists of and how its servers behave.
@@ -99,6 +106,8 @@
     store_addr: SocketAddr,
     engines: Vec<Endpoint<Arc<engine::Engine>>>,
     services: Vec<Endpoint<Arc<service::Service>>>,
+    /// Server that delivers the responses of all servers as a test asks; engines come first.
+    raw: Vec<Arc<raw::Server>>,
     records: Arc<Mutex<Records>>,
 }
 
@@ -154,6 +163,7 @@
             store_addr,
             engines: Vec::new(),
             services: Vec::new(),
+            raw: Vec::new(),
             records,
         };
         for (index, models) in plan.engines.iter().enumerate() {
@@ -198,6 +208,60 @@
         Ok(())
     }
 
+    /// Gives each server a second address, at which its responses are delivered as
+    /// [`Self::deliver`] says, and writes it into the servers' descriptions.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error if an address can't be bound.
+    pub fn start_raw(&mut self) -> io::Result<()> {
+        for index in 0..self.engines.len() {
+            let engine = self.engines[index].server.clone();
+            let handler = move |call| engine::handle(engine.clone(), call);
+            let address = self.start_raw_server(self.engines[index].addr, handler)?;
+            self.publish_engine_at(index, address);
+        }
+        for index in 0..self.services.len() {
+            let service = self.services[index].server.clone();
+            let handler = move |call| service::handle(service.clone(), call);
+            let address = self.start_raw_server(self.services[index].addr, handler)?;
+            self.publish_service_at(index, address);
+        }
+        Ok(())
+    }
+
+    fn start_raw_server<H, F>(&mut self, beside: SocketAddr, handler: H) -> io::Result<SocketAddr>
+    where
+        H: Fn(http::Call) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = http::Response> + Send + 'static,
+    {
+        let listener = TcpListener::bind((beside.ip(), 0))?;
+        let address = listener.local_addr()?;
+        listener.set_nonblocking(true)?;
+        let _guard = self._runtime.enter();
+        let server = Arc::new(raw::Server::default());
+        server.start(tokio::net::TcpListener::from_std(listener)?, handler);
+        self.raw.push(server);
+        Ok(address)
+    }
+
+    /// Sets how all servers deliver their responses at the addresses of [`Self::start_raw`].
+    pub fn deliver(&self, delivery: &Delivery) {
+        for server in &self.raw {
+            server.deliver(delivery.clone());
+        }
+    }
+
+    /// Sets how one server delivers its responses there; engines are counted first.
+    pub fn deliver_at(&self, index: usize, delivery: Delivery) {
+        self.raw[index].deliver(delivery);
+    }
+
+    /// Returns the number of bytes without end that all servers wrote there.
+    pub fn endless_bytes(&self) -> u64 {
+        self.raw.iter().map(|server| server.endless_bytes()).sum()
+    }
+
     /// Returns the address of the store.
     pub fn store_addr(&self) -> SocketAddr {
         self.store_addr
--- /dev/null
+++ b/tests/hosted/delivery.rs
@@ -0,0 +1,256 @@
+//! Answers of servers that are framed and broken off in every way.
+
+use std::{
+    io::{
+        ErrorKind,
+        Read,
+        Write, //
+    },
+    net::TcpStream,
+};
+
+use chestnuthub::emulator::site::{
+    Delivery,
+    Ending,
+    Framing,
+    Plan,
+    Site, //
+};
+
+use crate::{
+    deployment::{
+        Deployment,
+        Request, //
+    },
+    site_support::{
+        configuration,
+        wait_until, //
+    },
+};
+
+/// Body of the plain requests; plain servers send it back.
+const BODY: &str = "one booking of a laptop";
+
+/// Kind of a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Kind {
+    Idempotent,
+    NonIdempotent,
+    Stream,
+    ResumableStream,
+}
+
+/// What a client can tell of an answer by its framing and the end of its connection.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Claim {
+    /// The framing says that the answer is whole.
+    Whole,
+    /// The answer has neither length nor chunks, and its connection ended in order.
+    None,
+    /// The answer has been broken off.
+    Broken,
+}
+
+/// What a client received.
+#[derive(Debug)]
+struct Received {
+    head: String,
+    body: String,
+    claim: Claim,
+}
+
+impl Kind {
+    const ALL: [Self; 4] = [
+        Self::Idempotent,
+        Self::NonIdempotent,
+        Self::Stream,
+        Self::ResumableStream,
+    ];
+
+    fn request(self, id: &str) -> Request<'_> {
+        let plain = |path| Request {
+            body: BODY,
+            ..Request::new(id, path)
+        };
+        match self {
+            Self::Idempotent => plain("/look/x"),
+            Self::NonIdempotent => plain("/book/x"),
+            Self::Stream => Request::model(id, "/chat/x", "m1"),
+            Self::ResumableStream => Request::model(id, "/review/x", "m1"),
+        }
+    }
+
+    /// Returns the body of a whole answer.
+    fn whole(self) -> String {
+        match self {
+            Self::Idempotent | Self::NonIdempotent => BODY.to_owned(),
+            Self::Stream | Self::ResumableStream => (0..6).map(event).collect(),
+        }
+    }
+
+    fn is_stream(self) -> bool {
+        matches!(self, Self::Stream | Self::ResumableStream)
+    }
+}
+
+fn event(number: u32) -> String {
+    format!("id: {number}\ndata: e{number}\n\n")
+}
+
+/// Sends a request on a connection of its own and reads until the connection ends.
+fn exchange(system: &Deployment, request: &Request<'_>) -> Received {
+    let mut stream = TcpStream::connect(system.caller_addr).expect("the gateway accepts");
+    let text = request.text();
+    stream
+        .write_all(text.as_bytes())
+        .expect("the request is sent");
+    let mut bytes = Vec::new();
+    let is_reset = match stream.read_to_end(&mut bytes) {
+        Ok(_) => false,
+        Err(error) if error.kind() == ErrorKind::ConnectionReset => true,
+        Err(error) => panic!("reading the answer: {error}"),
+    };
+    let text = String::from_utf8(bytes).expect("the answer is text");
+    let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+    let head = head.to_ascii_lowercase();
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "));
+    let (body, is_whole) = if head.contains("transfer-encoding: chunked") {
+        unchunked(body)
+    } else if let Some(length) = length {
+        let length: usize = length.parse().expect("a length");
+        (body.to_owned(), body.len() == length)
+    } else {
+        (body.to_owned(), true)
+    };
+    let is_framed = length.is_some() || head.contains("transfer-encoding: chunked");
+    let claim = match (is_whole && !is_reset, is_framed) {
+        (false, _) => Claim::Broken,
+        (true, true) => Claim::Whole,
+        (true, false) => Claim::None,
+    };
+    Received { head, body, claim }
+}
+
+/// Returns the content of a chunked body, and whether it has its last chunk.
+fn unchunked(mut text: &str) -> (String, bool) {
+    let mut body = String::new();
+    while let Some((size, rest)) = text.split_once("\r\n") {
+        let size = usize::from_str_radix(size, 16).expect("a size of a chunk");
+        if size == 0 {
+            return (body, rest == "\r\n");
+        }
+        let available = size.min(rest.len());
+        body.push_str(&rest[..available]);
+        text = rest.get(size + 2..).unwrap_or_default();
+    }
+    (body, false)
+}
+
+/// Starts a deployment whose servers deliver their answers as the tests ask.
+fn start() -> Deployment {
+    let plan = Plan {
+        engines: vec![vec!["m1"], vec!["m1"]],
+        event_interval: std::time::Duration::from_millis(5),
+        ..Plan::default()
+    };
+    let mut site = Site::start(&plan).expect("the site starts");
+    site.start_raw().expect("the raw servers start");
+    site.configure(&configuration(1, &[]));
+    let system = Deployment::start_unconfigured(site);
+    wait_until("the gateway is ready", || system.is_ready());
+    for kind in Kind::ALL {
+        wait_until("requests are served", || {
+            exchange(&system, &kind.request("warm-up"))
+                .head
+                .contains(" 200 ")
+        });
+    }
+    system
+}
+
+/// Returns the places at which an answer is broken off: before its first byte, inside an event or a
+/// body, and between two events.
+fn cuts(kind: Kind) -> Vec<usize> {
+    if !kind.is_stream() {
+        return vec![0, 1, BODY.len() - 1];
+    }
+    let between = event(0).len() + event(1).len();
+    vec![0, 3, between - 1, between, between + 4]
+}
+
+/// Returns whether a stream that ends after so many bytes ends inside an event.
+fn is_inside_event(bytes: usize) -> bool {
+    bytes % event(0).len() != 0
+}
+
+/// Guards against a client that holds a short answer which its framing calls whole.
+#[test]
+fn no_broken_answer_is_framed_as_complete() {
+    let system = start();
+    let mut failures = Vec::new();
+    let mut number = 0;
+    for framing in [Framing::Length, Framing::Chunks, Framing::Connection] {
+        for ending in [Ending::Close, Ending::Reset] {
+            for kind in Kind::ALL {
+                for cut in cuts(kind) {
+                    number += 1;
+                    system.site.deliver(&Delivery {
+                        framing,
+                        cut: Some(cut),
+                        ending,
+                        seed: number,
+                        endless: None,
+                    });
+                    let id = format!("cut-{number}");
+                    let received = exchange(&system, &kind.request(&id));
+                    let case =
+                        format!("{framing:?} {ending:?} {kind:?} cut at {cut}: {received:?}");
+                    let whole = kind.whole();
+                    if received.claim == Claim::Whole
+                        && received.head.contains(" 200 ")
+                        && received.body != whole
+                    {
+                        failures.push(case.clone());
+                    }
+                    if received.claim == Claim::None
+                        && kind.is_stream()
+                        && is_inside_event(received.body.len())
+                    {
+                        failures.push(format!("ends in order inside an event: {case}"));
+                    }
+                    if received.head.contains(" 200 ") && !whole.starts_with(&received.body) {
+                        failures.push(format!("other bytes: {case}"));
+                    }
+                }
+            }
+        }
+    }
+    assert!(
+        failures.is_empty(),
+        "{} of {number}:\n{}",
+        failures.len(),
+        failures.join("\n")
+    );
+}
+
+/// Guards against a whole answer that reaches its client as a broken one, or changed.
+#[test]
+fn whole_answers_of_any_framing_reach_their_clients() {
+    let system = start();
+    for framing in [Framing::Length, Framing::Chunks, Framing::Connection] {
+        for (seed, kind) in (0..).zip(Kind::ALL) {
+            system.site.deliver(&Delivery {
+                framing,
+                seed,
+                ..Delivery::default()
+            });
+            let id = format!("whole-{framing:?}-{seed}");
+            let received = exchange(&system, &kind.request(&id));
+            let case = format!("{framing:?} {kind:?}: {received:?}");
+            assert_eq!(received.body, kind.whole(), "{case}");
+            assert_ne!(received.claim, Claim::Broken, "{case}");
+        }
+    }
+}
--- a/tests/hosted/main.rs
+++ b/tests/hosted/main.rs
@@ -1,6 +1,7 @@
 //! Gateways and loaders that run as real processes against an emulated site of the users' platform.
 
 mod announcement;
+mod delivery;
 mod deployment;
 mod machine;
 #[path = "../site_support/mod.rs"]
