gateway: never mark the end of an answer whose end is not known

Cause: a body with neither length nor chunks ends with its connection, and the HTTP library reports no error for that; the relay took it for complete. Change: http::Body knows the framing; gateway::ending judges the end by the framing, by the events (a stream that ends inside one is broken, whatever its framing) and by whether the server's process has ended. Where nothing is known the client gets no marked end either; a broken answer without chunks is reset, also for clients of HTTP/1.0.

--- a/src/emulator/raw.rs
+++ b/src/emulator/raw.rs
@@ -8,6 +8,7 @@
     sync::{
         Arc,
         Mutex,
+        MutexGuard,
         PoisonError, //
     },
     time::Duration,
@@ -34,6 +35,7 @@
         TcpListener,
         TcpStream, //
     },
+    sync::watch,
     task::JoinHandle,
     time::sleep,
 };
@@ -74,6 +76,8 @@
     pub framing: Framing,
     /// Number of bytes of the body after which the response is broken off; `None` if it is whole.
     pub cut: Option<usize>,
+    /// Whether a response that is broken off is framed as if it were whole.
+    pub hides_cut: bool,
     /// How the connection ends where it ends with the response.
     pub ending: Ending,
     /// Seed of the lengths of the pieces in which the response is written.
@@ -102,6 +106,7 @@
         Self {
             framing: Framing::Chunks,
             cut: None,
+            hides_cut: false,
             ending: Ending::Close,
             seed: 0,
             endless: None,
@@ -114,6 +119,7 @@
 pub(super) struct Server {
     delivery: Mutex<Delivery>,
     accepting: Mutex<Option<JoinHandle<()>>>,
+    has_crashed: watch::Sender<bool>,
     /// Number of bytes without end that were written so far.
     endless_bytes: Mutex<u64>,
 }
@@ -140,8 +146,14 @@
             // A failed accept ends the server, and the test sees refused connections.
             while let Ok((stream, _)) = listener.accept().await {
                 let (server, handler) = (server.clone(), handler.clone());
-                // An error means that the caller closed the connection.
-                tokio::spawn(async move { server.serve(stream, handler).await });
+                let mut has_crashed = server.has_crashed.subscribe();
+                tokio::spawn(async move {
+                    tokio::select! {
+                        // An error means that the caller closed the connection.
+                        _ = server.serve(stream, handler) => (),
+                        _ = has_crashed.wait_for(|has_crashed| *has_crashed) => (),
+                    }
+                });
             }
         });
         *lock(&self.accepting) = Some(accepting);
@@ -185,11 +197,15 @@
             stream,
             framing: delivery.framing,
             remaining: delivery.cut,
+            hides_cut: delivery.hides_cut,
             random: fastrand::Rng::with_seed(delivery.seed),
         };
         match delivery.framing {
             Framing::Length => {
-                let body = collect(content).await;
+                let mut body = collect(content).await;
+                if delivery.hides_cut {
+                    body.truncate(delivery.cut.unwrap_or(body.len()));
+                }
                 head.push_str(&format!("content-length: {}\r\n\r\n", body.len()));
                 writer.stream.write_all(head.as_bytes()).await?;
                 return writer.write_body(&body).await;
@@ -232,6 +248,7 @@
                 accepting.abort();
                 // The listener is closed once the task has ended.
                 let _ = accepting.await;
+                self.has_crashed.send_replace(true);
             }
             accepting => *lock(&self.accepting) = accepting,
         }
@@ -245,6 +262,7 @@
     framing: Framing,
     /// Number of bytes that may still be written.
     remaining: Option<usize>,
+    hides_cut: bool,
     random: fastrand::Rng,
 }
 
@@ -276,7 +294,12 @@
         }
         if let Some(remaining) = &mut self.remaining {
             *remaining -= allowed;
-            return Ok(*remaining > 0);
+            if *remaining == 0 {
+                if self.hides_cut {
+                    self.finish().await?;
+                }
+                return Ok(false);
+            }
         }
         Ok(true)
     }
@@ -347,6 +370,6 @@
     }
 }
 
-fn lock<T>(value: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+fn lock<T>(value: &Mutex<T>) -> MutexGuard<'_, T> {
     value.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -6,10 +6,7 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{
-    BodyExt,
-    Full, //
-};
+use http_body_util::Full;
 use hyper::{
     Request,
     header::{
@@ -44,8 +41,10 @@
     deployment::Kind,
     dispatch::Outcome,
     http::{
+        Body,
         Channel,
-        Error, //
+        Error,
+        Framing, //
     },
     platform::header,
     report,
@@ -55,14 +54,6 @@
 /// Timeout for connecting to a server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Time for which a server is assumed to keep an idle connection if its response does not state
-/// one.
-const DEFAULT_KEEP_ALIVE: Duration = Duration::from_millis(1_500);
-
-/// An idle connection is no longer used this long before the server closes it, so that no request
-/// is sent while it closes.
-const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
-
 /// Multiple of a route's latency objective after which an idempotent request is sent to another
 /// server.
 const WAIT_FACTOR: u32 = 3;
@@ -145,7 +136,7 @@
     }
     if backend.is_leaving() || backend.rest_remaining(now).is_some() {
         // The server announced this while the connection was made.
-        backend.pool.put(channel, DEFAULT_KEEP_ALIVE);
+        backend.keep(channel, None);
         return Err(SendError::NotSent("the server takes no requests"));
     }
     let request = outgoing(job, &server.id, remaining, last_event);
@@ -174,7 +165,8 @@
         in_flight,
         server,
         channel,
-        response,
+        headers: response.headers().clone(),
+        body: Body::new(response),
         response_head,
     };
     check(state, job, backend, progress, exchange).await
@@ -324,24 +316,22 @@
     const DRAIN_TIMEOUT: Duration = Duration::from_millis(50);
     /// Maximum size of the body in bytes; a new connection costs less than reading more.
     const MAX_DRAIN_BYTES: usize = 64 << 10;
-    let body = http_body_util::Limited::new(exchange.response.into_body(), MAX_DRAIN_BYTES);
-    if let Ok(Ok(_)) = timeout(DRAIN_TIMEOUT, body.collect()).await {
-        return_connection(
-            &exchange.in_flight.backend,
-            exchange.channel,
-            &exchange.response_head,
-        );
+    let framing = exchange.body.framing();
+    if let Ok(Ok(_)) = timeout(DRAIN_TIMEOUT, exchange.body.read(MAX_DRAIN_BYTES)).await {
+        let backend = &exchange.in_flight.backend;
+        return_connection(backend, exchange.channel, &exchange.response_head, framing);
     }
 }
 
 /// Returns a connection to the pool after a complete response, unless the server is about to close
 /// it.
-pub(super) fn return_connection(backend: &Backend, channel: Channel, response_head: &ResponseHead) {
-    let idle_time = response_head
-        .keep_alive
-        .unwrap_or(DEFAULT_KEEP_ALIVE)
-        .saturating_sub(KEEP_ALIVE_MARGIN);
-    if !response_head.closes && !backend.is_leaving() && !idle_time.is_zero() {
-        backend.pool.put(channel, idle_time);
+pub(super) fn return_connection(
+    backend: &Backend,
+    channel: Channel,
+    response_head: &ResponseHead,
+    framing: Framing,
+) {
+    if !response_head.closes && framing != Framing::Connection {
+        backend.keep(channel, response_head.keep_alive);
     }
 }
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -35,7 +35,10 @@
         Prefixes,
         RequestRate, //
     },
-    http::Pool,
+    http::{
+        Channel,
+        Pool, //
+    },
     link::{
         Contact,
         Holdings,
@@ -52,6 +55,14 @@
 /// Time after a broken connection within which a loader reports that its server has started anew.
 const RESTART_REPORT_TIME: Duration = Duration::from_millis(1_000);
 
+/// Time for which a server is assumed to keep an idle connection if its response does not state
+/// one.
+const DEFAULT_KEEP_ALIVE: Duration = Duration::from_millis(1_500);
+
+/// An idle connection is no longer used this long before the server closes it, so that no request
+/// is sent while it closes.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
+
 /// Weight of the newest request in the moving average of failed requests.
 const FAILURE_WEIGHT: f64 = 0.2;
 
@@ -169,6 +180,17 @@
         }
     }
 
+    /// Keeps a connection for further requests, unless the server is about to close it. `idle_time` is
+    /// the time for which the server keeps idle connections, if it has stated one.
+    pub(super) fn keep(&self, channel: Channel, idle_time: Option<Duration>) {
+        let idle_time = idle_time
+            .unwrap_or(DEFAULT_KEEP_ALIVE)
+            .saturating_sub(KEEP_ALIVE_MARGIN);
+        if !self.is_leaving() && !idle_time.is_zero() {
+            self.pool.put(channel, idle_time);
+        }
+    }
+
     /// Returns whether new requests may be sent to the server.
     pub(super) fn is_usable(&self, now: Time) -> bool {
         let is_replaced = self.is_replaced.get() || self.is_superseded.get();
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -33,7 +33,11 @@
     /// Events of which only whole ones are passed on.
     Resumable(Splitter),
     /// Events whose bytes are passed on as they arrive.
-    Direct(Position),
+    Direct {
+        position: Position,
+        /// Whether any bytes have arrived.
+        has_begun: bool,
+    },
     /// No events.
     Plain,
 }
@@ -45,7 +49,10 @@
         let form = if is_resumable {
             Form::Resumable(Splitter::default())
         } else {
-            Form::Direct(Position::default())
+            Form::Direct {
+                position: Position::default(),
+                has_begun: false,
+            }
         };
         Self { form, last }
     }
@@ -63,11 +70,26 @@
         matches!(self.form, Form::Resumable(_))
     }
 
+    /// Returns whether the response is a stream of events.
+    pub fn is_stream(&self) -> bool {
+        !matches!(self.form, Form::Plain)
+    }
+
+    /// Returns whether the response is a stream of which the client has received nothing, neither in
+    /// this response nor before.
+    pub fn is_empty_stream(&self) -> bool {
+        match &self.form {
+            Form::Resumable(splitter) => splitter.events() == 0 && self.last.is_none(),
+            Form::Direct { has_begun, .. } => !has_begun,
+            Form::Plain => false,
+        }
+    }
+
     /// Returns the number of whole events that were passed on; 0 if the response is not resumable.
     pub fn count(&self) -> u64 {
         match &self.form {
             Form::Resumable(splitter) => splitter.events(),
-            Form::Direct(_) | Form::Plain => 0,
+            Form::Direct { .. } | Form::Plain => 0,
         }
     }
 
@@ -85,7 +107,7 @@
     pub fn is_inside_event(&self) -> bool {
         match &self.form {
             Form::Resumable(splitter) => splitter.is_inside_event(),
-            Form::Direct(position) => position.is_inside_event(),
+            Form::Direct { position, .. } => position.is_inside_event(),
             Form::Plain => false,
         }
     }
@@ -94,8 +116,12 @@
     pub fn push(&mut self, data: Bytes) -> Bytes {
         let whole = match &mut self.form {
             Form::Resumable(splitter) => splitter.push(&data),
-            Form::Direct(position) => {
+            Form::Direct {
+                position,
+                has_begun,
+            } => {
                 position.advance(&data);
+                *has_begun |= !data.is_empty();
                 return data;
             }
             Form::Plain => return data,
@@ -110,7 +136,7 @@
     pub fn rest(&mut self) -> Bytes {
         match &mut self.form {
             Form::Resumable(splitter) => splitter.rest(),
-            Form::Direct(_) | Form::Plain => Bytes::new(),
+            Form::Direct { .. } | Form::Plain => Bytes::new(),
         }
     }
 
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -12,10 +12,12 @@
     Limited, //
 };
 use hyper::{
-    Request, Response,
+    Request, Response, StatusCode,
     body::Incoming,
     header::{
         CONNECTION,
+        CONTENT_LENGTH,
+        CONTENT_TYPE,
         HOST,
         HeaderValue, //
     },
@@ -26,6 +28,7 @@
 };
 
 use super::{
+    events::Events,
     forward,
     job::{
         Exchange,
@@ -44,6 +47,7 @@
 use crate::{
     deployment::{
         Configuration,
+        Kind,
         Route, //
     },
     platform::header,
@@ -61,6 +65,9 @@
 /// Maximum number of chunks of a response that are buffered for the client.
 const MAX_BUFFERED_CHUNKS: usize = 4;
 
+/// Media type of a stream of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// Counts a request as in flight until the guard is dropped.
 struct InFlightGuard(Rc<State>);
 
@@ -144,7 +151,8 @@
     let exchange = forward::send(state, &job, &mut progress, last_event).await;
     let exchange = exchange.map_err(|failure| (id, failure))?;
     origins::record(state, &job, &mut progress, &exchange);
-    let status = exchange.response.status();
+    let status = StatusCode::from_u16(exchange.response_head.status);
+    let status = status.unwrap_or(StatusCode::BAD_GATEWAY);
     log_response(&job, &exchange, started);
     state.metrics.count("request", status.as_str());
     let kind = if job.route.kind.is_stream() {
@@ -155,14 +163,35 @@
     state
         .metrics
         .observe_first_piece(kind, Time::now() - started);
-    let headers = header::forwarded(exchange.response.headers());
+    let events = events(&job, &exchange);
+    let mut headers = header::forwarded(&exchange.headers);
+    if events.is_stream() {
+        // A stream that stops inside an event must not fill the length that was stated before.
+        headers.remove(CONTENT_LENGTH);
+    }
+    let framing = exchange.body.framing();
     let (chunks, receiver) = mpsc::channel(MAX_BUFFERED_CHUNKS);
-    let relayed = relay::run(state.clone(), job, progress, exchange, chunks);
+    let relayed = relay::run(state.clone(), job, progress, exchange, events, chunks);
     tokio::task::spawn_local(async move {
         relayed.await;
         drop(guard);
     });
-    Ok(response::relayed(status, headers, receiver))
+    Ok(response::relayed(status, headers, framing, receiver))
+}
+
+/// Returns the state before the first byte of a response.
+fn events(job: &Job, exchange: &Exchange) -> Events {
+    let content_type = exchange.headers.get(CONTENT_TYPE);
+    let is_event_stream =
+        content_type.is_none_or(|value| value.as_bytes().starts_with(EVENT_STREAM));
+    let is_success = exchange.response_head.status == StatusCode::OK;
+    match job.route.kind {
+        Kind::ResumableStream if is_success && is_event_stream => {
+            Events::new(true, job.head.last_event.clone())
+        }
+        Kind::Stream if is_success && is_event_stream => Events::new(false, None),
+        _ => Events::plain(),
+    }
 }
 
 fn malformed(error: &Malformed) -> Failure {
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -32,8 +32,8 @@
         Ending, //
     },
     http::{
-        Channel,
-        Response, //
+        Body,
+        Channel, //
     },
     link,
     timer::Time,
@@ -71,7 +71,8 @@
     /// Description of the server when the request was sent.
     pub(super) server: Rc<Server>,
     pub(super) channel: Channel,
-    pub(super) response: Response,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Body,
     pub(super) response_head: ResponseHead,
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod backend;
 mod cold;
 mod demand;
+mod ending;
 mod engines;
 mod events;
 mod fleet;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -19,6 +19,7 @@
     attempt,
     backend::Backend,
     demand::InFlight,
+    ending,
     events::Events,
     forward,
     job::{
@@ -30,7 +31,6 @@
     state::State,
 };
 use crate::{
-    deployment::Kind,
     http::{
         Body,
         Framing,
@@ -60,8 +60,8 @@
 enum End {
     /// The response is complete.
     Complete,
-    /// The server disconnected or is unresponsive.
-    Lost,
+    /// The server broke off or is unresponsive, for this reason.
+    Lost(&'static str),
     /// The request timed out.
     TimedOut,
     /// The client has disconnected.
@@ -69,49 +69,55 @@
 }
 
 /// Passes a response on until it ends, and resumes a stream at another server where that is
-/// allowed.
+/// allowed. `client_framing` is how the end of the response is marked for the client.
 pub(super) async fn run(
     state: Rc<State>,
     job: Rc<Job>,
     mut progress: Progress,
     mut exchange: Exchange,
+    mut events: Events,
     chunks: Sender<Result<Bytes, Incomplete>>,
 ) {
-    let mut events = events(&job);
+    let client_framing = exchange.body.framing();
     loop {
-        let mut body = Body::new(exchange.response);
-        let framing = body.framing();
+        let framing = exchange.body.framing();
         let backend = exchange.in_flight.backend.clone();
         let is_movable = || can_move(&state, &job, &progress, &backend);
         let silence = Silence {
             backend: &backend,
             is_movable: &is_movable,
         };
-        let in_flight = &mut exchange.in_flight;
-        let end = pass_on(&job, &mut events, &mut body, in_flight, &silence, &chunks).await;
-        match end {
+        let mut relay = Relay {
+            job: &job,
+            events: &mut events,
+            in_flight: &mut exchange.in_flight,
+            chunks: &chunks,
+        };
+        let mut end = relay.pass_on(&mut exchange.body, &silence).await;
+        if matches!(end, End::Complete) {
+            end = relay.finish(framing, client_framing).await;
+        }
+        let reason = match end {
             End::Complete => {
-                attempt::return_connection(
-                    &exchange.in_flight.backend,
-                    exchange.channel,
-                    &exchange.response_head,
-                );
-                log_end(&job, "complete", framing, &events);
+                let channel = exchange.channel;
+                attempt::return_connection(&backend, channel, &exchange.response_head, framing);
+                log_end(&job, "complete", framing, &events, "");
                 return;
             }
             End::Abandoned => {
-                log_end(&job, "abandoned", framing, &events);
+                log_end(&job, "abandoned", framing, &events, "");
                 return;
             }
             End::TimedOut => {
-                log_end(&job, "late", framing, &events);
+                log_end(&job, "late", framing, &events, "");
                 let _ = chunks.send(Err(Incomplete)).await;
                 return;
             }
-            End::Lost => exchange.in_flight.backend.record_broken(Time::now()),
-        }
+            End::Lost(reason) => reason,
+        };
+        backend.record_broken(Time::now());
         // The response is incomplete, so the connection can't be used again.
-        drop((body, exchange.channel, exchange.in_flight));
+        drop((exchange.body, exchange.channel, exchange.in_flight));
         progress.attempts.record_run();
         let may_run = progress.attempts.may_run() && !job.remaining(Time::now()).is_zero();
         let next = match events.resume_point().filter(|_| may_run) {
@@ -124,7 +130,7 @@
             None => None,
         };
         let Some(next) = next.filter(|next| next.response_head.status == 200) else {
-            log_end(&job, "broken", framing, &events);
+            log_end(&job, "broken", framing, &events, reason);
             let _ = chunks.send(Err(Incomplete)).await;
             return;
         };
@@ -134,6 +140,7 @@
                 ("request", &job.head.id),
                 ("server", &next.in_flight.backend.server().id),
                 ("events", &events.count()),
+                ("reason", &reason),
             ],
         );
         events.restart();
@@ -141,23 +148,14 @@
     }
 }
 
-/// Returns the state before the first byte of a response.
-fn events(job: &Job) -> Events {
-    match job.route.kind {
-        Kind::ResumableStream => Events::new(true, job.head.last_event.clone()),
-        Kind::Stream => Events::new(false, None),
-        _ => Events::plain(),
-    }
-}
-
-fn log_end(job: &Job, outcome: &str, framing: Framing, events: &Events) {
+fn log_end(job: &Job, outcome: &str, framing: Framing, events: &Events, reason: &str) {
     report::info(
         "end",
         &[
             ("request", &job.head.id),
             ("outcome", &outcome),
+            ("reason", &reason),
             ("framing", &framing.as_str()),
-            ("inside_event", &events.is_inside_event()),
             ("events", &events.count()),
             ("left_ms", &job.deadline.remaining(Time::now()).as_millis()),
         ],
@@ -200,39 +198,55 @@
     }
 }
 
-/// Passes bytes on until the server's response ends.
-async fn pass_on(
-    job: &Job,
-    events: &mut Events,
-    body: &mut Body,
-    in_flight: &mut InFlight,
-    silence: &Silence<'_>,
-    chunks: &Sender<Result<Bytes, Incomplete>>,
-) -> End {
-    loop {
-        let remaining = job.remaining(Time::now());
-        let piece = tokio::select! {
-            () = chunks.closed() => return End::Abandoned,
-            // An unresponsive server ends only a stream that another server can continue.
-            () = silence.wait(), if events.is_resumable() => return End::Lost,
-            piece = timeout(remaining, body.next()) => piece,
-        };
-        let data = match piece {
-            Err(_) => return End::TimedOut,
-            Ok(Ok(Piece::Data(data))) => data,
-            Ok(Err(_)) => return End::Lost,
-            Ok(Ok(Piece::End)) => {
-                let rest = events.rest();
-                if rest.is_empty() || chunks.send(Ok(rest)).await.is_ok() {
-                    return End::Complete;
+/// A response that is being passed on.
+struct Relay<'a> {
+    job: &'a Job,
+    events: &'a mut Events,
+    in_flight: &'a mut InFlight,
+    chunks: &'a Sender<Result<Bytes, Incomplete>>,
+}
+
+impl Relay<'_> {
+    /// Passes bytes on until the server's response ends.
+    async fn pass_on(&mut self, body: &mut Body, silence: &Silence<'_>) -> End {
+        loop {
+            let remaining = self.job.remaining(Time::now());
+            let piece = tokio::select! {
+                () = self.chunks.closed() => return End::Abandoned,
+                // An unresponsive server ends only a stream that another server can continue.
+                () = silence.wait(), if self.events.is_resumable() => {
+                    return End::Lost("unresponsive");
                 }
+                piece = timeout(remaining, body.next()) => piece,
+            };
+            let data = match piece {
+                Err(_) => return End::TimedOut,
+                Ok(Ok(Piece::Data(data))) => data,
+                Ok(Err(_)) => return End::Lost("connection"),
+                Ok(Ok(Piece::End)) => return End::Complete,
+            };
+            self.in_flight.clear_pending_tokens();
+            let data = self.events.push(data);
+            if !data.is_empty() && self.chunks.send(Ok(data)).await.is_err() {
                 return End::Abandoned;
             }
-        };
-        in_flight.clear_pending_tokens();
-        let data = events.push(data);
-        if !data.is_empty() && chunks.send(Ok(data)).await.is_err() {
-            return End::Abandoned;
         }
     }
+
+    /// Passes on what is left of a response whose body ended without an error, unless something
+    /// shows that it is incomplete.
+    async fn finish(&mut self, framing: Framing, client_framing: Framing) -> End {
+        if let Some(flaw) = ending::flaw(framing, self.events, client_framing) {
+            return End::Lost(flaw.as_str());
+        }
+        let backend = self.in_flight.backend.clone();
+        if framing == Framing::Connection && ending::is_gone(&backend).await {
+            return End::Lost(ending::Flaw::ServerGone.as_str());
+        }
+        let rest = self.events.rest();
+        if rest.is_empty() || self.chunks.send(Ok(rest)).await.is_ok() {
+            return End::Complete;
+        }
+        End::Abandoned
+    }
 }
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -13,13 +13,14 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
-    HeaderMap, Response, StatusCode,
+    HeaderMap, Response, StatusCode, Version,
     body::{
         Body,
         Frame,
         SizeHint, //
     },
     header::{
+        CONNECTION,
         CONTENT_TYPE,
         HeaderValue,
         RETRY_AFTER, //
@@ -28,6 +29,7 @@
 use tokio::sync::mpsc::Receiver;
 
 use super::relay::Incomplete;
+use crate::http::Framing;
 
 /// Body of a response to a client.
 #[derive(Debug)]
@@ -130,13 +132,23 @@
 }
 
 /// Builds the response to the client from that of a server.
+///
+/// A response that ends with its server's connection ends with the client's connection too: a last
+/// chunk would tell the client that the response is whole, which is not known.
 pub(super) fn relayed(
     status: StatusCode,
     headers: HeaderMap,
+    framing: Framing,
     chunks: Receiver<Result<Bytes, Incomplete>>,
 ) -> Response<ResponseBody> {
     let mut response = Response::new(ResponseBody::Relayed(chunks));
     *response.status_mut() = status;
     *response.headers_mut() = headers;
+    if framing == Framing::Connection {
+        // The HTTP library marks the end of every body in a response of a later version.
+        *response.version_mut() = Version::HTTP_10;
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
     response
 }
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -2,12 +2,16 @@
 
 use std::{
     cell::Cell,
+    convert::Infallible,
     net::SocketAddr,
     rc::Rc,
     time::Duration, //
 };
 
 use hyper::{
+    Request,
+    Version,
+    body::Incoming,
     server::conn::http1,
     service::service_fn, //
 };
@@ -15,13 +19,17 @@
     TokioIo,
     TokioTimer, //
 };
+use socket2::SockRef;
 use tokio::{
     net::TcpStream,
     sync::{
         Notify,
         watch, //
     },
-    time::timeout,
+    time::{
+        sleep,
+        timeout, //
+    },
 };
 
 use super::{
@@ -71,23 +79,37 @@
         self.connections.set(self.connections.get() + 1);
         let limits = self.state.follower.configuration().limits;
         let state = self.state.clone();
-        let service = service_fn(move |request| handler::serve(state.clone(), request));
+        let is_unmarked = Rc::new(Cell::new(false));
+        let is_response_unmarked = is_unmarked.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
+            let is_old_client = request.version() < Version::HTTP_11;
+            let is_unmarked = is_response_unmarked.clone();
+            let response = handler::serve(state.clone(), request);
+            async move {
+                let response = response.await?;
+                is_unmarked.set(is_old_client || response.version() < Version::HTTP_11);
+                Ok::<_, Infallible>(response)
+            }
+        });
         // The library counts the idle time between requests as time to read the next head, so the
         // idle timeout applies to both.
-        let connection = http1::Builder::new()
+        let mut connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(limits.idle_timeout)
             .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
             .serve_connection(TokioIo::new(stream), service);
-        let mut connection = std::pin::pin!(connection);
         let mut closing = self.closing.subscribe();
-        tokio::select! {
-            // Errors here are caused by the client, which disconnected or sent an invalid request.
-            _ = connection.as_mut() => (),
+        let result = tokio::select! {
+            result = &mut connection => result,
             _ = closing.wait_for(|closing| *closing) => {
-                connection.as_mut().graceful_shutdown();
-                let _ = connection.await;
+                Pin::new(&mut connection).graceful_shutdown();
+                (&mut connection).await
             }
+        };
+        // An error is caused by the client, which disconnected or sent an invalid request, or by a
+        // response that was broken off.
+        if result.is_err() && is_unmarked.get() {
+            reset(connection.into_parts().io.into_inner()).await;
         }
         self.connections.set(self.connections.get() - 1);
         self.connection_closed.notify_one();
@@ -106,3 +128,13 @@
         }
     }
 }
+
+/// Resets a connection, so that the client does not take its end for the end of a response.
+async fn reset(stream: TcpStream) {
+    /// Time in which the bytes that were sent reach the client.
+    const FLUSH_TIME: Duration = Duration::from_millis(50);
+    sleep(FLUSH_TIME).await;
+    if let Err(error) = SockRef::from(&stream).set_linger(Some(Duration::ZERO)) {
+        report::warn("reset_failed", &[("error", &error)]);
+    }
+}
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -1,9 +1,13 @@
 //! Body of a server's response, and how it ended.
 
-use bytes::Bytes;
+use std::fmt;
+
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
 use http_body_util::BodyExt;
 use hyper::{
-    HeaderMap,
     body::{
         Body as _,
         Incoming, //
@@ -26,6 +30,23 @@
 }
 
 impl Framing {
+    /// Returns how the end of a response's body is recognized.
+    fn of(response: &Response) -> Self {
+        let codings = response.headers().get_all(TRANSFER_ENCODING).iter();
+        let last = codings.filter_map(|value| value.to_str().ok()).next_back();
+        let is_chunked = last.is_some_and(|codings| {
+            let last = codings.rsplit(',').next().unwrap_or_default();
+            last.trim().eq_ignore_ascii_case("chunked")
+        });
+        if is_chunked {
+            Self::Chunks
+        } else if response.body().size_hint().exact().is_some() {
+            Self::Length
+        } else {
+            Self::Connection
+        }
+    }
+
     /// Returns the name of the framing in log lines.
     pub(crate) const fn as_str(self) -> &'static str {
         match self {
@@ -45,6 +66,24 @@
     End,
 }
 
+/// Why a body could not be read.
+#[derive(Debug)]
+pub(crate) enum ReadError {
+    /// The connection broke, or ended before the end that the framing states.
+    Broken(hyper::Error),
+    /// The body is longer than allowed.
+    TooLong,
+}
+
+impl fmt::Display for ReadError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Broken(error) => write!(f, "the body broke off: {error}"),
+            Self::TooLong => f.write_str("the body is too long"),
+        }
+    }
+}
+
 /// Body of a server's response.
 #[derive(Debug)]
 pub(crate) struct Body {
@@ -55,10 +94,9 @@
 impl Body {
     /// Returns the body of a response.
     pub(crate) fn new(response: Response) -> Self {
-        let (head, incoming) = response.into_parts();
         Self {
-            framing: framing(&head.headers, &incoming),
-            incoming,
+            framing: Framing::of(&response),
+            incoming: response.into_body(),
         }
     }
 
@@ -78,20 +116,21 @@
             None => Ok(Piece::End),
         }
     }
-}
 
-fn framing(headers: &HeaderMap, incoming: &Incoming) -> Framing {
-    let codings = headers.get_all(TRANSFER_ENCODING).iter();
-    let last = codings.filter_map(|value| value.to_str().ok()).next_back();
-    let is_chunked = last.is_some_and(|codings| {
-        let last = codings.rsplit(',').next().unwrap_or_default();
-        last.trim().eq_ignore_ascii_case("chunked")
-    });
-    if is_chunked {
-        Framing::Chunks
-    } else if incoming.size_hint().exact().is_some() {
-        Framing::Length
-    } else {
-        Framing::Connection
+    /// Reads the rest of the body, which may have at most `max_bytes`. A body that ends with its
+    /// connection may have been broken off.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body breaks off or is longer.
+    pub(crate) async fn read(mut self, max_bytes: usize) -> Result<Bytes, ReadError> {
+        let mut bytes = BytesMut::new();
+        while let Piece::Data(data) = self.next().await.map_err(ReadError::Broken)? {
+            if bytes.len() + data.len() > max_bytes {
+                return Err(ReadError::TooLong);
+            }
+            bytes.extend_from_slice(&data);
+        }
+        Ok(bytes.freeze())
     }
 }
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -59,6 +59,12 @@
         }
     }
 
+    /// Returns whether an idle connection is open.
+    pub(crate) fn has_open(&self) -> bool {
+        let idle = self.idle.borrow();
+        idle.iter().any(|(channel, _)| !channel.is_closed())
+    }
+
     /// Closes all idle connections.
     pub(crate) fn clear(&self) {
         self.idle.borrow_mut().clear();
--- a/tests/hosted/delivery.rs
+++ b/tests/hosted/delivery.rs
@@ -99,8 +99,11 @@
 
 /// Sends a request on a connection of its own and reads until the connection ends.
 fn exchange(system: &Deployment, request: &Request<'_>) -> Received {
+    exchange_text(system, &request.text())
+}
+
+fn exchange_text(system: &Deployment, text: &str) -> Received {
     let mut stream = TcpStream::connect(system.caller_addr).expect("the gateway accepts");
-    let text = request.text();
     stream
         .write_all(text.as_bytes())
         .expect("the request is sent");
@@ -201,7 +204,7 @@
                         cut: Some(cut),
                         ending,
                         seed: number,
-                        endless: None,
+                        ..Delivery::default()
                     });
                     let id = format!("cut-{number}");
                     let received = exchange(&system, &kind.request(&id));
@@ -254,3 +257,59 @@
         }
     }
 }
+
+/// Guards against a stream that ends inside an event and reaches its client as whole because its
+/// server has framed it as whole.
+#[test]
+fn a_stream_that_is_framed_as_whole_is_judged_by_its_events() {
+    let system = start();
+    for framing in [Framing::Length, Framing::Chunks] {
+        for kind in [Kind::Stream, Kind::ResumableStream] {
+            for cut in [3, event(0).len() - 1, event(0).len() + 1] {
+                system.site.deliver(&Delivery {
+                    framing,
+                    cut: Some(cut),
+                    hides_cut: true,
+                    ..Delivery::default()
+                });
+                let id = format!("hidden-{framing:?}-{kind:?}-{cut}");
+                let received = exchange(&system, &kind.request(&id));
+                assert_eq!(
+                    received.claim,
+                    Claim::Broken,
+                    "{kind:?} at {cut}: {received:?}"
+                );
+            }
+        }
+    }
+}
+
+/// Guards against an answer that ends with the process of its server and reaches its client as one
+/// that ended in order.
+#[test]
+fn an_answer_that_ends_with_its_server_is_broken() {
+    for kind in [Kind::Idempotent, Kind::NonIdempotent, Kind::Stream] {
+        let system = start();
+        system.site.deliver(&Delivery {
+            framing: Framing::Connection,
+            cut: Some(event(0).len()),
+            ending: Ending::Crash,
+            ..Delivery::default()
+        });
+        let received = exchange(&system, &kind.request("crash"));
+        assert_eq!(received.claim, Claim::Broken, "{kind:?}: {received:?}");
+    }
+}
+
+/// Guards against a broken answer that looks complete to a client of HTTP/1.0, which knows no chunks.
+#[test]
+fn a_broken_answer_resets_the_connection_of_an_old_client() {
+    let system = start();
+    system.site.deliver(&Delivery {
+        cut: Some(event(0).len()),
+        ..Delivery::default()
+    });
+    let text = Kind::Stream.request("old").text();
+    let received = exchange_text(&system, &text.replace("HTTP/1.1", "HTTP/1.0"));
+    assert_eq!(received.claim, Claim::Broken, "{received:?}");
+}
