gateway, http: bound bytes of servers that lead to no answer

Cause: the HTTP library bounds some of these in length and none in time, and only a missing byte counted as a stall. A body of unstated length ends after 8 MiB, an event after 256 KiB or 5 s; such a response is broken, the server is recorded as failed, and a stream goes on elsewhere where it may. A read of the store must bring 16 KiB/s after its first second. Ports for metrics and health take 16 KiB and 20 s for a request. The entry forwards an event of more than 256 KiB in parts and no longer resumes after one. Hubs and gateways needed nothing: messages are at most 256 KiB and have a timeout each.

--- a/src/emulator/http.rs
+++ b/src/emulator/http.rs
@@ -82,12 +82,14 @@
 }
 
 impl Call {
-    /// Creates a call that no fault affects and whose caller stays connected.
-    pub(super) fn new(method: Method, path: String, headers: HeaderMap, body: Bytes) -> Self {
+    /// Creates a call that no fault affects and whose caller stays connected. `target` is the path,
+    /// possibly with a query.
+    pub(super) fn new(method: Method, target: &str, headers: HeaderMap, body: Bytes) -> Self {
+        let (path, query) = target.split_once('?').unwrap_or((target, ""));
         Self {
             method,
-            path,
-            query: BTreeMap::new(),
+            path: path.to_owned(),
+            query: parse_query(query),
             headers,
             body,
             injection: Injection::default(),
--- a/src/emulator/raw.rs
+++ b/src/emulator/raw.rs
@@ -329,7 +329,7 @@
     let mut lines = head.lines();
     let mut request_line = lines.next().unwrap_or_default().split(' ');
     let method = request_line.next().unwrap_or_default().parse();
-    let path = request_line.next().unwrap_or_default().to_owned();
+    let target = request_line.next().unwrap_or_default();
     let mut headers = HeaderMap::new();
     for (name, value) in lines.filter_map(|line| line.split_once(':')) {
         if let (Ok(name), Ok(value)) = (
@@ -351,7 +351,7 @@
     let body = received.split_to(length).freeze();
     Ok(Some(Call::new(
         method.unwrap_or(Method::GET),
-        path,
+        target,
         headers,
         body,
     )))
--- a/src/emulator/site/mod.rs
+++ b/src/emulator/site/mod.rs
@@ -106,7 +106,8 @@
     store_addr: SocketAddr,
     engines: Vec<Endpoint<Arc<engine::Engine>>>,
     services: Vec<Endpoint<Arc<service::Service>>>,
-    /// Server that delivers the responses of all servers as a test asks; engines come first.
+    /// Servers that deliver responses as a test asks: of the engines, of the plain service and of
+    /// the store.
     raw: Vec<Arc<raw::Server>>,
     records: Arc<Mutex<Records>>,
 }
@@ -208,8 +209,8 @@
         Ok(())
     }
 
-    /// Gives each server a second address, at which its responses are delivered as
-    /// [`Self::deliver`] says, and writes it into the servers' descriptions.
+    /// Gives each server and the store a second address, at which responses are delivered as
+    /// [`Self::deliver`] says. Writes the servers' into their descriptions.
     ///
     /// # Errors
     ///
@@ -227,6 +228,9 @@
             let address = self.start_raw_server(self.services[index].addr, handler)?;
             self.publish_service_at(index, address);
         }
+        let store = self.store.clone();
+        let handler = move |call| store::handle(store.clone(), call);
+        self.store_addr = self.start_raw_server(self.store_addr, handler)?;
         Ok(())
     }
 
@@ -245,13 +249,19 @@
         Ok(address)
     }
 
-    /// Sets how all servers deliver their responses at the addresses of [`Self::start_raw`].
+    /// Sets how all servers, but not the store, deliver their responses at the addresses of
+    /// [`Self::start_raw`].
     pub fn deliver(&self, delivery: &Delivery) {
-        for server in &self.raw {
+        for server in &self.raw[..self.engines.len() + self.services.len()] {
             server.deliver(delivery.clone());
         }
     }
 
+    /// Sets how the store delivers its responses there.
+    pub fn deliver_store(&self, delivery: Delivery) {
+        self.raw[self.engines.len() + self.services.len()].deliver(delivery);
+    }
+
     /// Sets how one server delivers its responses there; engines are counted first.
     pub fn deliver_at(&self, index: usize, delivery: Delivery) {
         self.raw[index].deliver(delivery);
--- a/src/entry/responder.rs
+++ b/src/entry/responder.rs
@@ -40,6 +40,8 @@
     head: Option<oneshot::Sender<Response<Body>>>,
     parts: Option<mpsc::Sender<Part>>,
     splitter: Option<Splitter>,
+    /// Whether part of an event has been sent, after which the stream can't be resumed.
+    has_split: bool,
     pieces: u64,
 }
 
@@ -52,6 +54,7 @@
             head: Some(head),
             parts: None,
             splitter: None,
+            has_split: false,
             pieces: 0,
         };
         (responder, response)
@@ -67,9 +70,11 @@
         self.pieces
     }
 
-    /// Returns the number of whole events that have been sent, if the response is an event stream.
+    /// Returns the number of whole events that have been sent, if the response is an event stream of
+    /// which only whole events have been sent.
     pub(super) fn events(&self) -> Option<u64> {
-        self.splitter.as_ref().map(Splitter::events)
+        let splitter = self.splitter.as_ref().filter(|_| !self.has_split);
+        splitter.map(Splitter::events)
     }
 
     /// Returns whether the event that ends a complete event stream has been sent.
@@ -116,7 +121,12 @@
     /// buffered.
     pub(super) async fn send_piece(&mut self, bytes: Bytes) -> Result<(), Disconnected> {
         let bytes = match &mut self.splitter {
-            Some(splitter) => splitter.push(&bytes),
+            Some(splitter) => {
+                let events = splitter.push(&bytes);
+                let part = overlong_part(splitter);
+                self.has_split |= !part.is_empty();
+                Bytes::from([events, part].concat())
+            }
             None => bytes,
         };
         if bytes.is_empty() {
@@ -157,3 +167,12 @@
         parts.send(part).await.map_err(|_| Disconnected)
     }
 }
+
+/// Takes the bytes of an event that is too long to be buffered.
+fn overlong_part(splitter: &mut Splitter) -> Bytes {
+    if splitter.is_overlong() {
+        splitter.rest()
+    } else {
+        Bytes::new()
+    }
+}
--- a/src/entry/sse.rs
+++ b/src/entry/sse.rs
@@ -8,8 +8,8 @@
 /// First bytes of the event that ends a complete stream.
 const DONE: &[u8] = b"data: [DONE]";
 
-/// Maximum number of bytes buffered of an incomplete event. A longer event is forwarded in parts.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Maximum size of an event in bytes. A longer one does not end, as far as can be told.
+pub const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// Position in a stream of events.
 ///
@@ -22,6 +22,8 @@
     has_fields: bool,
     /// Whether the last byte is a CR, so that an LF after it belongs to the same end of line.
     after_cr: bool,
+    /// Number of bytes since the last event ended.
+    event_bytes: usize,
 }
 
 /// Part of a line that has been read.
@@ -62,6 +64,16 @@
         self.has_fields || self.line != Line::Empty
     }
 
+    /// Returns whether the current event exceeds [`MAX_EVENT_BYTES`].
+    pub fn is_overlong(&self) -> bool {
+        self.event_bytes > MAX_EVENT_BYTES
+    }
+
+    /// Returns the number of bytes since the last event ended.
+    pub fn event_bytes(&self) -> usize {
+        self.event_bytes
+    }
+
     /// Moves past bytes of the stream.
     pub fn advance(&mut self, bytes: &[u8]) {
         for byte in bytes {
@@ -70,6 +82,7 @@
     }
 
     fn step(&mut self, byte: u8) -> Step {
+        self.event_bytes += 1;
         let joins = byte == b'\n' && self.after_cr;
         self.after_cr = byte == b'\r';
         if joins {
@@ -98,6 +111,7 @@
             }
             Line::Empty if self.has_fields => {
                 self.has_fields = false;
+                self.event_bytes = 0;
                 Step::Ends
             }
             Line::Empty => Step::Within,
@@ -130,6 +144,17 @@
         self.position.is_inside_event()
     }
 
+    /// Returns whether the current event exceeds [`MAX_EVENT_BYTES`]. Its bytes are kept until
+    /// [`Self::rest`] or [`Self::restart`] is called.
+    pub fn is_overlong(&self) -> bool {
+        self.position.is_overlong()
+    }
+
+    /// Returns the number of bytes since the last event ended.
+    pub fn event_bytes(&self) -> usize {
+        self.position.event_bytes()
+    }
+
     /// Appends bytes and returns the whole events that are now complete, possibly none.
     ///
     /// # Examples
@@ -157,9 +182,6 @@
                 Step::Joins | Step::Within => (),
             }
         }
-        if self.pending.len() - whole > MAX_EVENT_BYTES {
-            whole = self.pending.len();
-        }
         self.pending.split_to(whole).freeze()
     }
 
@@ -169,7 +191,7 @@
         self.position = Position::default();
     }
 
-    /// Returns the remaining bytes of a stream that ended within an event.
+    /// Returns the bytes after the last whole event.
     pub fn rest(&mut self) -> Bytes {
         self.pending.split().freeze()
     }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -41,7 +41,6 @@
     deployment::Kind,
     dispatch::Outcome,
     http::{
-        Body,
         Channel,
         Error,
         Framing, //
@@ -165,8 +164,8 @@
         in_flight,
         server,
         channel,
-        headers: response.headers().clone(),
-        body: Body::new(response),
+        framing: response.body().framing(response.headers()),
+        response,
         response_head,
     };
     check(state, job, backend, progress, exchange).await
@@ -316,10 +315,10 @@
     const DRAIN_TIMEOUT: Duration = Duration::from_millis(50);
     /// Maximum size of the body in bytes; a new connection costs less than reading more.
     const MAX_DRAIN_BYTES: usize = 64 << 10;
-    let framing = exchange.body.framing();
-    if let Ok(Ok(_)) = timeout(DRAIN_TIMEOUT, exchange.body.read(MAX_DRAIN_BYTES)).await {
-        let backend = &exchange.in_flight.backend;
-        return_connection(backend, exchange.channel, &exchange.response_head, framing);
+    let body = exchange.response.into_body();
+    if let Ok(Ok(_)) = timeout(DRAIN_TIMEOUT, body.read(MAX_DRAIN_BYTES)).await {
+        let (backend, channel) = (&exchange.in_flight.backend, exchange.channel);
+        return_connection(backend, channel, &exchange.response_head, exchange.framing);
     }
 }
 
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -112,6 +112,24 @@
         }
     }
 
+    /// Returns whether the current event is longer than any event may be.
+    pub fn is_overlong(&self) -> bool {
+        match &self.form {
+            Form::Resumable(splitter) => splitter.is_overlong(),
+            Form::Direct { position, .. } => position.is_overlong(),
+            Form::Plain => false,
+        }
+    }
+
+    /// Returns the number of bytes since the last event ended.
+    pub fn event_bytes(&self) -> usize {
+        match &self.form {
+            Form::Resumable(splitter) => splitter.event_bytes(),
+            Form::Direct { position, .. } => position.event_bytes(),
+            Form::Plain => 0,
+        }
+    }
+
     /// Takes bytes of the response and returns the bytes to pass on.
     pub fn push(&mut self, data: Bytes) -> Bytes {
         let whole = match &mut self.form {
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -151,8 +151,7 @@
     let exchange = forward::send(state, &job, &mut progress, last_event).await;
     let exchange = exchange.map_err(|failure| (id, failure))?;
     origins::record(state, &job, &mut progress, &exchange);
-    let status = StatusCode::from_u16(exchange.response_head.status);
-    let status = status.unwrap_or(StatusCode::BAD_GATEWAY);
+    let status = exchange.response.status();
     log_response(&job, &exchange, started);
     state.metrics.count("request", status.as_str());
     let kind = if job.route.kind.is_stream() {
@@ -164,12 +163,12 @@
         .metrics
         .observe_first_piece(kind, Time::now() - started);
     let events = events(&job, &exchange);
-    let mut headers = header::forwarded(&exchange.headers);
+    let mut headers = header::forwarded(exchange.response.headers());
     if events.is_stream() {
         // A stream that stops inside an event must not fill the length that was stated before.
         headers.remove(CONTENT_LENGTH);
     }
-    let framing = exchange.body.framing();
+    let framing = exchange.framing;
     let (chunks, receiver) = mpsc::channel(MAX_BUFFERED_CHUNKS);
     let relayed = relay::run(state.clone(), job, progress, exchange, events, chunks);
     tokio::task::spawn_local(async move {
@@ -181,10 +180,10 @@
 
 /// Returns the state before the first byte of a response.
 fn events(job: &Job, exchange: &Exchange) -> Events {
-    let content_type = exchange.headers.get(CONTENT_TYPE);
+    let content_type = exchange.response.headers().get(CONTENT_TYPE);
     let is_event_stream =
         content_type.is_none_or(|value| value.as_bytes().starts_with(EVENT_STREAM));
-    let is_success = exchange.response_head.status == StatusCode::OK;
+    let is_success = exchange.response.status() == StatusCode::OK;
     match job.route.kind {
         Kind::ResumableStream if is_success && is_event_stream => {
             Events::new(true, job.head.last_event.clone())
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -32,8 +32,9 @@
         Ending, //
     },
     http::{
-        Body,
-        Channel, //
+        Channel,
+        Framing,
+        Response, //
     },
     link,
     timer::Time,
@@ -71,8 +72,10 @@
     /// Description of the server when the request was sent.
     pub(super) server: Rc<Server>,
     pub(super) channel: Channel,
-    pub(super) headers: HeaderMap,
-    pub(super) body: Body,
+    /// The response as its server sent it.
+    pub(super) response: Response,
+    /// How the end of its body is marked.
+    pub(super) framing: Framing,
     pub(super) response_head: ResponseHead,
 }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -43,6 +43,10 @@
 /// Interval at which a stream of an unresponsive server is checked for another server to go on.
 const MOVE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Maximum time from an event's first byte to a later one of the same event. Servers write an event
+/// at once.
+const MAX_EVENT_TIME: Duration = Duration::from_secs(5);
+
 /// The response could not be completed. The client's connection is closed before the end of the
 /// body, so that the client does not take the response for complete.
 #[derive(Debug)]
@@ -78,9 +82,9 @@
     mut events: Events,
     chunks: Sender<Result<Bytes, Incomplete>>,
 ) {
-    let client_framing = exchange.body.framing();
+    let client_framing = exchange.framing;
     loop {
-        let framing = exchange.body.framing();
+        let framing = exchange.framing;
         let backend = exchange.in_flight.backend.clone();
         let is_movable = || can_move(&state, &job, &progress, &backend);
         let silence = Silence {
@@ -93,7 +97,7 @@
             in_flight: &mut exchange.in_flight,
             chunks: &chunks,
         };
-        let mut end = relay.pass_on(&mut exchange.body, &silence).await;
+        let mut end = relay.pass_on(exchange.response.body_mut(), &silence).await;
         if matches!(end, End::Complete) {
             end = relay.finish(framing, client_framing).await;
         }
@@ -117,7 +121,7 @@
         };
         backend.record_broken(Time::now());
         // The response is incomplete, so the connection can't be used again.
-        drop((exchange.body, exchange.channel, exchange.in_flight));
+        drop((exchange.response, exchange.channel, exchange.in_flight));
         progress.attempts.record_run();
         let may_run = progress.attempts.may_run() && !job.remaining(Time::now()).is_zero();
         let next = match events.resume_point().filter(|_| may_run) {
@@ -209,6 +213,7 @@
 impl Relay<'_> {
     /// Passes bytes on until the server's response ends.
     async fn pass_on(&mut self, body: &mut Body, silence: &Silence<'_>) -> End {
+        let mut event_began = Time::now();
         loop {
             let remaining = self.job.remaining(Time::now());
             let piece = tokio::select! {
@@ -222,14 +227,22 @@
             let data = match piece {
                 Err(_) => return End::TimedOut,
                 Ok(Ok(Piece::Data(data))) => data,
-                Ok(Err(_)) => return End::Lost("connection"),
+                Ok(Err(error)) => return End::Lost(error.as_str()),
                 Ok(Ok(Piece::End)) => return End::Complete,
             };
             self.in_flight.clear_pending_tokens();
+            let received = data.len();
             let data = self.events.push(data);
+            if self.events.event_bytes() <= received {
+                event_began = Time::now();
+            }
             if !data.is_empty() && self.chunks.send(Ok(data)).await.is_err() {
                 return End::Abandoned;
             }
+            let is_late = Time::now() - event_began > MAX_EVENT_TIME;
+            if self.events.is_overlong() || (self.events.is_inside_event() && is_late) {
+                return End::Lost("event_too_long");
+            }
         }
     }
 
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -1,6 +1,9 @@
-//! Body of a server's response, and how it ended.
+//! Body of a server's response, and how its end is marked.
 
-use std::fmt;
+use std::{
+    fmt,
+    rc::Rc, //
+};
 
 use bytes::{
     Bytes,
@@ -8,6 +11,7 @@
 };
 use http_body_util::BodyExt;
 use hyper::{
+    HeaderMap,
     body::{
         Body as _,
         Incoming, //
@@ -15,7 +19,10 @@
     header::TRANSFER_ENCODING,
 };
 
-use super::Response;
+use super::meter::Meter;
+
+/// Maximum size in bytes of a body whose length is not stated.
+const MAX_UNSTATED_BYTES: usize = 8 << 20;
 
 /// How the end of a body is recognized.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,23 +37,6 @@
 }
 
 impl Framing {
-    /// Returns how the end of a response's body is recognized.
-    fn of(response: &Response) -> Self {
-        let codings = response.headers().get_all(TRANSFER_ENCODING).iter();
-        let last = codings.filter_map(|value| value.to_str().ok()).next_back();
-        let is_chunked = last.is_some_and(|codings| {
-            let last = codings.rsplit(',').next().unwrap_or_default();
-            last.trim().eq_ignore_ascii_case("chunked")
-        });
-        if is_chunked {
-            Self::Chunks
-        } else if response.body().size_hint().exact().is_some() {
-            Self::Length
-        } else {
-            Self::Connection
-        }
-    }
-
     /// Returns the name of the framing in log lines.
     pub(crate) const fn as_str(self) -> &'static str {
         match self {
@@ -73,6 +63,19 @@
     Broken(hyper::Error),
     /// The body is longer than allowed.
     TooLong,
+    /// The connection brings bytes that are no part of the body.
+    Endless,
+}
+
+impl ReadError {
+    /// Returns the name of the error in log lines.
+    pub(crate) const fn as_str(&self) -> &'static str {
+        match self {
+            Self::Broken(_) => "connection",
+            Self::TooLong => "too_long",
+            Self::Endless => "endless",
+        }
+    }
 }
 
 impl fmt::Display for ReadError {
@@ -80,6 +83,7 @@
         match self {
             Self::Broken(error) => write!(f, "the body broke off: {error}"),
             Self::TooLong => f.write_str("the body is too long"),
+            Self::Endless => f.write_str("bytes that are no part of the body"),
         }
     }
 }
@@ -88,33 +92,60 @@
 #[derive(Debug)]
 pub(crate) struct Body {
     incoming: Incoming,
-    framing: Framing,
+    meter: Rc<Meter>,
+    /// Number of bytes read so far.
+    length: usize,
 }
 
 impl Body {
-    /// Returns the body of a response.
-    pub(crate) fn new(response: Response) -> Self {
+    pub(super) const fn new(incoming: Incoming, meter: Rc<Meter>) -> Self {
         Self {
-            framing: Framing::of(&response),
-            incoming: response.into_body(),
+            incoming,
+            meter,
+            length: 0,
         }
     }
 
-    /// Returns how the end of the body is recognized.
-    pub(crate) const fn framing(&self) -> Framing {
-        self.framing
+    /// Returns how the end of the body is recognized. `headers` are those of the response.
+    pub(crate) fn framing(&self, headers: &HeaderMap) -> Framing {
+        let codings = headers.get_all(TRANSFER_ENCODING).iter();
+        let last = codings.filter_map(|value| value.to_str().ok()).next_back();
+        let is_chunked = last.is_some_and(|codings| {
+            let last = codings.rsplit(',').next().unwrap_or_default();
+            last.trim().eq_ignore_ascii_case("chunked")
+        });
+        if is_chunked {
+            Framing::Chunks
+        } else if self.incoming.size_hint().exact().is_some() {
+            Framing::Length
+        } else {
+            Framing::Connection
+        }
     }
 
     /// Reads the next piece.
     ///
     /// # Errors
     ///
-    /// Fails if the connection broke, or ended before the end that the framing states.
-    pub(crate) async fn next(&mut self) -> Result<Piece, hyper::Error> {
-        match self.incoming.frame().await.transpose()? {
-            Some(frame) => Ok(Piece::Data(frame.into_data().unwrap_or_default())),
-            None => Ok(Piece::End),
+    /// Fails if the connection broke or ended before the end that the framing states, if it brings
+    /// other bytes for too long, or if a body of unstated length exceeds 8 MiB.
+    pub(crate) async fn next(&mut self) -> Result<Piece, ReadError> {
+        let frame = tokio::select! {
+            biased;
+            frame = self.incoming.frame() => frame,
+            () = self.meter.overdue() => return Err(ReadError::Endless),
+        };
+        let Some(frame) = frame.transpose().map_err(ReadError::Broken)? else {
+            return Ok(Piece::End);
+        };
+        let data = frame.into_data().unwrap_or_default();
+        self.meter.record_used(data.len());
+        self.length += data.len();
+        let is_stated = self.incoming.size_hint().exact().is_some();
+        if !is_stated && self.length > MAX_UNSTATED_BYTES {
+            return Err(ReadError::TooLong);
         }
+        Ok(Piece::Data(data))
     }
 
     /// Reads the rest of the body, which may have at most `max_bytes`. A body that ends with its
@@ -122,10 +153,10 @@
     ///
     /// # Errors
     ///
-    /// Fails if the body breaks off or is longer.
+    /// Fails as [`Self::next`] does, or if the body is longer.
     pub(crate) async fn read(mut self, max_bytes: usize) -> Result<Bytes, ReadError> {
         let mut bytes = BytesMut::new();
-        while let Piece::Data(data) = self.next().await.map_err(ReadError::Broken)? {
+        while let Piece::Data(data) = self.next().await? {
             if bytes.len() + data.len() > max_bytes {
                 return Err(ReadError::TooLong);
             }
--- a/src/http/channel.rs
+++ b/src/http/channel.rs
@@ -4,6 +4,7 @@
     fmt,
     io,
     net::SocketAddr,
+    rc::Rc,
     time::Duration, //
 };
 
@@ -11,7 +12,6 @@
 use http_body_util::Full;
 use hyper::{
     Request,
-    body::Incoming,
     client::conn::http1::{
         self,
         SendRequest, //
@@ -24,8 +24,16 @@
     time::timeout, //
 };
 
+use super::{
+    body::Body,
+    meter::{
+        Meter,
+        Metered, //
+    },
+};
+
 /// Response of a server whose body has not been read yet.
-pub(crate) type Response = hyper::Response<Incoming>;
+pub(crate) type Response = hyper::Response<Body>;
 
 /// Maximum time that sent bytes may stay unacknowledged before the connection is closed.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -44,6 +52,8 @@
     NoResponse(hyper::Error),
     /// The request was sent but timed out; it may have run.
     Timeout,
+    /// The request was sent and got bytes that are no answer; it may have run.
+    Endless,
 }
 
 impl Error {
@@ -60,6 +70,7 @@
             Self::NotSent(error) => write!(f, "the request was not sent: {error}"),
             Self::NoResponse(error) => write!(f, "no answer: {error}"),
             Self::Timeout => f.write_str("no answer in time"),
+            Self::Endless => f.write_str("bytes that are no answer"),
         }
     }
 }
@@ -68,6 +79,7 @@
 #[derive(Debug)]
 pub(crate) struct Channel {
     sender: SendRequest<Full<Bytes>>,
+    meter: Rc<Meter>,
 }
 
 impl Channel {
@@ -86,23 +98,33 @@
         // bytes that are still in transit.
         let linger = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
         linger.map_err(Error::Connect)?;
+        let meter = Rc::new(Meter::default());
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(Metered::new(stream, meter.clone())))
             .await;
         let (sender, connection) = handshake.map_err(Error::NotSent)?;
         tokio::task::spawn_local(async move {
             // The sender gets the error of the connection as the error of its request.
             let _ = connection.await;
         });
-        Ok(Self { sender })
+        Ok(Self { sender, meter })
     }
 
     /// Sends a request and waits for the head of the response.
     pub(crate) async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response, Error> {
         self.sender.ready().await.map_err(Error::NotSent)?;
-        match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+        self.meter.reset();
+        let sent = tokio::select! {
+            biased;
+            sent = self.sender.try_send_request(request) => sent,
+            () = self.meter.overdue() => return Err(Error::Endless),
+        };
+        match sent {
+            Ok(response) => {
+                self.meter.reset();
+                Ok(response.map(|incoming| Body::new(incoming, self.meter.clone())))
+            }
             Err(mut error) => {
                 // The request is returned only if no byte of it was written.
                 if error.take_message().is_some() {
--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -14,7 +14,10 @@
     server::conn::http1,
     service::service_fn, //
 };
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{
+    TokioIo,
+    TokioTimer, //
+};
 use tokio::{
     net::{
         TcpListener,
@@ -28,6 +31,13 @@
 /// Pause before an address is bound again, or after a failed accept.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
+/// Time within which a client of such responses must send its next request, which includes the time
+/// for which its connection may be idle.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Maximum size of the head of such a request in bytes.
+const MAX_REQUEST_BYTES: usize = 16 << 10;
+
 /// Accepts the connections to an address and passes them to `handle`; never returns.
 pub(crate) async fn listen(address: SocketAddr, mut handle: impl FnMut(TcpStream)) {
     loop {
@@ -64,7 +74,11 @@
                 let response = respond();
                 async move { Ok::<_, Infallible>(response) }
             });
-            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(REQUEST_TIMEOUT)
+                .max_buf_size(MAX_REQUEST_BYTES)
+                .serve_connection(TokioIo::new(stream), service);
             // The client notices a broken connection; nothing else depends on it.
             let _ = connection.await;
         });
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -4,12 +4,14 @@
 mod body;
 mod channel;
 mod listener;
+mod meter;
 mod pool;
 
 pub(crate) use body::{
     Body,
     Framing,
-    Piece, //
+    Piece,
+    ReadError, //
 };
 pub(crate) use channel::{
     Channel,
--- a/src/loader/engine.rs
+++ b/src/loader/engine.rs
@@ -7,11 +7,7 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{
-    BodyExt,
-    Full,
-    Limited, //
-};
+use http_body_util::Full;
 use hyper::Request;
 use tokio::time::timeout;
 
@@ -28,7 +24,8 @@
     },
     http::{
         Channel,
-        Pool, //
+        Pool,
+        ReadError, //
     },
     platform::{
         engine,
@@ -126,8 +123,8 @@
             None => (),
         }
         self.record_limit(header::request_limit(response.headers()));
-        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
-        let body = body.collect().await.ok()?.to_bytes();
+        let body = response.into_body().read(MAX_RESPONSE_BYTES).await;
+        let body = body.inspect_err(log_error).ok()?;
         self.pool.put(channel, IDLE_TIMEOUT);
         Some(Answer {
             status,
@@ -154,3 +151,7 @@
         }
     }
 }
+
+fn log_error(error: &ReadError) {
+    report::warn("engine_answer_broken", &[("error", error)]);
+}
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -14,16 +14,11 @@
     Bytes,
     BytesMut, //
 };
-use http_body_util::{
-    BodyExt,
-    Full,
-    Limited, //
-};
+use http_body_util::Full;
 use hyper::{
     HeaderMap,
     Request,
     StatusCode,
-    body::Incoming,
     header::HeaderName, //
 };
 use serde::Deserialize;
@@ -38,8 +33,13 @@
         Configuration,
         Server, //
     },
-    http::Pool,
+    http::{
+        Body,
+        Piece,
+        Pool, //
+    },
     report,
+    timer::Time,
     watch::{
         Change,
         Error,
@@ -69,6 +69,10 @@
 /// busy link, so a transfer is ended only if it makes no progress.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Minimum rate of a transfer after that time. A store in trouble may send single bytes without end,
+/// while newer configurations wait.
+const MIN_BYTES_PER_S: f64 = 16_384.0;
+
 /// Maximum time for which an idle connection to the store is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -268,16 +272,24 @@
         .unwrap_or_default()
 }
 
-/// Reads a body; fails if it makes no progress for [`STALL_TIMEOUT`].
-async fn read(body: Incoming) -> Result<Bytes, Error> {
-    let mut body = Limited::new(body, MAX_RESPONSE_BYTES);
+/// Reads a body; fails if it makes no progress for [`STALL_TIMEOUT`], or less than
+/// [`MIN_BYTES_PER_S`] after that time.
+async fn read(mut body: Body) -> Result<Bytes, Error> {
     let mut bytes = BytesMut::new();
+    let started = Time::now();
     loop {
-        let frame = timeout(STALL_TIMEOUT, body.frame()).await;
-        match frame.map_err(|_| Error::Timeout)? {
-            None => return Ok(bytes.freeze()),
-            Some(Ok(frame)) => bytes.extend_from_slice(&frame.into_data().unwrap_or_default()),
-            Some(Err(error)) => return Err(Error::Unreachable(error.to_string())),
+        let piece = timeout(STALL_TIMEOUT, body.next()).await;
+        match piece.map_err(|_| Error::Timeout)? {
+            Ok(Piece::End) => return Ok(bytes.freeze()),
+            Ok(Piece::Data(data)) => bytes.extend_from_slice(&data),
+            Err(error) => return Err(Error::Unreachable(error.to_string())),
+        }
+        if bytes.len() > MAX_RESPONSE_BYTES {
+            return Err(Error::Malformed("the answer is too long".to_owned()));
+        }
+        let late = (Time::now() - started).saturating_sub(STALL_TIMEOUT);
+        if (bytes.len() as f64) < MIN_BYTES_PER_S * late.as_secs_f64() {
+            return Err(Error::Timeout);
         }
     }
 }
--- a/tests/hosted/main.rs
+++ b/tests/hosted/main.rs
@@ -3,6 +3,7 @@
 mod announcement;
 mod delivery;
 mod deployment;
+mod endless;
 mod machine;
 #[path = "../site_support/mod.rs"]
 mod site_support;
--- a/tests/site_support/mod.rs
+++ b/tests/site_support/mod.rs
@@ -69,11 +69,16 @@
 
     /// Sends the signal with this name, such as `TERM`.
     pub(crate) fn signal(&self, name: &str) {
-        let id = self.0.id().to_string();
+        let id = self.id().to_string();
         let status = Command::new("kill").args(["-s", name, &id]).status();
         assert!(status.expect("kill runs").success());
     }
 
+    /// Returns the id of the process.
+    pub(crate) fn id(&self) -> u32 {
+        self.0.id()
+    }
+
     /// Returns whether the process exited successfully, or `None` while it runs.
     pub(crate) fn ended(&mut self) -> Option<bool> {
         let status = self.0.try_wait().expect("the state of the daemon is known");
