gateway: reset answers without a marked end where the process is killed

Callers would see: an answer that ends with its connection, cut in order in the middle because the gateway that passes it on is killed: the system closes the sockets of a killed process in order. Cause: the gateway reset such a connection only where it ended it itself. Change: http::Socket shares a connection with the HTTP library, so that closing it resets it from the head of such a response until its end in order. Emulated faults affect the raw servers too.

--- a/src/emulator/http.rs
+++ b/src/emulator/http.rs
@@ -98,6 +98,17 @@
         }
     }
 
+    /// Adds the faults that affect the call.
+    pub(super) fn with_faults(self, faults: &Faults) -> Self {
+        // Subscribed before the faults are read, so that clearing them in between is not missed.
+        let cleared = faults.subscribe_clear();
+        Self {
+            injection: faults.inject(self.method.as_str(), &self.path),
+            cleared,
+            ..self
+        }
+    }
+
     /// Returns the segments of the path.
     pub(super) fn segments(&self) -> Vec<&str> {
         self.path.trim_start_matches('/').split('/').collect()
@@ -334,7 +345,7 @@
 }
 
 /// Executes a call with its faults; `None` means to close the connection without a response.
-async fn execute<H, F>(call: Call, handler: H) -> Option<Response>
+pub(super) async fn execute<H, F>(call: Call, handler: H) -> Option<Response>
 where
     H: Fn(Call) -> F,
     F: Future<Output = Response>,
--- a/src/emulator/raw.rs
+++ b/src/emulator/raw.rs
@@ -40,11 +40,15 @@
     time::sleep,
 };
 
-use super::http::{
-    Call,
-    Chunk,
-    Content,
-    Response, //
+use super::{
+    fault::Faults,
+    http::{
+        self,
+        Call,
+        Chunk,
+        Content,
+        Response, //
+    },
 };
 
 /// How the end of a response's body is marked.
@@ -136,8 +140,12 @@
     }
 
     /// Serves the connections of a listener until a response crashes the server.
-    pub(super) fn start<H, F>(self: &Arc<Self>, listener: TcpListener, handler: H)
-    where
+    pub(super) fn start<H, F>(
+        self: &Arc<Self>,
+        listener: TcpListener,
+        faults: Arc<Faults>,
+        handler: H,
+    ) where
         H: Fn(Call) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response> + Send + 'static,
     {
@@ -146,11 +154,12 @@
             // A failed accept ends the server, and the test sees refused connections.
             while let Ok((stream, _)) = listener.accept().await {
                 let (server, handler) = (server.clone(), handler.clone());
+                let faults = faults.clone();
                 let mut has_crashed = server.has_crashed.subscribe();
                 tokio::spawn(async move {
                     tokio::select! {
                         // An error means that the caller closed the connection.
-                        _ = server.serve(stream, handler) => (),
+                        _ = server.serve(stream, &faults, handler) => (),
                         _ = has_crashed.wait_for(|has_crashed| *has_crashed) => (),
                     }
                 });
@@ -159,15 +168,23 @@
         *lock(&self.accepting) = Some(accepting);
     }
 
-    async fn serve<H, F>(&self, mut stream: TcpStream, handler: H) -> io::Result<()>
+    async fn serve<H, F>(
+        &self,
+        mut stream: TcpStream,
+        faults: &Faults,
+        handler: H,
+    ) -> io::Result<()>
     where
-        H: Fn(Call) -> F,
+        H: Fn(Call) -> F + Clone,
         F: Future<Output = Response>,
     {
         stream.set_nodelay(true)?;
         let mut received = BytesMut::new();
         while let Some(call) = read_call(&mut stream, &mut received).await? {
-            let response = handler(call).await;
+            let call = call.with_faults(faults);
+            let Some(response) = http::execute(call, handler.clone()).await else {
+                return Ok(());
+            };
             let delivery = lock(&self.delivery).clone();
             if !self.write(&mut stream, response, &delivery).await? {
                 return self.end(stream, delivery.ending).await;
--- a/src/emulator/site/mod.rs
+++ b/src/emulator/site/mod.rs
@@ -131,6 +131,11 @@
             public_addr: addr,
         }
     }
+
+    /// Returns the address and the faults that the server has at each of its ports.
+    fn listens_with(&self) -> (SocketAddr, Arc<Faults>) {
+        (self.addr, self.faults.clone())
+    }
 }
 
 /// Name of the service of the model engines.
@@ -219,22 +224,30 @@
         for index in 0..self.engines.len() {
             let engine = self.engines[index].server.clone();
             let handler = move |call| engine::handle(engine.clone(), call);
-            let address = self.start_raw_server(self.engines[index].addr, handler)?;
+            let (beside, faults) = self.engines[index].listens_with();
+            let address = self.start_raw_server(beside, faults, handler)?;
             self.publish_engine_at(index, address);
         }
         for index in 0..self.services.len() {
             let service = self.services[index].server.clone();
             let handler = move |call| service::handle(service.clone(), call);
-            let address = self.start_raw_server(self.services[index].addr, handler)?;
+            let (beside, faults) = self.services[index].listens_with();
+            let address = self.start_raw_server(beside, faults, handler)?;
             self.publish_service_at(index, address);
         }
         let store = self.store.clone();
         let handler = move |call| store::handle(store.clone(), call);
-        self.store_addr = self.start_raw_server(self.store_addr, handler)?;
+        let faults = self.store_faults.clone();
+        self.store_addr = self.start_raw_server(self.store_addr, faults, handler)?;
         Ok(())
     }
 
-    fn start_raw_server<H, F>(&mut self, beside: SocketAddr, handler: H) -> io::Result<SocketAddr>
+    fn start_raw_server<H, F>(
+        &mut self,
+        beside: SocketAddr,
+        faults: Arc<Faults>,
+        handler: H,
+    ) -> io::Result<SocketAddr>
     where
         H: Fn(http::Call) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = http::Response> + Send + 'static,
@@ -244,7 +257,8 @@
         listener.set_nonblocking(true)?;
         let _guard = self._runtime.enter();
         let server = Arc::new(raw::Server::default());
-        server.start(tokio::net::TcpListener::from_std(listener)?, handler);
+        let listener = tokio::net::TcpListener::from_std(listener)?;
+        server.start(listener, faults, handler);
         self.raw.push(server);
         Ok(address)
     }
@@ -262,6 +276,11 @@
         self.raw[self.engines.len() + self.services.len()].deliver(delivery);
     }
 
+    /// Returns the address of [`Self::start_raw`] of an engine.
+    pub fn raw_engine_addr(&self, index: usize) -> SocketAddr {
+        self.engines[index].public_addr
+    }
+
     /// Sets how one server delivers its responses there; engines are counted first.
     pub fn deliver_at(&self, index: usize, delivery: Delivery) {
         self.raw[index].deliver(delivery);
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -19,7 +19,6 @@
     TokioIo,
     TokioTimer, //
 };
-use socket2::SockRef;
 use tokio::{
     net::TcpStream,
     sync::{
@@ -37,13 +36,19 @@
     state::State, //
 };
 use crate::{
-    http,
-    report, //
+    http::{
+        self,
+        Socket, //
+    },
+    report,
 };
 
 /// Minimum size in bytes of a connection's read buffer that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
+/// Time in which the bytes that were sent reach the client before a connection is reset.
+const FLUSH_TIME: Duration = Duration::from_millis(50);
+
 /// The port for clients.
 #[derive(Debug)]
 pub(super) struct Server {
@@ -79,15 +84,18 @@
         self.connections.set(self.connections.get() + 1);
         let limits = self.state.follower.configuration().limits;
         let state = self.state.clone();
-        let is_unmarked = Rc::new(Cell::new(false));
-        let is_response_unmarked = is_unmarked.clone();
+        let socket = Socket::new(stream);
+        let response_socket = socket.clone();
         let service = service_fn(move |request: Request<Incoming>| {
             let is_old_client = request.version() < Version::HTTP_11;
-            let is_unmarked = is_response_unmarked.clone();
+            let socket = response_socket.clone();
             let response = handler::serve(state.clone(), request);
             async move {
                 let response = response.await?;
-                is_unmarked.set(is_old_client || response.version() < Version::HTTP_11);
+                // The client takes the end of the connection for the end of such a response, so
+                // until then it must not end in order, even if this process is killed.
+                let is_unmarked = is_old_client || response.version() < Version::HTTP_11;
+                socket.set_reset_on_close(is_unmarked);
                 Ok::<_, Infallible>(response)
             }
         });
@@ -97,7 +105,7 @@
             .timer(TokioTimer::new())
             .header_read_timeout(limits.idle_timeout)
             .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(TokioIo::new(socket.clone()), service);
         let mut closing = self.closing.subscribe();
         let result = tokio::select! {
             result = &mut connection => result,
@@ -106,10 +114,11 @@
                 (&mut connection).await
             }
         };
-        // An error is caused by the client, which disconnected or sent an invalid request, or by a
-        // response that was broken off.
-        if result.is_err() && is_unmarked.get() {
-            reset(connection.into_parts().io.into_inner()).await;
+        match result {
+            Ok(()) => socket.set_reset_on_close(false),
+            // The client disconnected or sent an invalid request, or a response was broken off.
+            Err(_) if socket.resets_on_close() => sleep(FLUSH_TIME).await,
+            Err(_) => (),
         }
         self.connections.set(self.connections.get() - 1);
         self.connection_closed.notify_one();
@@ -128,13 +137,3 @@
         }
     }
 }
-
-/// Resets a connection, so that the client does not take its end for the end of a response.
-async fn reset(stream: TcpStream) {
-    /// Time in which the bytes that were sent reach the client.
-    const FLUSH_TIME: Duration = Duration::from_millis(50);
-    sleep(FLUSH_TIME).await;
-    if let Err(error) = SockRef::from(&stream).set_linger(Some(Duration::ZERO)) {
-        report::warn("reset_failed", &[("error", &error)]);
-    }
-}
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -6,6 +6,7 @@
 mod listener;
 mod meter;
 mod pool;
+mod socket;
 
 pub(crate) use body::{
     Body,
@@ -24,3 +25,4 @@
     serve,
 };
 pub(crate) use pool::Pool;
+pub(crate) use socket::Socket;
--- /dev/null
+++ b/src/http/socket.rs
@@ -0,0 +1,106 @@
+//! A connection whose socket options can be set while the HTTP library uses it.
+
+use std::{
+    io,
+    pin::Pin,
+    rc::Rc,
+    task::{
+        Context,
+        Poll,
+        ready, //
+    },
+    time::Duration,
+};
+
+use socket2::SockRef;
+use tokio::{
+    io::{
+        AsyncRead,
+        AsyncWrite,
+        ReadBuf, //
+    },
+    net::TcpStream,
+};
+
+use crate::report;
+
+/// A connection that can be shared.
+#[derive(Debug, Clone)]
+pub(crate) struct Socket(Rc<TcpStream>);
+
+impl Socket {
+    pub(crate) fn new(stream: TcpStream) -> Self {
+        Self(Rc::new(stream))
+    }
+
+    /// Sets whether closing the connection resets it, also if this process is killed. A reset
+    /// discards the bytes that have not been sent.
+    pub(crate) fn set_reset_on_close(&self, resets: bool) {
+        let linger = resets.then_some(Duration::ZERO);
+        if let Err(error) = SockRef::from(&*self.0).set_linger(linger) {
+            report::warn("linger_failed", &[("error", &error)]);
+        }
+    }
+
+    /// Returns whether closing the connection resets it.
+    pub(crate) fn resets_on_close(&self) -> bool {
+        let linger = SockRef::from(&*self.0).linger();
+        linger.is_ok_and(|linger| linger == Some(Duration::ZERO))
+    }
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.0.poll_read_ready(context))?;
+            match self.0.try_read(buffer.initialize_unfilled()) {
+                Ok(count) => {
+                    buffer.advance(count);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => (),
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_write_vectored(context, &[io::IoSlice::new(bytes)])
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.poll_write_ready(context))?;
+            match self.0.try_write_vectored(bytes) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => (),
+                result => return Poll::Ready(result),
+            }
+        }
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.0).shutdown(std::net::Shutdown::Write))
+    }
+}
--- a/tests/hosted/delivery.rs
+++ b/tests/hosted/delivery.rs
@@ -6,12 +6,18 @@
         Read,
         Write, //
     },
-    net::TcpStream,
+    net::{
+        SocketAddr,
+        TcpStream, //
+    },
+    thread,
+    time::Duration,
 };
 
 use chestnuthub::emulator::site::{
     Delivery,
     Ending,
+    Endless,
     Framing,
     Plan,
     Site, //
@@ -99,11 +105,11 @@
 
 /// Sends a request on a connection of its own and reads until the connection ends.
 fn exchange(system: &Deployment, request: &Request<'_>) -> Received {
-    exchange_text(system, &request.text())
+    exchange_text(system.caller_addr, &request.text())
 }
 
-fn exchange_text(system: &Deployment, text: &str) -> Received {
-    let mut stream = TcpStream::connect(system.caller_addr).expect("the gateway accepts");
+fn exchange_text(gateway: SocketAddr, text: &str) -> Received {
+    let mut stream = TcpStream::connect(gateway).expect("the gateway accepts");
     stream
         .write_all(text.as_bytes())
         .expect("the request is sent");
@@ -155,7 +161,7 @@
 fn start() -> Deployment {
     let plan = Plan {
         engines: vec![vec!["m1"], vec!["m1"]],
-        event_interval: std::time::Duration::from_millis(5),
+        event_interval: Duration::from_millis(5),
         ..Plan::default()
     };
     let mut site = Site::start(&plan).expect("the site starts");
@@ -310,6 +316,35 @@
         ..Delivery::default()
     });
     let text = Kind::Stream.request("old").text();
-    let received = exchange_text(&system, &text.replace("HTTP/1.1", "HTTP/1.0"));
+    let received = exchange_text(system.caller_addr, &text.replace("HTTP/1.1", "HTTP/1.0"));
+    assert_eq!(received.claim, Claim::Broken, "{received:?}");
+}
+
+/// Guards against an answer that ends in order for its client because the gateway is killed.
+#[test]
+fn a_killed_gateway_resets_answers_without_a_marked_end() {
+    let system = start();
+    system.site.deliver(&Delivery {
+        framing: Framing::Connection,
+        endless: Some(Endless {
+            start: b"\r\nid: 0\ndata: e0\n\n",
+            repeated: b": comment\n\n",
+            has_head: true,
+            pause: Duration::from_millis(20),
+        }),
+        ..Delivery::default()
+    });
+    let received = thread::scope(|scope| {
+        let (address, text) = (system.caller_addr, Kind::Stream.request("killed").text());
+        let client = scope.spawn(move || exchange_text(address, &text));
+        wait_until("the answer has begun", || {
+            system
+                .gateway_log()
+                .contains("event=answered request=killed")
+        });
+        system.gateway.signal("KILL");
+        client.join().expect("the client ends")
+    });
+    assert!(received.head.contains(" 200 "), "{received:?}");
     assert_eq!(received.claim, Claim::Broken, "{received:?}");
 }
