soak: servers that frame their answers otherwise and break them off

Cause: no server of the soak ever answered without length or chunks, though its proxies close connections in order. Change: six times a schedule a server delivers its answers by length, chunks or the end of the connection, whole or broken off after any byte, closed in order or reset, in seeded pieces; drawn after all others, so that the other faults of a seed stay as they were. Clients judge bodies without their chunk framing, whole events only, and a stream without a marked end that is closed in order inside an event.

--- a/src/emulator/site/mod.rs
+++ b/src/emulator/site/mod.rs
@@ -281,6 +281,11 @@
         self.engines[index].public_addr
     }
 
+    /// Returns the address of [`Self::start_raw`] of a server of the plain service.
+    pub fn raw_service_addr(&self, index: usize) -> SocketAddr {
+        self.services[index].public_addr
+    }
+
     /// Sets how one server delivers its responses there; engines are counted first.
     pub fn deliver_at(&self, index: usize, delivery: Delivery) {
         self.raw[index].deliver(delivery);
--- a/tests/hosted/delivery.rs
+++ b/tests/hosted/delivery.rs
@@ -30,6 +30,7 @@
     },
     site_support::{
         configuration,
+        unchunked,
         wait_until, //
     },
 };
@@ -142,21 +143,6 @@
     Received { head, body, claim }
 }
 
-/// Returns the content of a chunked body, and whether it has its last chunk.
-fn unchunked(mut text: &str) -> (String, bool) {
-    let mut body = String::new();
-    while let Some((size, rest)) = text.split_once("\r\n") {
-        let size = usize::from_str_radix(size, 16).expect("a size of a chunk");
-        if size == 0 {
-            return (body, rest == "\r\n");
-        }
-        let available = size.min(rest.len());
-        body.push_str(&rest[..available]);
-        text = rest.get(size + 2..).unwrap_or_default();
-    }
-    (body, false)
-}
-
 /// Starts a deployment whose servers deliver their answers as the tests ask.
 fn start() -> Deployment {
     let plan = Plan {
--- a/tests/hosted/deployment.rs
+++ b/tests/hosted/deployment.rs
@@ -206,3 +206,11 @@
         )
     }
 }
+
+/// Returns the `data:` lines of a response, one for each event, without the framing of its chunks.
+pub(crate) fn events(response: &str) -> Vec<&str> {
+    response
+        .lines()
+        .filter(|line| line.starts_with("data: "))
+        .collect()
+}
--- a/tests/hosted/machine.rs
+++ b/tests/hosted/machine.rs
@@ -14,10 +14,10 @@
 use crate::{
     deployment::{
         Deployment,
-        Request, //
+        Request,
+        events, //
     },
     site_support::{
-        events,
         is_terminated,
         send_raw,
         wait_until, //
--- a/tests/hosted/main.rs
+++ b/tests/hosted/main.rs
@@ -25,12 +25,12 @@
 };
 use deployment::{
     Deployment,
-    Request, //
+    Request,
+    events, //
 };
 use serde_json::json;
 use site_support::{
     configuration,
-    events,
     is_terminated,
     send_raw,
     wait_until, //
--- a/tests/hosted/upgrade.rs
+++ b/tests/hosted/upgrade.rs
@@ -16,11 +16,11 @@
 use crate::{
     deployment::{
         Deployment,
-        Request, //
+        Request,
+        events, //
     },
     site_support::{
         HOST,
-        events,
         is_terminated,
         send_raw,
         wait_until, //
--- a/tests/site_support/mod.rs
+++ b/tests/site_support/mod.rs
@@ -199,12 +199,21 @@
     String::from_utf8_lossy(&response).into_owned()
 }
 
-/// Returns the `data:` lines of a response, one for each event, without the framing of its chunks.
-pub(crate) fn events(response: &str) -> Vec<&str> {
-    response
-        .lines()
-        .filter(|line| line.starts_with("data: "))
-        .collect()
+/// Returns the content of a chunked body, and whether it has its last chunk.
+pub(crate) fn unchunked(mut text: &str) -> (String, bool) {
+    let mut body = String::new();
+    while let Some((size, rest)) = text.split_once("\r\n") {
+        let Ok(size) = usize::from_str_radix(size, 16) else {
+            break;
+        };
+        if size == 0 {
+            return (body, rest == "\r\n");
+        }
+        let available = size.min(rest.len());
+        body.push_str(&rest[..available]);
+        text = rest.get(size + 2..).unwrap_or_default();
+    }
+    (body, false)
 }
 
 /// Returns whether a chunked response has its last chunk.
--- a/tests/soak/client.rs
+++ b/tests/soak/client.rs
@@ -23,8 +23,8 @@
 
 use super::site_support::{
     HOST,
-    events,
-    is_terminated, //
+    is_terminated,
+    unchunked, //
 };
 
 /// Deadline of each request in ms.
@@ -83,6 +83,8 @@
     pub(crate) kind: Kind,
     model: &'static str,
     pub(crate) response: String,
+    /// Whether the connection was closed in order after the response.
+    is_closed_in_order: bool,
     /// What the client had received of the stream that this request takes up.
     earlier: Option<Earlier>,
 }
@@ -130,7 +132,7 @@
         let earlier = self.earlier.iter();
         let mut all: Vec<_> = earlier.flat_map(|earlier| earlier.events.clone()).collect();
         if self.status() == "200" {
-            all.extend(events(&self.response).into_iter().map(str::to_owned));
+            all.extend(whole_events(&body(&self.response)));
         }
         all
     }
@@ -200,9 +202,14 @@
                 !is_complete(&self.response) || received.len() == EVENTS,
                 "incomplete stream looks complete",
             );
+            let is_broken = !body(&self.response).ends_with("\n\n");
+            check(
+                !(self.is_closed_in_order && is_unmarked(&self.response) && is_broken),
+                "stream without a marked end is closed in order inside an event",
+            );
         } else if is_complete(&self.response) {
             check(
-                self.response.contains(&self.id),
+                body(&self.response) == self.id,
                 "response has another request's body",
             );
         }
@@ -223,6 +230,31 @@
     }
 }
 
+/// Returns the bytes of a response's body that were received.
+fn body(response: &str) -> String {
+    let (head, body) = response.split_once("\r\n\r\n").unwrap_or((response, ""));
+    match head.contains("transfer-encoding: chunked") {
+        true => unchunked(body).0,
+        false => body.to_owned(),
+    }
+}
+
+/// Returns the `data:` lines of the whole events of a stream.
+fn whole_events(body: &str) -> Vec<String> {
+    let end = body.rfind("\n\n").map_or(0, |end| end + 2);
+    let lines = body[..end].lines();
+    lines
+        .filter(|line| line.starts_with("data: "))
+        .map(str::to_owned)
+        .collect()
+}
+
+/// Returns whether the head of a response gives neither a length nor chunks.
+fn is_unmarked(response: &str) -> bool {
+    let head = response.split("\r\n\r\n").next().unwrap_or_default();
+    !head.contains("content-length: ") && !head.contains("transfer-encoding: ")
+}
+
 /// Sends random requests one after another until `stop` is set, and returns their records. With an
 /// even `seed`, the client keeps its connections until the gateways close them.
 pub(crate) fn run(
@@ -315,6 +347,7 @@
         kind: request.kind,
         model: request.model,
         response: String::new(),
+        is_closed_in_order: false,
         earlier: request.earlier.clone(),
     };
     let stream = kept
@@ -328,9 +361,11 @@
     if stream.write_all(request.text().as_bytes()).is_ok() {
         let mut buffer = [0; 4096];
         // An error or the end after part of the response is no failure: the record keeps that part.
-        while let Ok(count) = stream.read(&mut buffer)
-            && count > 0
-        {
+        while let Ok(count) = stream.read(&mut buffer) {
+            if count == 0 {
+                record.is_closed_in_order = true;
+                break;
+            }
             response.extend_from_slice(&buffer[..count]);
             record.response = String::from_utf8_lossy(&response).into_owned();
             if is_complete(&record.response) {
--- a/tests/soak/fault.rs
+++ b/tests/soak/fault.rs
@@ -2,6 +2,11 @@
 
 use std::time::Duration;
 
+use chestnuthub::emulator::site::{
+    Delivery,
+    Ending,
+    Framing, //
+};
 use fastrand::Rng;
 use serde_json::{
     Value,
@@ -22,6 +27,12 @@
 /// Number of series of signals, restarts, upgrades or configurations in a schedule.
 const SERIES_COUNT: usize = 3;
 
+/// Number of times in a schedule that a server frames its responses otherwise or breaks them off.
+const DELIVERY_COUNT: usize = 6;
+
+/// Number of bytes within which such responses are broken off; those of a stream are longer.
+const MAX_CUT_BYTES: usize = 90;
+
 /// A process of the system under test.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Process {
@@ -75,6 +86,8 @@
     Hangup(Process),
     /// Starts an engine anew with this software version.
     Upgrade(usize, &'static str),
+    /// Makes a server deliver its responses in this way; engines are counted first.
+    Deliver(usize, Delivery),
 }
 
 /// Number of gateways, engines and servers of the plain service. Each engine has one loader.
@@ -100,10 +113,39 @@
     for _ in 0..SERIES_COUNT {
         actions.extend(random_series(random, size));
     }
+    for _ in 0..DELIVERY_COUNT {
+        actions.extend(random_delivery(random, size));
+    }
     actions.sort_by_key(|(at, _)| *at);
     actions
 }
 
+/// Returns the actions that change how a server delivers its responses, and change it back.
+fn random_delivery(random: &mut Rng, size: Size) -> [(Duration, Action); 2] {
+    let begin = random.u64(..SCHEDULE_MS);
+    let end = begin + random.u64(100..MAX_FAULT_MS);
+    let server = random.usize(..size.engines + size.services);
+    let framings = [Framing::Length, Framing::Chunks, Framing::Connection];
+    let delivery = Delivery {
+        // Answers without length or chunks are the least proven.
+        framing: framings[random.usize(..4).min(2)],
+        cut: random.bool().then(|| random.usize(..MAX_CUT_BYTES)),
+        ending: [Ending::Close, Ending::Reset][random.usize(..2)],
+        seed: random.u64(..),
+        ..Delivery::default()
+    };
+    [
+        (
+            Duration::from_millis(begin),
+            Action::Deliver(server, delivery),
+        ),
+        (
+            Duration::from_millis(end),
+            Action::Deliver(server, Delivery::default()),
+        ),
+    ]
+}
+
 /// Returns actions of one kind that follow one another, some before the one before has ended.
 fn random_series(random: &mut Rng, size: Size) -> Vec<(Duration, Action)> {
     let kind = random.u32(..4);
--- a/tests/soak/system.rs
+++ b/tests/soak/system.rs
@@ -150,13 +150,14 @@
             caller_addrs: Vec::new(),
             ready_addrs: Vec::new(),
         };
+        system.site.start_raw().expect("the raw servers start");
         system.site.configure(&configuration(1, &[]));
         let peer_port = free_port();
         for index in 0..size.engines {
             system.add_loader(seed, index, peer_port);
         }
         for index in 0..size.services {
-            let target = system.site.service_addr(index);
+            let target = system.site.raw_service_addr(index);
             let proxy = system.add_proxy(Link::Service(index), loopback(6, index, 0), target);
             system.site.publish_service_at(index, proxy);
         }
@@ -177,7 +178,7 @@
     }
 
     fn add_loader(&mut self, seed: u64, index: usize, peer_port: u16) {
-        let engine = self.site.engine_addr(index);
+        let engine = self.site.raw_engine_addr(index);
         let public_addr = self.add_proxy(Link::Engine(index), loopback(4, index, 0), engine);
         self.site.publish_engine_at(index, public_addr);
         let listen = loopback(5, index, peer_port);
@@ -251,6 +252,9 @@
             Action::Drain(index) => self.site.publish_service(*index, "draining"),
             Action::Undrain(index) => self.site.publish_service(*index, "ready"),
             Action::Configure => self.configure(),
+            Action::Deliver(server, delivery) => {
+                self.site.deliver_at(*server, delivery.clone());
+            }
             Action::Hangup(process) => self.process_mut(*process).signal("HUP"),
             Action::Upgrade(index, version) => {
                 for model in ["m1", "m2", "m3", "m4"] {
