--- a/tests/hosted/delivery.rs
+++ b/tests/hosted/delivery.rs
@@ -334,3 +334,26 @@
     assert!(received.head.contains(" 200 "), "{received:?}");
     assert_eq!(received.claim, Claim::Broken, "{received:?}");
 }
+
+/// Guards against events that are lost to the client because the answer breaks right after them.
+#[test]
+fn events_before_a_break_reach_the_client() {
+    let system = start();
+    let cut = event(0).len() + event(1).len();
+    for number in 0..10 {
+        system.site.deliver(&Delivery {
+            framing: Framing::Length,
+            cut: Some(cut),
+            seed: number,
+            ..Delivery::default()
+        });
+        let id = format!("burst-{number}");
+        let received = exchange(&system, &Kind::Stream.request(&id));
+        assert_eq!(received.claim, Claim::Broken, "{received:?}");
+        assert_eq!(
+            received.body,
+            format!("{}{}", event(0), event(1)),
+            "{number}"
+        );
+    }
+}
