gateway: pass on no body with a content coding

Change: such a response is treated as one without signature: another server is asked where the request may run again, else 502; the server is recorded as failed. Result: hosted an_answer_with_a_content_coding_is_not_passed_on fails with the check switched off (200 with the coded body) and passes with it; header and forwarding cases.

--- a/src/emulator/raw.rs
+++ b/src/emulator/raw.rs
@@ -86,6 +86,9 @@
     pub ending: Ending,
     /// Seed of the lengths of the pieces in which the response is written.
     pub seed: u64,
+    /// Time after which a whole buffered response is sent once more on its connection, before any
+    /// response to a later request; `None` if it is sent once.
+    pub repeated_after: Option<Duration>,
     /// Bytes that follow the head instead of the body, repeated until the caller closes the
     /// connection.
     pub endless: Option<Endless>,
@@ -113,6 +116,7 @@
             hides_cut: false,
             ending: Ending::Close,
             seed: 0,
+            repeated_after: None,
             endless: None,
         }
     }
@@ -232,7 +236,17 @@
         }
         writer.stream.write_all(head.as_bytes()).await?;
         match content {
-            Content::Buffered(body) => writer.write_body(&body).await,
+            Content::Buffered(body) => {
+                if !writer.write_body(&body).await? {
+                    return Ok(false);
+                }
+                if let Some(pause) = delivery.repeated_after {
+                    sleep(pause).await;
+                    writer.stream.write_all(head.as_bytes()).await?;
+                    return writer.write_body(&body).await;
+                }
+                Ok(true)
+            }
             Content::Streamed(mut chunks) => {
                 while let Some(Ok(chunk)) = chunks.recv().await {
                     if !writer.write_piece(&chunk).await? {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -292,6 +292,10 @@
             backend.record_outcome(true);
             return Err(SendError::Unknown("an answer without signature"));
         }
+        Verdict::Encoded => {
+            backend.record_outcome(true);
+            return Err(SendError::Unknown("an answer with a content coding"));
+        }
         Verdict::Failed | Verdict::Response => {
             if let Some(name) = job.model() {
                 backend.absence.borrow_mut().forget(&name.model);
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -71,6 +71,8 @@
     pub instance: Option<String>,
     /// Whether the response has the server's signature.
     pub is_signed: bool,
+    /// Whether the body has a content coding, which no client asks for.
+    pub is_encoded: bool,
     /// Whether the server guarantees that the request has not run and will not.
     pub has_not_run: bool,
     /// The server's load.
--- a/src/gateway/verdict.rs
+++ b/src/gateway/verdict.rs
@@ -14,6 +14,8 @@
     /// The response has no signature, so it does not come from the server; the request may have
     /// run.
     Unsigned,
+    /// The response has a content coding, so its body is not the server's; the request may have run.
+    Encoded,
     /// The server ran the request and failed.
     Failed,
     /// The response is to be passed on.
@@ -33,6 +35,7 @@
 ///     id: Some("r1".to_owned()),
 ///     instance: None,
 ///     is_signed: true,
+///     is_encoded: false,
 ///     has_not_run: false,
 ///     load: None,
 ///     keep_alive: None,
@@ -59,6 +62,9 @@
     if !head.is_signed {
         return Verdict::Unsigned;
     }
+    if head.is_encoded {
+        return Verdict::Encoded;
+    }
     if head.status >= 500 {
         Verdict::Failed
     } else {
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -6,6 +6,7 @@
     HeaderMap,
     header::{
         CONNECTION,
+        CONTENT_ENCODING,
         HeaderName,
         HeaderValue, //
     },
@@ -155,6 +156,7 @@
         id: text(headers, &REQUEST_ID).map(str::to_owned),
         instance: text(headers, &INSTANCE).map(str::to_owned),
         is_signed: signed,
+        is_encoded: is_encoded(headers),
         // A server that is not the one named in the request refuses with 421 and runs nothing.
         has_not_run: headers.contains_key(NOT_EXECUTED) || (status == 421 && !signed),
         load: text(headers, &SERVER_LOAD).and_then(load),
@@ -166,6 +168,13 @@
     }
 }
 
+/// Returns whether a body has a content coding.
+fn is_encoded(headers: &HeaderMap) -> bool {
+    let codings = headers.get_all(CONTENT_ENCODING).iter();
+    let mut codings = codings.map(HeaderValue::as_bytes);
+    codings.any(|coding| !coding.trim_ascii().eq_ignore_ascii_case(b"identity"))
+}
+
 /// Returns whether a server announces in a response that it leaves.
 pub(crate) fn is_leaving(headers: &HeaderMap) -> bool {
     text(headers, &LEAVING) == Some("1")
--- a/tests/forwarding.rs
+++ b/tests/forwarding.rs
@@ -118,6 +118,7 @@
         id: id.map(str::to_owned),
         instance: None,
         is_signed: true,
+        is_encoded: false,
         has_not_run: false,
         load: None,
         keep_alive: None,
@@ -161,6 +162,13 @@
             },
             Verdict::Unsigned,
         ),
+        (
+            ResponseHead {
+                is_encoded: true,
+                ..own()
+            },
+            Verdict::Encoded,
+        ),
         (refused(503, None), Verdict::NotRun("refused")),
         (
             refused(421, Some("s1")),
--- a/tests/header.rs
+++ b/tests/header.rs
@@ -233,3 +233,17 @@
     let repeated = [("request-id", "r2"), ("resumes", "r1"), ("resumes", "r3")];
     assert!(header::decode_request(&headers(&repeated)).is_err());
 }
+
+/// Guards against a body with a content coding, which no client asks for, that is taken for the
+/// server's own.
+#[test]
+fn content_codings_are_read_from_responses() {
+    let is_encoded = |text| {
+        let headers = headers(&[("content-encoding", text)]);
+        header::decode_response(200, &headers).is_encoded
+    };
+    assert!(is_encoded("gzip"));
+    assert!(is_encoded("identity, gzip"));
+    assert!(!is_encoded(" Identity "));
+    assert!(!header::decode_response(200, &headers(&[])).is_encoded);
+}
--- a/tests/hosted/delivery.rs
+++ b/tests/hosted/delivery.rs
@@ -357,3 +357,55 @@
         );
     }
 }
+
+/// Guards against an answer that a server sends once more on a kept connection, and that reaches the
+/// client of the next request.
+#[test]
+fn an_answer_that_is_sent_twice_reaches_no_other_client() {
+    let system = start();
+    for pause_ms in [0, 2, 5, 8] {
+        system.site.deliver(&Delivery {
+            repeated_after: Some(Duration::from_millis(pause_ms)),
+            ..Delivery::default()
+        });
+        for number in 0..30 {
+            let id = format!("twice-{pause_ms}-{number}");
+            let body = format!("body of {id}");
+            let request = Request {
+                body: &body,
+                ..Request::new(&id, "/look/x")
+            };
+            let received = exchange(&system, &request);
+            if received.head.contains(" 200 ") {
+                assert_eq!(received.body, body, "{received:?}");
+                let signature = format!("response-signature: signature-{id}\r\n");
+                assert!(received.head.contains(&signature), "{received:?}");
+            }
+            thread::sleep(Duration::from_millis(number % 7));
+        }
+    }
+}
+
+/// Guards against a coded body that is passed on as the server's own.
+#[test]
+fn an_answer_with_a_content_coding_is_not_passed_on() {
+    let system = start();
+    system.site.deliver(&Delivery {
+        endless: Some(Endless {
+            start: b"content-encoding: gzip\r\ncontent-length: 2\r\n\r\nok",
+            repeated: b"",
+            has_head: true,
+            pause: Duration::from_millis(20),
+        }),
+        ..Delivery::default()
+    });
+    for kind in Kind::ALL {
+        let id = format!("coded-{kind:?}");
+        let received = exchange(&system, &kind.request(&id));
+        assert!(received.head.contains(" 502 "), "{kind:?}: {received:?}");
+        assert!(
+            !received.head.contains("response-signature"),
+            "{received:?}"
+        );
+    }
+}
