gateway: bound what a client sends around its body

Callers would see: nothing; a client that sends a chunk's size with leading zeros without end kept its gateway reading until the request's deadline. Cause: the HTTP library bounds a chunk's extension but not the zeros of its size, and only bytes of the body were counted. Change: http::Socket bounds the bytes from the start of a request to the end of the next head: 8 for each byte that a body may have (a chunk of one byte takes six) and two heads.

--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -36,6 +36,7 @@
     state::State, //
 };
 use crate::{
+    deployment::Limits,
     http::{
         self,
         Socket, //
@@ -46,6 +47,9 @@
 /// Minimum size in bytes of a connection's read buffer that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
+/// Received bytes for one byte of a request's body: a chunk of one byte takes six.
+const MAX_FRAMING_FACTOR: usize = 8;
+
 /// Time in which the bytes that were sent reach the client before a connection is reset.
 const FLUSH_TIME: Duration = Duration::from_millis(50);
 
@@ -84,11 +88,12 @@
         self.connections.set(self.connections.get() + 1);
         let limits = self.state.follower.configuration().limits;
         let state = self.state.clone();
-        let socket = Socket::new(stream);
+        let socket = Socket::new(stream, allowance(&limits));
         let response_socket = socket.clone();
         let service = service_fn(move |request: Request<Incoming>| {
             let is_old_client = request.version() < Version::HTTP_11;
             let socket = response_socket.clone();
+            socket.set_allowance(allowance(&state.follower.configuration().limits));
             let response = handler::serve(state.clone(), request);
             async move {
                 let response = response.await?;
@@ -137,3 +142,10 @@
         }
     }
 }
+
+/// Returns how many bytes a client may send from the start of a request to the end of the next head.
+fn allowance(limits: &Limits) -> usize {
+    let header_bytes = limits.header_bytes.max(MIN_BUFFER_BYTES);
+    let body_bytes = limits.body_bytes.saturating_mul(MAX_FRAMING_FACTOR);
+    body_bytes.saturating_add(2 * header_bytes)
+}
--- a/src/http/socket.rs
+++ b/src/http/socket.rs
@@ -1,6 +1,7 @@
 //! A connection whose socket options can be set while the HTTP library uses it.
 
 use std::{
+    cell::Cell,
     io,
     pin::Pin,
     rc::Rc,
@@ -26,25 +27,41 @@
 
 /// A connection that can be shared.
 #[derive(Debug, Clone)]
-pub(crate) struct Socket(Rc<TcpStream>);
+pub(crate) struct Socket(Rc<Inner>);
+
+#[derive(Debug)]
+struct Inner {
+    stream: TcpStream,
+    /// Number of bytes that may still be received.
+    allowance: Cell<usize>,
+}
 
 impl Socket {
-    pub(crate) fn new(stream: TcpStream) -> Self {
-        Self(Rc::new(stream))
+    /// Shares a connection, from which at most `allowance` bytes are received.
+    pub(crate) fn new(stream: TcpStream, allowance: usize) -> Self {
+        Self(Rc::new(Inner {
+            stream,
+            allowance: Cell::new(allowance),
+        }))
+    }
+
+    /// Sets how many bytes may be received from now on. Reading more fails.
+    pub(crate) fn set_allowance(&self, allowance: usize) {
+        self.0.allowance.set(allowance);
     }
 
     /// Sets whether closing the connection resets it, also if this process is killed. A reset
     /// discards the bytes that have not been sent.
     pub(crate) fn set_reset_on_close(&self, resets: bool) {
         let linger = resets.then_some(Duration::ZERO);
-        if let Err(error) = SockRef::from(&*self.0).set_linger(linger) {
+        if let Err(error) = SockRef::from(&self.0.stream).set_linger(linger) {
             report::warn("linger_failed", &[("error", &error)]);
         }
     }
 
     /// Returns whether closing the connection resets it.
     pub(crate) fn resets_on_close(&self) -> bool {
-        let linger = SockRef::from(&*self.0).linger();
+        let linger = SockRef::from(&self.0.stream).linger();
         linger.is_ok_and(|linger| linger == Some(Duration::ZERO))
     }
 }
@@ -56,9 +73,13 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         loop {
-            ready!(self.0.poll_read_ready(context))?;
-            match self.0.try_read(buffer.initialize_unfilled()) {
+            ready!(self.0.stream.poll_read_ready(context))?;
+            match self.0.stream.try_read(buffer.initialize_unfilled()) {
                 Ok(count) => {
+                    let Some(left) = self.0.allowance.get().checked_sub(count) else {
+                        return Poll::Ready(Err(io::Error::other("bytes without end")));
+                    };
+                    self.0.allowance.set(left);
                     buffer.advance(count);
                     return Poll::Ready(Ok(()));
                 }
@@ -84,8 +105,8 @@
         bytes: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.0.poll_write_ready(context))?;
-            match self.0.try_write_vectored(bytes) {
+            ready!(self.0.stream.poll_write_ready(context))?;
+            match self.0.stream.try_write_vectored(bytes) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => (),
                 result => return Poll::Ready(result),
             }
@@ -101,6 +122,6 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.0).shutdown(std::net::Shutdown::Write))
+        Poll::Ready(SockRef::from(&self.0.stream).shutdown(std::net::Shutdown::Write))
     }
 }
--- a/tests/hosted/endless.rs
+++ b/tests/hosted/endless.rs
@@ -1,7 +1,10 @@
 //! Servers that send bytes that are no answer, without end, until the gateway closes.
 
 use std::{
-    fs, thread,
+    fs,
+    io::Write,
+    net::TcpStream,
+    thread,
     time::{
         Duration,
         Instant, //
@@ -269,6 +272,26 @@
     assert!(started.elapsed() < TIME_LIMIT, "{:?}", started.elapsed());
 }
 
+/// Guards against a client that keeps a gateway reading the size of a chunk until its deadline.
+#[test]
+fn a_chunk_size_without_end_ends_the_request() {
+    let system = start(1);
+    let mut stream = TcpStream::connect(system.caller_addr).expect("the gateway accepts");
+    let head = "POST /look/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: zeros\r\n\
+                Deadline-Ms: 20000\r\nTransfer-Encoding: chunked\r\n\r\n";
+    stream.write_all(head.as_bytes()).expect("the head is sent");
+    let started = Instant::now();
+    let mut sent = 0_u64;
+    while stream.write_all(&ZEROS).is_ok() {
+        sent += ZEROS.len() as u64;
+        assert!(
+            sent < BYTE_LIMIT && started.elapsed() < TIME_LIMIT,
+            "{sent} bytes"
+        );
+    }
+    assert!(system.site.runs().iter().all(|run| run.request != "zeros"));
+}
+
 fn place_id(name: &str) -> String {
     name.replace(' ', "-")
 }
