hosted tests: servers that fail while healthy, and timeouts of routes

Change: tests of signed failures (another server for idempotent requests, passed on unchanged otherwise, and few requests to the failing server) and of a route's timeout (no answer in time, a long stream, a model that comes too late).

--- a/tests/hosted/main.rs
+++ b/tests/hosted/main.rs
@@ -4,9 +4,11 @@
 mod delivery;
 mod deployment;
 mod endless;
+mod failing;
 mod machine;
 #[path = "../site_support/mod.rs"]
 mod site_support;
+mod timeout;
 mod upgrade;
 
 use std::{
