hosted tests: bodies that come in slow pieces

Change: a chunked body in pieces that split its framing, once in time and once too late. Result: passes without a change of the gateway: the first runs once and whole, the second gets 503 and runs nothing.

--- a/tests/hosted/timeout.rs
+++ b/tests/hosted/timeout.rs
@@ -1,6 +1,11 @@
 //! Requests that last longer than the timeout of their route.
 
 use std::{
+    io::{
+        Read,
+        Write, //
+    },
+    net::TcpStream,
     thread,
     time::{
         Duration,
@@ -17,6 +22,7 @@
         Request, //
     },
     site_support::{
+        HOST,
         configuration,
         is_terminated,
         wait_until, //
@@ -103,3 +109,50 @@
     assert!(response.contains("retry-after: "), "{response}");
     assert!(elapsed < TIMEOUT / 2, "{elapsed:?}");
 }
+
+/// Sends a head and then the parts of a body, with a pause before each; returns the answer and how
+/// long it took.
+fn send_slowly(
+    system: &Deployment,
+    head: &str,
+    parts: &[&str],
+    pause: Duration,
+) -> (String, Duration) {
+    let started = Instant::now();
+    let mut stream = TcpStream::connect(system.caller_addr).expect("the gateway accepts");
+    stream.write_all(head.as_bytes()).expect("the head is sent");
+    for part in parts {
+        thread::sleep(pause);
+        if stream.write_all(part.as_bytes()).is_err() {
+            break;
+        }
+    }
+    let mut response = Vec::new();
+    // If the connection is reset after the response, the bytes read so far are kept.
+    let _ = stream.read_to_end(&mut response);
+    let response = String::from_utf8_lossy(&response).into_owned();
+    (response, started.elapsed())
+}
+
+/// Guards against a body that comes in small pieces and is changed, or run without its end.
+#[test]
+fn a_body_in_slow_pieces_arrives_whole_or_runs_nothing() {
+    let system = start(&Plan::default());
+    let head = |id: &str| {
+        format!(
+            "POST /book/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: 5000\r\n\
+             Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+    };
+    let parts = ["3\r", "\nabc\r\n2;e", "xt=1\r\nde\r\n0", "\r\n\r\n"];
+    let (response, _) = send_slowly(&system, &head("whole"), &parts, Duration::from_millis(40));
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    let pause = Duration::from_millis(400);
+    let (response, elapsed) = send_slowly(&system, &head("late"), &parts, pause);
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    assert!(elapsed < 4 * pause + MARGIN, "{elapsed:?}");
+    let runs = system.site.runs();
+    let bodies: Vec<_> = runs.iter().filter(|run| run.path == "/book/x").collect();
+    assert_eq!(bodies.len(), 1, "{bodies:?}");
+    assert_eq!(bodies[0].body, b"abcde");
+}
