claim, client: keep no body that may have been cut short

Callers would see: on the own interface, a short body as the result of a call, also for every retry with its key, after a plain service had broken off an answer with neither length nor chunks. Change: engine::Response knows whether the end is marked; a body without a marked end is kept only if it is a whole JSON object or array, which no cut one is. Otherwise the client learns that the call has run and that its body was not kept, as for bodies that are too large.

--- a/src/claim/call.rs
+++ b/src/claim/call.rs
@@ -1,7 +1,6 @@
 //! A call of the plain service.
 
 use std::{
-    io::Read,
     sync::Arc,
     time::Duration, //
 };
@@ -55,7 +54,7 @@
 }
 
 /// Sends the call once and reads its response. The body is left out if it is larger than
-/// [`MAX_BODY_BYTES`].
+/// [`MAX_BODY_BYTES`] or may have been cut short.
 pub(crate) fn send(service: &Service, call: &Call, timeout: Duration) -> Ending {
     let outcome = service.call(&service::Call {
         method: &call.call.method,
@@ -70,15 +69,13 @@
         Err(Error::Unreachable(_)) => return Ending::NotSent,
         Err(_) => return Ending::Unknown,
     };
-    let mut body = Vec::new();
-    let limit = MAX_BODY_BYTES as u64 + 1;
-    if answer.body.take(limit).read_to_end(&mut body).is_err() {
-        return Ending::Unknown;
+    let (status, content_type) = (answer.status, answer.content_type.clone());
+    match answer.read_whole(MAX_BODY_BYTES) {
+        Ok(body) => Ending::Response(Arc::new(Response {
+            status,
+            content_type,
+            body: body.map(Body),
+        })),
+        Err(_) => Ending::Unknown,
     }
-    let body = (body.len() <= MAX_BODY_BYTES).then_some(Body(body));
-    Ending::Response(Arc::new(Response {
-        status: answer.status,
-        content_type: answer.content_type,
-        body,
-    }))
 }
--- a/src/client/engine.rs
+++ b/src/client/engine.rs
@@ -1,7 +1,10 @@
 //! Client of a model engine.
 
 use std::{
-    io::Read,
+    io::{
+        self,
+        Read, //
+    },
     time::Duration, //
 };
 
@@ -13,7 +16,8 @@
 };
 use serde::{
     Deserialize,
-    Serialize, //
+    Serialize,
+    de::IgnoredAny, //
 };
 use ureq::{
     Agent,
@@ -137,13 +141,39 @@
     pub content_type: String,
     /// Body; a read returns as soon as some bytes have arrived.
     pub body: Box<dyn Read + Send>,
+    /// Whether a length or a last chunk marks the end of the body.
+    pub is_end_marked: bool,
+}
+
+impl Response {
+    /// Reads the body. Returns `None` if it is longer than `max_bytes`, or if its end is not marked
+    /// and nothing else shows that it is whole: it may then have been cut short.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body breaks off before its marked end.
+    pub fn read_whole(self, max_bytes: usize) -> io::Result<Option<Vec<u8>>> {
+        let mut body = Vec::new();
+        let limit = max_bytes as u64 + 1;
+        self.body.take(limit).read_to_end(&mut body)?;
+        let is_whole = self.is_end_marked || is_json(&body);
+        Ok((is_whole && body.len() <= max_bytes).then_some(body))
+    }
+}
+
+/// Returns whether a body is a JSON object or array, which no body that was cut short is.
+fn is_json(body: &[u8]) -> bool {
+    let is_compound = matches!(body.trim_ascii_start().first(), Some(b'{' | b'['));
+    is_compound && serde_json::from_slice::<IgnoredAny>(body).is_ok()
 }
 
 impl From<HttpResponse<Body>> for Response {
     fn from(response: HttpResponse<Body>) -> Self {
         let (parts, body) = response.into_parts();
         let content_type = parts.headers.get("content-type");
+        let is_marked = |name| parts.headers.contains_key(name);
         Self {
+            is_end_marked: is_marked("content-length") || is_marked("transfer-encoding"),
             status: parts.status.as_u16(),
             content_type: content_type
                 .and_then(|value| value.to_str().ok())
--- a/tests/client_support/call.rs
+++ b/tests/client_support/call.rs
@@ -195,6 +195,7 @@
         Ok(Response {
             status: stream.status,
             content_type: stream.content_type.clone(),
+            is_end_marked: true,
             body: Box::new(Reader {
                 runtime,
                 stream,
