gateway: a response ends only where its relay says so

Callers would see: an answer with its end marked, if the task that passes it on ended without a word, for example by a panic. Read, not reproduced: nothing at hand makes that task panic. Change: the end is a message of its own; without it the body is incomplete. A content type of an event stream is read in any case of letters.

--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -181,8 +181,10 @@
 /// Returns the state before the first byte of a response.
 fn events(job: &Job, exchange: &Exchange) -> Events {
     let content_type = exchange.response.headers().get(CONTENT_TYPE);
-    let is_event_stream =
-        content_type.is_none_or(|value| value.as_bytes().starts_with(EVENT_STREAM));
+    let is_event_stream = content_type.is_none_or(|value| {
+        let start = value.as_bytes().get(..EVENT_STREAM.len());
+        start.is_some_and(|start| start.eq_ignore_ascii_case(EVENT_STREAM))
+    });
     let is_success = exchange.response.status() == StatusCode::OK;
     match job.route.kind {
         Kind::ResumableStream if is_success && is_event_stream => {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,12 +1,10 @@
 //! Passes a server's response on to the client as it arrives.
 
 use std::{
-    fmt,
     rc::Rc,
     time::Duration, //
 };
 
-use bytes::Bytes;
 use tokio::{
     sync::mpsc::Sender,
     time::{
@@ -28,6 +26,7 @@
         Progress, //
     },
     pick,
+    response::Chunk,
     state::State,
 };
 use crate::{
@@ -47,19 +46,6 @@
 /// at once.
 const MAX_EVENT_TIME: Duration = Duration::from_secs(5);
 
-/// The response could not be completed. The client's connection is closed before the end of the
-/// body, so that the client does not take the response for complete.
-#[derive(Debug)]
-pub(super) struct Incomplete;
-
-impl fmt::Display for Incomplete {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("the response is incomplete")
-    }
-}
-
-impl std::error::Error for Incomplete {}
-
 /// How reading a response ended.
 enum End {
     /// The response is complete.
@@ -73,15 +59,16 @@
 }
 
 /// Passes a response on until it ends, and resumes a stream at another server where that is
-/// allowed. `client_framing` is how the end of the response is marked for the client.
+/// allowed.
 pub(super) async fn run(
     state: Rc<State>,
     job: Rc<Job>,
     mut progress: Progress,
     mut exchange: Exchange,
     mut events: Events,
-    chunks: Sender<Result<Bytes, Incomplete>>,
+    chunks: Sender<Chunk>,
 ) {
+    // The client's response marks its end as that of the first server does.
     let client_framing = exchange.framing;
     loop {
         let framing = exchange.framing;
@@ -106,6 +93,8 @@
                 let channel = exchange.channel;
                 attempt::return_connection(&backend, channel, &exchange.response_head, framing);
                 log_end(&job, "complete", framing, &events, "");
+                // The client may have disconnected meanwhile.
+                let _ = chunks.send(Chunk::End).await;
                 return;
             }
             End::Abandoned => {
@@ -114,7 +103,6 @@
             }
             End::TimedOut => {
                 log_end(&job, "late", framing, &events, "");
-                let _ = chunks.send(Err(Incomplete)).await;
                 return;
             }
             End::Lost(reason) => reason,
@@ -135,7 +123,6 @@
         };
         let Some(next) = next.filter(|next| next.response_head.status == 200) else {
             log_end(&job, "broken", framing, &events, reason);
-            let _ = chunks.send(Err(Incomplete)).await;
             return;
         };
         report::info(
@@ -207,7 +194,7 @@
     job: &'a Job,
     events: &'a mut Events,
     in_flight: &'a mut InFlight,
-    chunks: &'a Sender<Result<Bytes, Incomplete>>,
+    chunks: &'a Sender<Chunk>,
 }
 
 impl Relay<'_> {
@@ -236,7 +223,7 @@
             if self.events.event_bytes() <= received {
                 event_began = Time::now();
             }
-            if !data.is_empty() && self.chunks.send(Ok(data)).await.is_err() {
+            if !data.is_empty() && self.chunks.send(Chunk::Data(data)).await.is_err() {
                 return End::Abandoned;
             }
             let is_late = Time::now() - event_began > MAX_EVENT_TIME;
@@ -257,7 +244,7 @@
             return End::Lost(ending::Flaw::ServerGone.as_str());
         }
         let rest = self.events.rest();
-        if rest.is_empty() || self.chunks.send(Ok(rest)).await.is_ok() {
+        if rest.is_empty() || self.chunks.send(Chunk::Data(rest)).await.is_ok() {
             return End::Complete;
         }
         End::Abandoned
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -2,10 +2,12 @@
 
 use std::{
     convert::Infallible,
+    fmt,
     pin::Pin,
     task::{
         Context,
-        Poll, //
+        Poll,
+        ready, //
     },
     time::Duration,
 };
@@ -28,16 +30,38 @@
 };
 use tokio::sync::mpsc::Receiver;
 
-use super::relay::Incomplete;
 use crate::http::Framing;
 
+/// The response could not be completed. The client's connection is closed before the end of the
+/// body, so that the client does not take the response for complete.
+#[derive(Debug)]
+pub(super) struct Incomplete;
+
+impl fmt::Display for Incomplete {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the response is incomplete")
+    }
+}
+
+impl std::error::Error for Incomplete {}
+
+/// Part of a server's response that is passed on.
+#[derive(Debug)]
+pub(super) enum Chunk {
+    /// The next bytes.
+    Data(Bytes),
+    /// The response has ended and nothing shows that it is incomplete. Without this, the response is
+    /// incomplete when the sender is dropped.
+    End,
+}
+
 /// Body of a response to a client.
 #[derive(Debug)]
 pub(super) enum ResponseBody {
     /// The gateway's own text.
     Local(Full<Bytes>),
     /// The body of a server's response, passed on as it arrives.
-    Relayed(Receiver<Result<Bytes, Incomplete>>),
+    Relayed(Receiver<Chunk>),
 }
 
 impl Body for ResponseBody {
@@ -54,8 +78,12 @@
                 frame.map_err(|error: Infallible| match error {})
             }
             Self::Relayed(chunks) => {
-                let chunk = chunks.poll_recv(context);
-                chunk.map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
+                let chunk = ready!(chunks.poll_recv(context));
+                Poll::Ready(match chunk {
+                    Some(Chunk::Data(data)) => Some(Ok(Frame::data(data))),
+                    Some(Chunk::End) => None,
+                    None => Some(Err(Incomplete)),
+                })
             }
         }
     }
@@ -139,7 +167,7 @@
     status: StatusCode,
     headers: HeaderMap,
     framing: Framing,
-    chunks: Receiver<Result<Bytes, Incomplete>>,
+    chunks: Receiver<Chunk>,
 ) -> Response<ResponseBody> {
     let mut response = Response::new(ResponseBody::Relayed(chunks));
     *response.status_mut() = status;
