forwarding: comments between events belong to no event; failing test

Callers would see: of a stream whose server sends comments to keep it alive, these come late, with the next event; and an event that arrives in pieces more than 5 s after the last one may be cut as too long although it is whole. Cause: since entry::sse::Position counts what lies between two events as part of the next one. Before, a block of comments passed at once.

--- a/tests/forwarding.rs
+++ b/tests/forwarding.rs
@@ -249,3 +249,16 @@
     events.push(b"id: 5\nda".as_slice().into());
     assert_eq!(events.resume_point(), Some(Some("4".to_owned())));
 }
+
+/// Guards against comments between events, which keep a connection alive, that are held back from the
+/// client or counted as part of the next event, which is then cut as too long.
+#[test]
+fn comments_between_events_belong_to_no_event() {
+    for is_resumable in [true, false] {
+        let mut events = Events::new(is_resumable, None);
+        events.push(b"id: 0\ndata: a\n\n".as_slice().into());
+        let comment = b": keep-alive\n\n".as_slice();
+        assert_eq!(events.push(comment.into()), comment, "{is_resumable}");
+        assert_eq!(events.event_bytes(), 0, "{is_resumable}");
+    }
+}
