entry: comments between events belong to no event

Callers would see: comments that keep a stream alive come late, and an event in pieces after a pause may be cut as too long although it is whole. Cause: entry::sse::Position counted what lies between two events as part of the next one. Change: the end of a comment or an empty line between two events is a place of its own, up to which bytes are passed on and after which an event begins.

--- a/src/entry/sse.rs
+++ b/src/entry/sse.rs
@@ -38,8 +38,10 @@
 /// What a byte means in a stream of events.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Step {
-    /// The byte is part of an event or lies between two events.
+    /// The byte is part of an event, or of a line that is not complete.
     Within,
+    /// The byte ends a comment or an empty line between two events.
+    Between,
     /// The byte ends an event.
     Ends,
     /// The byte belongs to the end of line that the byte before it began.
@@ -82,12 +84,12 @@
     }
 
     fn step(&mut self, byte: u8) -> Step {
-        self.event_bytes += 1;
         let joins = byte == b'\n' && self.after_cr;
         self.after_cr = byte == b'\r';
         if joins {
             return Step::Joins;
         }
+        self.event_bytes += 1;
         match (byte, self.line) {
             (b'\n' | b'\r', line) => self.end_line(line),
             (b':', Line::Empty) => self.begin(Line::Comment),
@@ -104,17 +106,20 @@
     fn end_line(&mut self, line: Line) -> Step {
         self.line = Line::Empty;
         match line {
-            Line::Comment => Step::Within,
             Line::Field => {
                 self.has_fields = true;
                 Step::Within
             }
+            Line::Comment if self.has_fields => Step::Within,
             Line::Empty if self.has_fields => {
                 self.has_fields = false;
                 self.event_bytes = 0;
                 Step::Ends
             }
-            Line::Empty => Step::Within,
+            Line::Comment | Line::Empty => {
+                self.event_bytes = 0;
+                Step::Between
+            }
         }
     }
 }
@@ -178,6 +183,7 @@
                     self.events += 1;
                     whole = index + 1;
                 }
+                Step::Between => whole = index + 1,
                 Step::Joins if whole == index => whole = index + 1,
                 Step::Joins | Step::Within => (),
             }
