gateway: log which requests were at work when a server's process ended

Change: gateway::crash asks a server's port after a connection broke under a request; if it refuses, server_ended and run_ended lines name the server's start and the parts of the prompts. No decision depends on it yet.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -18,6 +18,10 @@
 
 use super::{
     backend::Backend,
+    crash::{
+        self,
+        BrokenRun, //
+    },
     demand,
     job::{
         Exchange,
@@ -98,7 +102,7 @@
 /// Sends a request to a server and reads the head of its response.
 pub(super) async fn attempt(
     state: &State,
-    job: &Job,
+    job: &Rc<Job>,
     backend: &Rc<Backend>,
     progress: &Progress,
     last_event: Option<&str>,
@@ -156,6 +160,7 @@
             return SendError::NotRun("the connection had ended");
         }
         backend.record_broken(Time::now());
+        crash::record(backend, BrokenRun::new(job, None));
         SendError::Unknown("no answer")
     })?;
     let response_head = header::decode_response(response.status().as_u16(), response.headers());
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -16,6 +16,7 @@
 use tokio::sync::watch;
 
 use super::{
+    crash::BrokenRun,
     demand::{
         Key,
         Waiting, //
@@ -94,6 +95,8 @@
     cooldown_until: Cell<Time>,
     /// When a connection to the server broke while a request was at work.
     broken_at: Cell<Option<Time>>,
+    /// Requests whose connections broke, until it is known whether the process has ended.
+    pub(super) broken_runs: RefCell<Vec<BrokenRun>>,
     /// Whether the server is unresponsive: either its machine is silent, or the server does not
     /// respond to its loader.
     is_unresponsive: watch::Sender<bool>,
@@ -140,6 +143,7 @@
             failure_rate: Cell::new(0.0),
             cooldown_until: Cell::new(Time::ZERO),
             broken_at: Cell::new(None),
+            broken_runs: RefCell::default(),
             is_unresponsive: watch::Sender::new(false),
             is_replaced: Cell::new(false),
             is_leaving: Cell::new(false),
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -1,5 +1,7 @@
 //! Sends a request to one server after another until one responds or no further send is allowed.
 
+use std::rc::Rc;
+
 use super::{
     attempt,
     backend::Backend,
@@ -23,7 +25,7 @@
 /// passed on, for a stream that is resumed.
 pub(super) async fn send(
     state: &State,
-    job: &Job,
+    job: &Rc<Job>,
     progress: &mut Progress,
     last_event: Option<&str>,
 ) -> Result<Exchange, Failure> {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod backend;
 mod cold;
+mod crash;
 mod demand;
 mod ending;
 mod engines;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -16,6 +16,10 @@
 use super::{
     attempt,
     backend::Backend,
+    crash::{
+        self,
+        BrokenRun, //
+    },
     demand::InFlight,
     ending,
     events::Events,
@@ -83,11 +87,13 @@
             events: &mut events,
             in_flight: &mut exchange.in_flight,
             chunks: &chunks,
+            began_at: None,
         };
         let mut end = relay.pass_on(exchange.response.body_mut(), &silence).await;
         if matches!(end, End::Complete) {
             end = relay.finish(framing, client_framing).await;
         }
+        let began_at = relay.began_at;
         let reason = match end {
             End::Complete => {
                 let channel = exchange.channel;
@@ -108,6 +114,7 @@
             End::Lost(reason) => reason,
         };
         backend.record_broken(Time::now());
+        crash::record(&backend, BrokenRun::new(&job, began_at));
         // The response is incomplete, so the connection can't be used again.
         drop((exchange.response, exchange.channel, exchange.in_flight));
         progress.attempts.record_run();
@@ -195,6 +202,8 @@
     events: &'a mut Events,
     in_flight: &'a mut InFlight,
     chunks: &'a Sender<Chunk>,
+    /// When the first byte of the body arrived.
+    began_at: Option<Time>,
 }
 
 impl Relay<'_> {
@@ -218,6 +227,7 @@
                 Ok(Ok(Piece::End)) => return End::Complete,
             };
             self.in_flight.clear_pending_tokens();
+            self.began_at.get_or_insert_with(Time::now);
             let received = data.len();
             let data = self.events.push(data);
             if self.events.event_bytes() <= received {
