--- a/src/emulator/site/engine.rs
+++ b/src/emulator/site/engine.rs
@@ -137,8 +137,13 @@
     /// Starts the engine anew with another version of its software. It holds the same models, and the
     /// streams that it runs break.
     pub(super) fn upgrade(&self, version: &str) {
+        self.lock().software = Some(version.to_owned());
+        self.restart();
+    }
+
+    /// Starts the engine anew with the same models. The streams that it runs break.
+    pub(super) fn restart(&self) {
         let mut state = self.lock();
-        state.software = Some(version.to_owned());
         state.restarts += 1;
         state.accepted = 0;
         state.is_busy = false;
--- a/src/emulator/site/mod.rs
+++ b/src/emulator/site/mod.rs
@@ -1,6 +1,7 @@
 //! Emulator of the users' platform that runs within the test's process: a store, model engines and
 //! servers of a plain service.
 
+mod crash;
 mod delivery;
 mod engine;
 mod service;
@@ -39,6 +40,11 @@
     http, raw,
 };
 
+pub use crash::{
+    Crashes,
+    Trigger, //
+};
+
 pub use super::raw::{
     Delivery,
     Ending,
@@ -111,6 +117,8 @@
     /// the store.
     raw: Vec<Arc<raw::Server>>,
     records: Arc<Mutex<Records>>,
+    /// What crashes the servers at the addresses of [`Self::start_crashing`].
+    crasher: Option<Arc<crash::Crasher>>,
 }
 
 /// A server, its faults and its addresses.
@@ -172,6 +180,7 @@
             services: Vec::new(),
             raw: Vec::new(),
             records,
+            crasher: None,
         };
         for (index, models) in plan.engines.iter().enumerate() {
             site.add_engine(plan, index, models)?;
@@ -414,8 +423,8 @@
     }
 }
 
-fn lock(records: &Mutex<Records>) -> MutexGuard<'_, Records> {
-    records.lock().unwrap_or_else(PoisonError::into_inner)
+fn lock<T>(value: &Mutex<T>) -> MutexGuard<'_, T> {
+    value.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 /// Serves a listener in the background with the handler.
--- a/src/emulator/site/service.rs
+++ b/src/emulator/site/service.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex,
         atomic::{
             AtomicBool,
             Ordering, //
@@ -65,25 +65,25 @@
     }
 
     pub(super) fn ask_for_rest(&self, text: &str) {
-        *guard(&self.next_rest) = Some(text.to_owned());
+        *lock(&self.next_rest) = Some(text.to_owned());
     }
 
     pub(super) fn name_limit(&self, text: Option<&str>) {
-        *guard(&self.limit) = text.map(str::to_owned);
+        *lock(&self.limit) = text.map(str::to_owned);
     }
 
     /// Returns the refusal of the request if the server asks for rest. A request during a rest is a
     /// violation.
     fn refusal(&self) -> Option<Response> {
         let now = Instant::now();
-        let is_resting = guard(&self.resting_until).is_some_and(|until| now < until);
+        let is_resting = lock(&self.resting_until).is_some_and(|until| now < until);
         if is_resting {
             let violation = format!("a request reached {} while it rests", self.id);
             lock(&self.records).violations.push(violation);
         }
-        let text = guard(&self.next_rest).take()?;
+        let text = lock(&self.next_rest).take()?;
         if let Ok(seconds) = text.parse() {
-            *guard(&self.resting_until) = Some(now + Duration::from_secs_f64(seconds));
+            *lock(&self.resting_until) = Some(now + Duration::from_secs_f64(seconds));
         }
         let response = Response::error(503, "overloaded");
         Some(
@@ -94,14 +94,10 @@
     }
 }
 
-fn guard<T>(value: &Mutex<T>) -> MutexGuard<'_, T> {
-    value.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Handles a call. A server that leaves or has a limit names that in every response.
 pub(super) async fn handle(service: Arc<Service>, call: Call) -> Response {
     let is_leaving = service.is_leaving.load(Ordering::Relaxed);
-    let limit = guard(&service.limit).clone();
+    let limit = lock(&service.limit).clone();
     let mut response = run(service, call).await;
     if is_leaving {
         response = response.with_header("Server-Leaving", "1".to_owned());
