quarantine, gateway, hub: refuse requests that carry what crashes servers

Cause: nothing remembered across requests which of them were at work when a server's process ended. The blame fell on the server, so the same part reached the next healthy one for as long as it came, at every gateway anew. Change: gateways report to their hub which requests were at work when a port refused connections after a break, and what has got through; hubs tell each other and decide by the same facts (quarantine::Evidence): a part in three crashes that are apart, at two addresses, with nothing that got through since; the one that explains most, the narrowest first; parts that only came together are refused only together. Gateways refuse such requests at once, before they count as demand, with the time until the refusal ends. A gateway without a hub decides by what it saw itself. Ruled out: a count of crashes a request or a gateway (each crash may be seen at another one); refusing by model or route (takes sound requests along).

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -101,7 +101,7 @@
 
 /// Sends a request to a server and reads the head of its response.
 pub(super) async fn attempt(
-    state: &State,
+    state: &Rc<State>,
     job: &Rc<Job>,
     backend: &Rc<Backend>,
     progress: &Progress,
@@ -160,7 +160,7 @@
             return SendError::NotRun("the connection had ended");
         }
         backend.record_broken(Time::now());
-        crash::record(backend, BrokenRun::new(job, None));
+        crash::record(state, backend, BrokenRun::new(job, now, None));
         SendError::Unknown("no answer")
     })?;
     let response_head = header::decode_response(response.status().as_u16(), response.headers());
@@ -170,6 +170,7 @@
         server,
         channel,
         framing: response.body().framing(response.headers()),
+        sent_at: now,
         response,
         response_head,
     };
--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -9,7 +9,8 @@
 
 use super::{
     backend::Backend,
-    job::Job, //
+    job::Job,
+    state::State, //
 };
 use crate::{
     dispatch::Part,
@@ -17,6 +18,11 @@
         Channel,
         Error, //
     },
+    link,
+    quarantine::{
+        Crash,
+        Run, //
+    },
     report,
     timer::Time, //
 };
@@ -28,6 +34,10 @@
 /// process has ended, and it comes within one round trip.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time for which a server sends an answer until the request has got through: what a request carries
+/// crashes a server as soon as its run begins.
+pub(super) const PASSED_AFTER: Duration = Duration::from_millis(1_000);
+
 /// Maximum number of requests of one server that are logged.
 const MAX_LOGGED: usize = 32;
 
@@ -35,20 +45,35 @@
 #[derive(Debug)]
 pub(super) struct BrokenRun {
     job: Rc<Job>,
+    sent_at: Time,
     /// When the first byte of the body arrived, if any did.
     began_at: Option<Time>,
     broken_at: Time,
 }
 
 impl BrokenRun {
-    pub(super) fn new(job: &Rc<Job>, began_at: Option<Time>) -> Self {
+    pub(super) fn new(job: &Rc<Job>, sent_at: Time, began_at: Option<Time>) -> Self {
         Self {
             job: job.clone(),
+            sent_at,
             began_at,
             broken_at: Time::now(),
         }
     }
 
+    /// Returns whether the server had worked on the request for so long that something else ended it.
+    fn has_got_through(&self) -> bool {
+        self.answered_for().is_some_and(|time| time >= PASSED_AFTER)
+    }
+
+    fn told(&self, ended_at: Time) -> Run {
+        Run {
+            id: link::digest(&self.job.head.id),
+            worked_ms: millis(ended_at - self.sent_at),
+            marks: self.job.marks(),
+        }
+    }
+
     /// Returns the time for which the server had been sending its answer; `None` if the answer had not
     /// begun.
     fn answered_for(&self) -> Option<Duration> {
@@ -58,25 +83,47 @@
 
 /// Records that a connection broke while the server worked on a request, and finds out whether the
 /// server's process has ended.
-pub(super) fn record(backend: &Rc<Backend>, run: BrokenRun) {
+pub(super) fn record(state: &Rc<State>, backend: &Rc<Backend>, run: BrokenRun) {
     let mut runs = backend.broken_runs.borrow_mut();
     runs.push(run);
     if runs.len() == 1 {
-        tokio::task::spawn_local(examine(backend.clone()));
+        tokio::task::spawn_local(examine(state.clone(), backend.clone()));
     }
 }
 
 /// Finds out whether the process ended under the requests whose connections broke.
-async fn examine(backend: Rc<Backend>) {
+async fn examine(state: Rc<State>, backend: Rc<Backend>) {
     let is_leaving = !backend.is_ready();
     sleep(COLLECTION_TIME).await;
     let has_ended = !is_leaving && refuses_connections(&backend).await;
     let runs = backend.broken_runs.take();
     if has_ended {
         log_end(&backend, &runs);
+        let now = Time::now();
+        let crash = crash(&backend, &runs, now);
+        state.quarantine.record_crash(crash, now);
+        state.tell_facts();
     }
 }
 
+/// Returns what is told of the end of a server's process. Requests that had got through did not cause
+/// it.
+fn crash(backend: &Backend, runs: &[BrokenRun], now: Time) -> Crash {
+    let server = backend.server();
+    let ended_at = runs.iter().map(|run| run.broken_at).min().unwrap_or(now);
+    let suspects = runs.iter().filter(|run| !run.has_got_through());
+    Crash {
+        process: link::digest(&format!("{}/{}", server.id, server.started_ms)),
+        address: link::digest(&server.address.to_string()),
+        age_ms: millis(now - ended_at),
+        runs: suspects.map(|run| run.told(ended_at)).collect(),
+    }
+}
+
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// Returns whether the server's port is closed although its machine responds: its process has ended.
 /// A machine that is cut off, frozen or gone does not respond, and a process that only resets its
 /// connections accepts new ones.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -24,7 +24,7 @@
 /// Sends a request until a server responds. `last_event` is the id of the last event that was
 /// passed on, for a stream that is resumed.
 pub(super) async fn send(
-    state: &State,
+    state: &Rc<State>,
     job: &Rc<Job>,
     progress: &mut Progress,
     last_event: Option<&str>,
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -36,7 +36,7 @@
         Progress, //
     },
     message::Malformed,
-    origins, relay,
+    origins, pick, relay,
     response::{
         self,
         Failure,
@@ -140,11 +140,13 @@
     let id = head.id.clone();
     let job = read(state, request, head, started).await;
     let job = Rc::new(job.map_err(|failure| (id.clone(), failure))?);
+    let mut progress = Progress::new(&job.route);
+    let checked = pick::check_quarantine(state, &job, &progress);
+    checked.map_err(|failure| (id.clone(), failure))?;
     state.count_request(&job.service, started);
     if let Some(name) = &job.head.model {
         state.rates.record_request(&name.model, started);
     }
-    let mut progress = Progress::new(&job.route);
     let software = origins::software(state, &job).await;
     progress.software = software.map_err(|failure| (id.clone(), failure))?;
     let last_event = job.head.last_event.as_deref();
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -37,6 +37,7 @@
         Response, //
     },
     link,
+    quarantine::Mark,
     timer::Time,
 };
 
@@ -72,6 +73,7 @@
     /// Description of the server when the request was sent.
     pub(super) server: Rc<Server>,
     pub(super) channel: Channel,
+    pub(super) sent_at: Time,
     /// The response as its server sent it.
     pub(super) response: Response,
     /// How the end of its body is marked.
@@ -98,6 +100,12 @@
     pub(super) fn model(&self) -> Option<&ModelName> {
         self.head.model.as_ref()
     }
+
+    /// Returns the marks of what the request carries and may crash servers.
+    pub(super) fn marks(&self) -> Vec<Mark> {
+        let parts = self.head.prompt.iter();
+        parts.map(|part| Mark::of_part(part.id)).collect()
+    }
 }
 
 impl Progress {
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -269,6 +269,7 @@
 
 async fn exchange(state: &State, link: &Link, stream: TcpStream) -> io::Result<()> {
     link.connection.set(link.connection.get() + 1);
+    state.quarantine.begin_connection(&link.service);
     let (mut reader, mut writer) = link::split(stream)?;
     writer.send(&Hello::Gateway).await?;
     let read = async {
@@ -286,6 +287,7 @@
 async fn send_demand(state: &State, link: &Link, mut writer: Writer) -> io::Result<()> {
     let mut last_sent = 0;
     let mut origins_sent = 0;
+    let mut facts_sent = None;
     for backend in state.fleet.of_service(&link.service).iter() {
         backend.is_demand_changed.set(true);
     }
@@ -311,11 +313,13 @@
                 Vec::new()
             },
             unknown_streams: link.origins.take_questions(),
+            facts: state.quarantine.new_facts(&mut facts_sent, Time::now()),
         };
         last_sent = state.rates.newest();
         writer.send(&demand).await?;
         sleep(BATCH_DELAY).await;
-        if needs_origins && link.origins.has_new_origins(origins_sent) {
+        let has_origins = needs_origins && link.origins.has_new_origins(origins_sent);
+        if has_origins || state.quarantine.has_new_facts(facts_sent) {
             continue;
         }
         // A change of the demand ends the wait.
@@ -323,7 +327,7 @@
     }
 }
 
-fn apply(state: &State, link: &Link, update: Update) {
+fn apply(state: &State, link: &Link, mut update: Update) {
     link.is_up.set(true);
     if update.wants_engine && !link.wants_engine.replace(true) {
         link.demand_changed.notify_one();
@@ -342,6 +346,11 @@
         link.demand_changed.notify_one();
     }
     link.origins.learn(&update.origins, Time::now());
+    if let Some(findings) = update.findings.take() {
+        let service = &link.service;
+        state.quarantine.learn(service, findings, Time::now());
+        link.demand_changed.notify_one();
+    }
     let listing = link
         .mirror
         .borrow_mut()
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod message;
 mod origins;
 mod pick;
+mod quarantine;
 mod rates;
 mod ready;
 mod relay;
--- a/src/gateway/pick.rs
+++ b/src/gateway/pick.rs
@@ -67,6 +67,18 @@
         && (job.route.kind != Kind::ResumableStream || is_version_known())
 }
 
+/// Refuses a request if requests like it crash servers.
+pub(super) fn check_quarantine(
+    state: &State,
+    job: &Job,
+    progress: &Progress,
+) -> Result<(), Failure> {
+    match state.quarantine.remaining(job, Time::now()) {
+        Some(after) => Err(progress.final_failure_after("requests like this crash servers", after)),
+        None => Ok(()),
+    }
+}
+
 /// Chooses the server for a request.
 pub(super) async fn pick(
     state: &State,
@@ -86,6 +98,7 @@
         if remaining.is_zero() {
             return Err(search.timeout_failure());
         }
+        check_quarantine(state, job, progress)?;
         if state.is_search_over(now) {
             return Err(progress.final_failure("the gateway stops"));
         }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -83,11 +83,14 @@
             is_movable: &is_movable,
         };
         let mut relay = Relay {
+            state: &state,
+            is_success: exchange.response.status().is_success(),
             job: &job,
             events: &mut events,
             in_flight: &mut exchange.in_flight,
             chunks: &chunks,
             began_at: None,
+            has_passed: false,
         };
         let mut end = relay.pass_on(exchange.response.body_mut(), &silence).await;
         if matches!(end, End::Complete) {
@@ -114,7 +117,8 @@
             End::Lost(reason) => reason,
         };
         backend.record_broken(Time::now());
-        crash::record(&backend, BrokenRun::new(&job, began_at));
+        let run = BrokenRun::new(&job, exchange.sent_at, began_at);
+        crash::record(&state, &backend, run);
         // The response is incomplete, so the connection can't be used again.
         drop((exchange.response, exchange.channel, exchange.in_flight));
         progress.attempts.record_run();
@@ -198,12 +202,17 @@
 
 /// A response that is being passed on.
 struct Relay<'a> {
+    state: &'a State,
+    /// Whether the server answers with a success.
+    is_success: bool,
     job: &'a Job,
     events: &'a mut Events,
     in_flight: &'a mut InFlight,
     chunks: &'a Sender<Chunk>,
     /// When the first byte of the body arrived.
     began_at: Option<Time>,
+    /// Whether it is recorded that the request got through.
+    has_passed: bool,
 }
 
 impl Relay<'_> {
@@ -227,7 +236,10 @@
                 Ok(Ok(Piece::End)) => return End::Complete,
             };
             self.in_flight.clear_pending_tokens();
-            self.began_at.get_or_insert_with(Time::now);
+            let began_at = *self.began_at.get_or_insert_with(Time::now);
+            if Time::now() - began_at >= crash::PASSED_AFTER {
+                self.record_passed();
+            }
             let received = data.len();
             let data = self.events.push(data);
             if self.events.event_bytes() <= received {
@@ -243,6 +255,17 @@
         }
     }
 
+    /// Records that the server has worked on the request without ending, if that is of interest.
+    fn record_passed(&mut self) {
+        if std::mem::replace(&mut self.has_passed, true) {
+            return;
+        }
+        let quarantine = &self.state.quarantine;
+        if self.is_success && quarantine.record_passed(self.job, Time::now()) {
+            self.state.tell_facts();
+        }
+    }
+
     /// Passes on what is left of a response whose body ended without an error, unless something
     /// shows that it is incomplete.
     async fn finish(&mut self, framing: Framing, client_framing: Framing) -> End {
@@ -253,6 +276,7 @@
         if framing == Framing::Connection && ending::is_gone(&backend).await {
             return End::Lost(ending::Flaw::ServerGone.as_str());
         }
+        self.record_passed();
         let rest = self.events.rest();
         if rest.is_empty() || self.chunks.send(Chunk::Data(rest)).await.is_ok() {
             return End::Complete;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -15,6 +15,7 @@
     engines::EngineVersions,
     fleet::Fleet,
     link::Link,
+    quarantine::Quarantine,
     rates::Rates,
     waiters::Waiters, //
 };
@@ -45,6 +46,8 @@
     pub(super) rates: Rc<Rates>,
     /// Wakes requests that wait for a server.
     pub(super) waiters: Waiters,
+    /// Requests that are refused because requests like them crash servers.
+    pub(super) quarantine: Quarantine,
     /// Links to hubs by service.
     links: RefCell<BTreeMap<String, Rc<Link>>>,
     /// Becomes true when the gateway begins to stop.
@@ -65,6 +68,7 @@
             fleet: Fleet::default(),
             metrics,
             waiters: Waiters::default(),
+            quarantine: Quarantine::default(),
             links: RefCell::default(),
             stopping: watch::Sender::new(false),
             budgets: RefCell::default(),
@@ -94,6 +98,19 @@
         other.cloned().unwrap_or(own)
     }
 
+    /// Tells hubs what was recorded of requests that crash servers; without a hub, decides by it here.
+    pub(super) fn tell_facts(&self) {
+        let links = self.links.borrow();
+        let mut has_hub = false;
+        for link in links.values().filter(|link| link.is_up()) {
+            link.demand_changed.notify_one();
+            has_hub = true;
+        }
+        if !has_hub {
+            self.quarantine.decide_alone(Time::now());
+        }
+    }
+
     /// Asks for a newer list of servers, on signs that it has changed: a hub if there is one, else
     /// the store.
     pub(super) fn refresh_servers(&self) {
--- a/src/hub/mod.rs
+++ b/src/hub/mod.rs
@@ -10,6 +10,7 @@
 mod description;
 mod port;
 mod probe;
+mod quarantine;
 mod relay;
 mod sent;
 mod table;
@@ -24,6 +25,7 @@
     Hub,
     serve, //
 };
+pub(crate) use quarantine::Quarantine;
 pub(crate) use relay::Relay;
 pub use sent::Sent;
 pub use table::Table;
--- a/src/hub/port.rs
+++ b/src/hub/port.rs
@@ -20,6 +20,7 @@
 
 use super::{
     Description,
+    Quarantine,
     Relay,
     Sent,
     Table,
@@ -74,6 +75,7 @@
     /// The description of the engine, which the loader of this process uses as well.
     description: Rc<RefCell<Description>>,
     relay: Rc<Relay>,
+    quarantine: Rc<Quarantine>,
     /// Version of the table; wakes the connections of gateways.
     version: watch::Sender<u64>,
     /// Wakes the connections to the loader of a server, by server id.
@@ -90,11 +92,13 @@
         follower: Rc<Follower>,
         description: Rc<RefCell<Description>>,
         relay: Rc<Relay>,
+        quarantine: Rc<Quarantine>,
         engine_addr: SocketAddr,
     ) -> Self {
         Self {
             engine_addr,
             relay,
+            quarantine,
             table: RefCell::default(),
             follower,
             description,
@@ -246,6 +250,8 @@
         let now = Time::now();
         hub.relay.record_own(&demand.origins, now);
         hub.relay.ask(connection, &demand.unknown_streams);
+        hub.quarantine
+            .record_own(std::mem::take(&mut demand.facts), now);
         if let Some(description) = demand.engine.take() {
             hub.description.borrow_mut().update(description);
         } else if let Some(version) = demand.engine_version
@@ -273,10 +279,12 @@
     loader: &watch::Sender<Loader>,
 ) -> io::Result<()> {
     loop {
-        let status: Status = reader.next(LOADER_TIMEOUT).await?;
+        let mut status: Status = reader.next(LOADER_TIMEOUT).await?;
         let is_observer = status.is_observer;
         let wants_engine = status.wants_engine;
         hub.relay.record_others(&status.origins, Time::now());
+        hub.quarantine
+            .record_others(std::mem::take(&mut status.facts), Time::now());
         let server = hub.table.borrow_mut().set_status(connection, status);
         hub.publish();
         let said = Loader {
@@ -296,15 +304,19 @@
     let mut version = hub.version.subscribe();
     let mut description_request = hub.description_request.subscribe();
     let mut answered = hub.relay.answered.subscribe();
+    let mut quarantine = hub.quarantine.changed.subscribe();
+    let mut quarantine_version = 0;
     let mut sent = Sent::default();
     loop {
         version.mark_unchanged();
         description_request.mark_unchanged();
         answered.mark_unchanged();
+        quarantine.mark_unchanged();
         let mut update = sent.update(&hub.table.borrow(), Time::now());
         update.wants_engine = hub.description.borrow().is_requested(connection);
         update.origins = hub.relay.take_answers(connection);
         update.has_origins = hub.relay.has_origins(Time::now());
+        update.findings = hub.quarantine.news(&mut quarantine_version, Time::now());
         writer.send(&update).await?;
         sleep(GATEWAY_BATCH).await;
         // Waiting for changes can't fail: the hub owns the senders.
@@ -312,6 +324,7 @@
             _ = version.changed() => (),
             _ = description_request.changed() => (),
             _ = answered.changed() => (),
+            _ = quarantine.changed() => (),
             () = sleep(GATEWAY_HEARTBEAT) => (),
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod peer;
 pub mod placement;
 pub mod platform;
+pub mod quarantine;
 pub mod rank;
 pub mod report;
 pub mod settings;
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -20,6 +20,10 @@
         Server, //
     },
     dispatch::RequestRate,
+    quarantine::{
+        Fact,
+        Findings, //
+    },
 };
 
 /// Time constant in seconds with which the request rate of a model decays.
@@ -105,6 +109,8 @@
     pub origins: Vec<Origin>,
     /// Streams whose origins the gateway asks for.
     pub unknown_streams: Vec<u64>,
+    /// What the gateway has seen of requests that crash servers.
+    pub facts: Vec<Fact>,
 }
 
 /// Message of a hub to a loader: what the requests of the hub's gateways need.
@@ -180,6 +186,8 @@
     /// Whether the hub knows origins of streams, because a gateway knows several software versions;
     /// `None` if the hub can't tell yet.
     pub has_origins: Option<bool>,
+    /// What the hub has found out of requests that crash servers, if it changed.
+    pub findings: Option<Findings>,
 }
 
 /// Version of an engine description.
@@ -341,4 +349,6 @@
     pub wants_engine: bool,
     /// Origins that gateways have sent to the hub in the loader's process.
     pub origins: Vec<Origin>,
+    /// What gateways have told that hub of requests that crash servers.
+    pub facts: Vec<Fact>,
 }
--- a/src/loader/mod.rs
+++ b/src/loader/mod.rs
@@ -70,6 +70,7 @@
         follower.clone(),
         state.description.clone(),
         state.relay.clone(),
+        state.quarantine.clone(),
         engine,
     ));
     tokio::task::spawn_local(async move { follower.follow_servers().await });
--- a/src/loader/state.rs
+++ b/src/loader/state.rs
@@ -24,6 +24,7 @@
     hosted::Live,
     hub::{
         Description,
+        Quarantine,
         Relay, //
     },
     link::{
@@ -62,6 +63,8 @@
     pub(super) description: Rc<RefCell<Description>>,
     /// The origins of streams that the hub in this process passes on.
     pub(super) relay: Rc<Relay>,
+    /// What the hub in this process knows of requests that crash servers.
+    pub(super) quarantine: Rc<Quarantine>,
     next_connection: Cell<u64>,
     /// The hub at which the loader follows the other servers.
     pub(super) observed: Cell<Option<SocketAddr>>,
@@ -85,6 +88,7 @@
             rates: RefCell::default(),
             description: Rc::default(),
             relay: Rc::default(),
+            quarantine: Rc::default(),
             next_connection: Cell::new(0),
             observed: Cell::new(None),
             mirror: RefCell::default(),
--- a/src/loader/uplink.rs
+++ b/src/loader/uplink.rs
@@ -200,6 +200,8 @@
     let mut workload = state.workload.subscribe();
     let mut origins = state.relay.own_changed.subscribe();
     let mut origins_sent = 0;
+    let mut facts = state.quarantine.own_changed.subscribe();
+    let mut facts_sent = 0;
     holdings.mark_changed();
     while links.is_wanted(hub) {
         let changed = holdings.has_changed().unwrap_or(true);
@@ -209,15 +211,17 @@
             is_observer: state.observed.get() == Some(hub),
             wants_engine: state.wants_engine(connection),
             origins: state.relay.new_origins(&mut origins_sent),
+            facts: state.quarantine.new_facts(&mut facts_sent, Time::now()),
         };
         writer.send(&status).await?;
         sleep(BATCH_DELAY).await;
-        if state.relay.has_new_origins(origins_sent) {
+        if state.relay.has_new_origins(origins_sent) || state.quarantine.has_new_facts(facts_sent) {
             continue;
         }
         tokio::select! {
             _ = holdings.changed() => holdings.mark_changed(),
             _ = origins.changed() => (),
+            _ = facts.changed() => (),
             () = sleep(HEARTBEAT_INTERVAL) => (),
         }
     }
--- /dev/null
+++ b/src/quarantine/mark.rs
@@ -0,0 +1,55 @@
+//! Identity of what a request carries.
+
+use std::fmt;
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use sha2::{
+    Digest,
+    Sha256, //
+};
+
+/// Digest of something that a request carries and that may crash the servers which run it.
+///
+/// The digest is cryptographic: clients choose what they send, and must not be able to make the
+/// requests of others look like their own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Mark(u64);
+
+impl fmt::Display for Mark {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl Mark {
+    /// Returns the mark of a part of a prompt.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::quarantine::Mark;
+    ///
+    /// assert_eq!(Mark::of_part(7), Mark::of_part(7));
+    /// assert_ne!(Mark::of_part(7), Mark::of_part(8));
+    /// ```
+    pub fn of_part(id: u64) -> Self {
+        Self::new(b"part", &[&id.to_be_bytes()])
+    }
+
+    /// Returns the mark of a sequence of byte strings of a kind.
+    fn new(kind: &[u8], items: &[&[u8]]) -> Self {
+        let mut digest = Sha256::new();
+        digest.update(kind);
+        for item in items {
+            digest.update((item.len() as u64).to_be_bytes());
+            digest.update(item);
+        }
+        let digest = digest.finalize();
+        let mut first = [0; 8];
+        first.copy_from_slice(&digest[..8]);
+        Self(u64::from_be_bytes(first))
+    }
+}
--- a/src/timer.rs
+++ b/src/timer.rs
@@ -56,6 +56,12 @@
         self.0
     }
 
+    /// Returns the time that was `duration` earlier, at the earliest the start of the clock.
+    pub fn before(self, duration: Duration) -> Self {
+        let millis = u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(millis))
+    }
+
     /// Returns the remaining time until `self`, or zero if it has passed.
     pub fn remaining(self, now: Self) -> Duration {
         self - now
--- a/tests/hosted/crashing.rs
+++ b/tests/hosted/crashing.rs
@@ -94,6 +94,8 @@
 fn play(crashing_parts: &str, trigger: Trigger) {
     let plan = Plan {
         engines: vec![vec!["m1"]; 3],
+        // An answer lasts longer than a server under a request that crashes it.
+        events: 20,
         ..Plan::default()
     };
     let mut site = Site::start(&plan).expect("the site starts");
