gateway: name method and path of the requests under which a server ended

Cause: run_ended named the parts of prompts only, so plain requests under which servers end could not be told apart in the logs. Change: run_ended has the request's method and target.

--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -155,6 +155,8 @@
                 ("server", &server.id),
                 ("route", &run.job.route.name),
                 ("model", &run.job.model().map_or("", |name| &name.model)),
+                ("method", &run.job.method),
+                ("target", &run.job.target),
                 ("prompt", &prompt(&run.job.head.prompt)),
                 ("answered_ms", &answered_ms.unwrap_or_default()),
             ],
