--- a/tests/hosted/crashing.rs
+++ b/tests/hosted/crashing.rs
@@ -29,12 +29,9 @@
     },
 };
 
-/// Time after the fifth crash from which at most [`MAX_ARRIVALS`] may reach servers.
+/// Time after the crashes of a scenario from which at most [`MAX_ARRIVALS`] may reach servers.
 const CONTACT_TIME: Duration = Duration::from_millis(4_000);
 
-/// Number of crashes after which all gateways must know what crashes servers.
-const CRASHES: usize = 5;
-
 const MAX_ARRIVALS: usize = 3;
 
 /// Smallest fraction of the sound requests that begin at the first attempt afterwards.
@@ -43,9 +40,6 @@
 /// Duration of the traffic: the crashes, twice the time above, and some seconds.
 const TRAFFIC_TIME: Duration = Duration::from_secs(15);
 
-/// The part of a prompt that crashes servers.
-const CRASHING_PART: &str = "badbad";
-
 /// Number of requests so far, from which each request gets an id of its own.
 static NEXT_REQUEST: AtomicU32 = AtomicU32::new(0);
 
@@ -55,17 +49,64 @@
     is_served: bool,
 }
 
-/// Sends a request whose prompt has these parts, and a last part of its own.
-fn send_prompt(gateway: SocketAddr, parts: &str) -> Sent {
-    let at = Instant::now();
-    let number = NEXT_REQUEST.fetch_add(1, Ordering::Relaxed);
-    let text = format!(
+/// What a test plays: sound requests beside some that crash servers.
+#[derive(Clone, Copy)]
+struct Scenario {
+    /// Returns the text of the sound request with a number.
+    sound: fn(u32) -> String,
+    /// The same of a request that crashes servers.
+    crashing: fn(u32) -> String,
+    /// Text that only the latter contain.
+    crashing_text: &'static str,
+    /// Number of crashes after which all gateways must know what crashes servers.
+    crashes: usize,
+}
+
+/// Returns the text of a model request with these parts in its prompt, and a last part of its own.
+fn prompt(number: u32, parts: &str) -> String {
+    format!(
         "POST /chat/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: p{number}\r\nDeadline-Ms: 5000\r\n\
          Model: m1\r\nToken-Count: 150,10\r\nPrompt-Prefix: {parts},{:x}:20\r\n\
          Connection: close\r\nContent-Length: 0\r\n\r\n",
         0x10_0000 + number
-    );
-    let response = send_raw(gateway, &text);
+    )
+}
+
+/// Returns the text of a plain request of a caller.
+fn lookup(number: u32, path: &str, caller: &str) -> String {
+    format!(
+        "GET /look/{path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: l{number}\r\n\
+         Deadline-Ms: 3000\r\nAuthorization: Bearer {caller}\r\nConnection: close\r\n\r\n"
+    )
+}
+
+const PART: Scenario = Scenario {
+    sound: |number| prompt(number, "a1:100"),
+    crashing: |number| prompt(number, "a1:100,badbad:30"),
+    crashing_text: "badbad:",
+    crashes: 5,
+};
+
+const FIRST_PART: Scenario = Scenario {
+    crashing: |number| prompt(number, "badbad:30,a1:100"),
+    ..PART
+};
+
+/// Sound requests have the path of the crashing one or a path of their own, and another caller.
+const REQUEST: Scenario = Scenario {
+    sound: |number| match number % 2 {
+        0 => lookup(number, "order-7", "sound"),
+        _ => lookup(number, &format!("order-{number}-8"), "sound"),
+    },
+    crashing: |number| lookup(number, "order-7", "crashing"),
+    crashing_text: "crashing",
+    crashes: 3,
+};
+
+fn send(gateway: SocketAddr, text: fn(u32) -> String) -> Sent {
+    let at = Instant::now();
+    let number = NEXT_REQUEST.fetch_add(1, Ordering::Relaxed);
+    let response = send_raw(gateway, &text(number));
     Sent {
         at,
         is_served: response.starts_with("HTTP/1.1 200"),
@@ -74,32 +115,32 @@
 
 /// Sends requests at an interval for [`TRAFFIC_TIME`], by turns at all gateways, each in a thread of
 /// its own. Returns what was sent.
-fn send_series(gateways: &[SocketAddr], parts: &str, interval: Duration) -> Vec<Sent> {
+fn send_series(gateways: &[SocketAddr], text: fn(u32) -> String, interval: Duration) -> Vec<Sent> {
     let started = Instant::now();
     let mut requests = Vec::new();
     for gateway in gateways.iter().cycle() {
         if started.elapsed() >= TRAFFIC_TIME {
             break;
         }
-        let (gateway, parts) = (*gateway, parts.to_owned());
-        requests.push(thread::spawn(move || send_prompt(gateway, &parts)));
+        let gateway = *gateway;
+        requests.push(thread::spawn(move || send(gateway, text)));
         thread::sleep(interval);
     }
     let join = |request: thread::JoinHandle<Sent>| request.join().expect("the request ends");
     requests.into_iter().map(join).collect()
 }
 
-/// Plays requests that crash engines beside sound ones that share their other parts, and checks what
-/// reaches servers after the crashes.
-fn play(crashing_parts: &str, trigger: Trigger) {
+/// Plays a scenario at three gateways and checks what reaches servers after the crashes.
+fn play(scenario: Scenario, trigger: Trigger) {
     let plan = Plan {
         engines: vec![vec!["m1"]; 3],
+        services: 3,
         // An answer lasts longer than a server under a request that crashes it.
         events: 20,
         ..Plan::default()
     };
     let mut site = Site::start(&plan).expect("the site starts");
-    let text = format!("{CRASHING_PART}:");
+    let text = scenario.crashing_text.to_owned();
     let trigger = Trigger { text, ..trigger };
     site.start_crashing(trigger)
         .expect("the addresses are bound");
@@ -113,21 +154,20 @@
     let further = others.iter().map(|(_, address)| *address);
     let gateways: Vec<_> = [system.caller_addr].into_iter().chain(further).collect();
     wait_until("sound requests are served", || {
-        gateways
-            .iter()
-            .all(|gateway| send_prompt(*gateway, "a1:100").is_served)
+        let mut gateways = gateways.iter();
+        gateways.all(|gateway| send(*gateway, scenario.sound).is_served)
     });
     let sound = {
         let gateways = gateways.clone();
-        thread::spawn(move || send_series(&gateways, "a1:100", Duration::from_millis(30)))
+        thread::spawn(move || send_series(&gateways, scenario.sound, Duration::from_millis(30)))
     };
-    send_series(&gateways, crashing_parts, Duration::from_millis(140));
+    send_series(&gateways, scenario.crashing, Duration::from_millis(140));
     let sound = sound.join().expect("the sound requests end");
     let crashes = system.site.crashes();
     assert!(!crashes.ends.is_empty(), "nothing crashed");
-    if let Some(fifth) = crashes.ends.get(CRASHES - 1) {
+    if let Some(last) = crashes.ends.get(scenario.crashes - 1) {
         let arrivals = crashes.arrivals.iter();
-        let late = arrivals.filter(|at| **at > *fifth + CONTACT_TIME).count();
+        let late = arrivals.filter(|at| **at > *last + CONTACT_TIME).count();
         let all = crashes.arrivals.len();
         assert!(
             late <= MAX_ARRIVALS,
@@ -135,7 +175,7 @@
             crashes.ends.len()
         );
     }
-    let reference = crashes.ends[crashes.ends.len().min(CRASHES) - 1];
+    let reference = crashes.ends[crashes.ends.len().min(scenario.crashes) - 1];
     let after = sound
         .iter()
         .filter(|sent| sent.at > reference + 2 * CONTACT_TIME);
@@ -147,7 +187,7 @@
 /// Guards against a part of prompts that crashes one server after another.
 #[test]
 fn a_part_that_crashes_servers_soon_reaches_none() {
-    play("a1:100,badbad:30", Trigger::default());
+    play(PART, Trigger::default());
 }
 
 /// Guards against the same where servers crash before they answer, and reset their connections.
@@ -159,7 +199,7 @@
         seed: 1,
         ..Trigger::default()
     };
-    play("a1:100,badbad:30", trigger);
+    play(PART, trigger);
 }
 
 /// Guards against the same where the part comes first, before parts that sound requests share.
@@ -169,5 +209,16 @@
         seed: 2,
         ..Trigger::default()
     };
-    play("badbad:30,a1:100", trigger);
+    play(FIRST_PART, trigger);
+}
+
+/// Guards against a request that crashes one server after another each time that it comes again.
+#[test]
+fn a_request_that_crashes_servers_soon_reaches_none() {
+    let trigger = Trigger {
+        has_answer: false,
+        seed: 3,
+        ..Trigger::default()
+    };
+    play(REQUEST, trigger);
 }
