quarantine, gateway: refuse a request that crashes servers each time it comes

Change: a request carries one more mark, the digest of its method, host, target, caller (its credentials, if it has any) and body, taken only while something is suspected or a server has ended. Decision and messages are the same. Ruled out: the address of the connection as the caller (the balancer stands between); the prompt in the digest (the users name path, caller and body).

--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -70,7 +70,7 @@
         Run {
             id: link::digest(&self.job.head.id),
             worked_ms: millis(ended_at - self.sent_at),
-            marks: self.job.marks(),
+            marks: self.job.marks().to_vec(),
         }
     }
 
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -1,6 +1,7 @@
 //! Reads a client's request, finds its route and responds to it.
 
 use std::{
+    cell::OnceCell,
     convert::Infallible,
     rc::Rc,
     time::Duration, //
@@ -242,6 +243,7 @@
         head,
         body,
         deadline,
+        marks: OnceCell::new(),
     })
 }
 
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -1,6 +1,7 @@
 //! A request that the gateway processes, and the state of its sends.
 
 use std::{
+    cell::OnceCell,
     collections::BTreeMap,
     rc::Rc,
     time::Duration, //
@@ -9,7 +10,8 @@
 use bytes::Bytes;
 use hyper::{
     HeaderMap,
-    Method, //
+    Method,
+    header::AUTHORIZATION, //
 };
 
 use super::{
@@ -37,7 +39,10 @@
         Response, //
     },
     link,
-    quarantine::Mark,
+    quarantine::{
+        Content,
+        Mark, //
+    },
     timer::Time,
 };
 
@@ -64,6 +69,8 @@
     pub(super) body: Bytes,
     /// Time after which the response is of no use to the client.
     pub(super) deadline: Time,
+    /// Marks of the request, once they are needed.
+    pub(super) marks: OnceCell<Vec<Mark>>,
 }
 
 /// A request that a server has responded to; the body of the response is still to be read.
@@ -101,11 +108,32 @@
         self.head.model.as_ref()
     }
 
-    /// Returns the marks of what the request carries and may crash servers.
-    pub(super) fn marks(&self) -> Vec<Mark> {
+    /// Returns the marks of what the request carries and may crash servers: the parts of its prompt,
+    /// and all of it.
+    pub(super) fn marks(&self) -> &[Mark] {
+        self.marks.get_or_init(|| {
+            let mut marks = self.part_marks();
+            marks.push(self.content_mark());
+            marks
+        })
+    }
+
+    /// Returns the marks of the parts of the prompt.
+    pub(super) fn part_marks(&self) -> Vec<Mark> {
         let parts = self.head.prompt.iter();
         parts.map(|part| Mark::of_part(part.id)).collect()
     }
+
+    fn content_mark(&self) -> Mark {
+        let caller = self.headers.get(AUTHORIZATION);
+        Mark::of_request(&Content {
+            method: self.method.as_str(),
+            host: &self.route.host,
+            target: &self.target,
+            caller: caller.map_or(&[], |caller| caller.as_bytes()),
+            body: &self.body,
+        })
+    }
 }
 
 impl Progress {
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -198,8 +198,11 @@
 
     /// Records that a request got through on a server. Returns whether that clears a suspect.
     pub(super) fn record_passed(&self, job: &Job, now: Time) -> bool {
-        let mut marks = job.marks();
-        self.keep_passed(&marks, now);
+        self.keep_passed(&job.part_marks(), now);
+        if self.suspects.borrow().is_empty() {
+            return false;
+        }
+        let mut marks = job.marks().to_vec();
         marks.retain(|mark| self.suspects.borrow_mut().remove(mark));
         let is_suspected = !marks.is_empty();
         if is_suspected {
--- a/src/quarantine/mark.rs
+++ b/src/quarantine/mark.rs
@@ -18,6 +18,21 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Mark(u64);
 
+/// What a request that comes again has in common with the one before.
+#[derive(Debug, Clone, Copy)]
+pub struct Content<'a> {
+    /// HTTP method.
+    pub method: &'a str,
+    /// Host.
+    pub host: &'a str,
+    /// Path and query.
+    pub target: &'a str,
+    /// Credentials of the caller, if the request has any.
+    pub caller: &'a [u8],
+    /// Body.
+    pub body: &'a [u8],
+}
+
 impl fmt::Display for Mark {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
@@ -39,6 +54,38 @@
         Self::new(b"part", &[&id.to_be_bytes()])
     }
 
+    /// Returns the mark of a request that comes again with a new id: the same method, host and target,
+    /// from the same caller, with the same body. `caller` is empty if nothing names the caller.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::quarantine::{Content, Mark};
+    ///
+    /// let content = Content {
+    ///     method: "GET",
+    ///     host: "a.example",
+    ///     target: "/x",
+    ///     caller: b"Bearer 1",
+    ///     body: b"",
+    /// };
+    /// let other = Content { caller: b"Bearer 2", ..content };
+    /// assert_ne!(Mark::of_request(&content), Mark::of_request(&other));
+    /// ```
+    pub fn of_request(content: &Content<'_>) -> Self {
+        let (method, host, target) = (content.method, content.host, content.target);
+        Self::new(
+            b"request",
+            &[
+                method.as_bytes(),
+                host.as_bytes(),
+                target.as_bytes(),
+                content.caller,
+                content.body,
+            ],
+        )
+    }
+
     /// Returns the mark of a sequence of byte strings of a kind.
     fn new(kind: &[u8], items: &[&[u8]]) -> Self {
         let mut digest = Sha256::new();
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -20,4 +20,7 @@
     Run, //
 };
 pub use log::FactLog;
-pub use mark::Mark;
+pub use mark::{
+    Content,
+    Mark, //
+};
