quarantine: bound what is told of requests that crash servers

Cause: a prompt of some hundred parts at work under many requests would make one message longer than a link takes; both ends close the connection, and the facts are told again on the next one, without end. Found while asking what of this change could itself crash or cut processes. Change: at most 24 marks a request, 64 requests a fact and 8 facts a message; patterns that others found and those that ended are bounded too. The emulated deployment can start its loaders anew.

--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -21,6 +21,7 @@
     link,
     quarantine::{
         Crash,
+        MAX_RUNS,
         Run, //
     },
     report,
@@ -100,8 +101,10 @@
     if has_ended {
         log_end(&backend, &runs);
         let now = Time::now();
-        let crash = crash(&backend, &runs, now);
-        state.quarantine.record_crash(crash, now);
+        for runs in runs.chunks(MAX_RUNS) {
+            let crash = crash(&backend, runs, now);
+            state.quarantine.record_crash(crash, now);
+        }
         state.tell_facts();
     }
 }
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -41,6 +41,7 @@
     link,
     quarantine::{
         Content,
+        MAX_MARKS,
         Mark, //
     },
     timer::Time,
@@ -112,15 +113,16 @@
     /// and all of it.
     pub(super) fn marks(&self) -> &[Mark] {
         self.marks.get_or_init(|| {
-            let mut marks = self.part_marks();
-            marks.push(self.content_mark());
+            let mut marks = vec![self.content_mark()];
+            marks.extend(self.part_marks());
+            marks.truncate(MAX_MARKS);
             marks
         })
     }
 
     /// Returns the marks of the parts of the prompt.
     pub(super) fn part_marks(&self) -> Vec<Mark> {
-        let parts = self.head.prompt.iter();
+        let parts = self.head.prompt.iter().take(MAX_MARKS);
         parts.map(|part| Mark::of_part(part.id)).collect()
     }
 
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -164,6 +164,7 @@
             lasts_ms: pattern.lasts_ms,
         };
         let mut patterns = self.patterns.borrow_mut();
+        patterns.retain(|_, known| now < known.ends_at());
         let known = patterns.insert(pattern.marks.clone(), refusal);
         if known.is_none() {
             log_pattern("quarantine_begun", &pattern);
--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -12,6 +12,7 @@
     Crash,
     Fact,
     Findings,
+    MAX_MARKS,
     Mark,
     Pattern, //
 };
@@ -55,8 +56,8 @@
 /// Maximum number of requests of one crash that are kept.
 const MAX_RUNS: usize = 256;
 
-/// Maximum number of marks of a request that are kept.
-const MAX_MARKS: usize = 32;
+/// Maximum number of patterns that are kept of those that others found.
+const MAX_LEARNED: usize = 128;
 
 /// Maximum number of suspects that are told to gateways.
 const MAX_SUSPECTS: usize = 1_024;
@@ -222,6 +223,9 @@
         if is_void || pattern.marks.iter().any(is_cleared) {
             return false;
         }
+        if self.learned.len() >= MAX_LEARNED && !self.learned.contains_key(&pattern.marks) {
+            return false;
+        }
         let lasts_ms = pattern.lasts_ms;
         let known = self.learned.insert(pattern.marks, Learned { at, lasts_ms });
         known.is_none()
--- a/src/quarantine/fact.rs
+++ b/src/quarantine/fact.rs
@@ -9,6 +9,12 @@
 
 use super::Mark;
 
+/// Maximum number of marks of a request that are told. Parts of a prompt beyond it are not.
+pub const MAX_MARKS: usize = 24;
+
+/// Maximum number of requests in one [`Crash`]; more are told as several of the same process.
+pub const MAX_RUNS: usize = 64;
+
 /// A request that was at work when its server's process ended.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Run {
--- a/src/quarantine/log.rs
+++ b/src/quarantine/log.rs
@@ -12,7 +12,7 @@
 const MAX_FACTS: usize = 512;
 
 /// Maximum number of facts in one message, which has a maximum size.
-const MAX_BATCH: usize = 32;
+const MAX_BATCH: usize = 8;
 
 /// Facts in the order in which they became known. Each connection is sent all of them, from its own
 /// position on.
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -16,6 +16,8 @@
     Crash,
     Fact,
     Findings,
+    MAX_MARKS,
+    MAX_RUNS,
     Pattern,
     Run, //
 };
--- a/tests/hosted/crashing.rs
+++ b/tests/hosted/crashing.rs
@@ -103,10 +103,14 @@
     crashes: 3,
 };
 
+/// Returns a number that no other request of this process has.
+fn number() -> u32 {
+    NEXT_REQUEST.fetch_add(1, Ordering::Relaxed)
+}
+
 fn send(gateway: SocketAddr, text: fn(u32) -> String) -> Sent {
     let at = Instant::now();
-    let number = NEXT_REQUEST.fetch_add(1, Ordering::Relaxed);
-    let response = send_raw(gateway, &text(number));
+    let response = send_raw(gateway, &text(number()));
     Sent {
         at,
         is_served: response.starts_with("HTTP/1.1 200"),
@@ -130,8 +134,8 @@
     requests.into_iter().map(join).collect()
 }
 
-/// Plays a scenario at three gateways and checks what reaches servers after the crashes.
-fn play(scenario: Scenario, trigger: Trigger) {
+/// Starts a deployment whose servers crash under the requests of a scenario.
+fn start(scenario: &Scenario, trigger: Trigger) -> Deployment {
     let plan = Plan {
         engines: vec![vec!["m1"]; 3],
         services: 3,
@@ -147,6 +151,12 @@
     site.configure(&configuration(1, &[]));
     let system = Deployment::start_unconfigured(site);
     wait_until("the gateway is ready", || system.is_ready());
+    system
+}
+
+/// Plays a scenario at three gateways and checks what reaches servers after the crashes.
+fn play(scenario: Scenario, trigger: Trigger) {
+    let system = start(&scenario, trigger);
     let others = [
         system.start_gateway("front-2"),
         system.start_gateway("front-3"),
@@ -222,3 +232,64 @@
     };
     play(REQUEST, trigger);
 }
+
+/// Guards against a crashing part that reaches servers again because all hubs and a gateway have
+/// started anew, with nothing of what they knew.
+#[test]
+fn what_crashes_servers_stays_known_when_hubs_start_anew() {
+    let mut system = start(&PART, Trigger::default());
+    wait_until("sound requests are served", || {
+        send(system.caller_addr, PART.sound).is_served
+    });
+    let is_known = |system: &Deployment| system.gateway_log().contains("event=quarantine_begun");
+    wait_until("the part is found", || {
+        send(system.caller_addr, PART.crashing);
+        thread::sleep(Duration::from_millis(100));
+        is_known(&system)
+    });
+    system.restart_loaders();
+    let (_gateway, address) = system.start_gateway("front-2");
+    wait_until("sound requests are served again", || {
+        send(address, PART.sound).is_served && send(system.caller_addr, PART.sound).is_served
+    });
+    thread::sleep(CONTACT_TIME);
+    let before = system.site.crashes().arrivals.len();
+    for gateway in [address, system.caller_addr] {
+        for _ in 0..10 {
+            let response = send_raw(gateway, &(PART.crashing)(number()));
+            assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+            assert!(response.contains("retry-after: "), "{response}");
+        }
+    }
+    assert_eq!(system.site.crashes().arrivals.len(), before);
+}
+
+/// Guards against a prompt of so many parts that what gateways tell of it does not fit into a message,
+/// so that hubs close their connections again and again.
+#[test]
+fn a_prompt_of_many_parts_that_crashes_servers_breaks_no_link() {
+    const MANY: Scenario = Scenario {
+        crashing: |number| {
+            let parts: Vec<_> = (0..800).map(|part| format!("{part:x}:1")).collect();
+            prompt(number, &format!("badbad:30,{}", parts.join(",")))
+        },
+        ..PART
+    };
+    let system = start(&MANY, Trigger::default());
+    wait_until("sound requests are served", || {
+        send(system.caller_addr, MANY.sound).is_served
+    });
+    wait_until("the part is found", || {
+        let requests: Vec<_> = (0..150)
+            .map(|_| {
+                let gateway = system.caller_addr;
+                thread::spawn(move || send(gateway, MANY.crashing))
+            })
+            .collect();
+        for request in requests {
+            request.join().expect("the request ends");
+        }
+        system.gateway_log().contains("event=quarantine_begun")
+    });
+    assert!(!system.gateway_log().contains("event=hub_lost"));
+}
--- a/tests/hosted/deployment.rs
+++ b/tests/hosted/deployment.rs
@@ -81,18 +81,7 @@
         let peer_port = free_port();
         let caller_addr = SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()));
         let ready_addr = SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()));
-        let mut loaders = Vec::new();
-        for index in 0..loader_count {
-            let engine = site.engine_addr(index);
-            let mut settings = settings(
-                site.store_addr(),
-                &format!("side-{index}"),
-                engine,
-                peer_port,
-            );
-            settings["engine_addr"] = json!(engine.to_string());
-            loaders.push(Daemon::start("loader", &settings, log(&settings)));
-        }
+        let loaders = start_loaders(&site, loader_count, peer_port);
         let mut settings = settings(site.store_addr(), "front-1", caller_addr, peer_port);
         let metrics_port = free_port();
         settings["metrics_port"] = json!(metrics_port);
@@ -110,6 +99,13 @@
         }
     }
 
+    /// Kills all loaders and starts new ones, which know nothing of what the former ones knew.
+    pub(crate) fn restart_loaders(&mut self) {
+        let count = self.loaders.len();
+        self.loaders.clear();
+        self.loaders = start_loaders(&self.site, count, self.peer_port);
+    }
+
     /// Starts a further gateway for the clients at the address that is returned, and waits until it
     /// is ready.
     pub(crate) fn start_gateway(&self, name: &str) -> (Daemon, SocketAddr) {
@@ -144,6 +140,18 @@
     }
 }
 
+/// Starts a loader beside each of the first `count` engines.
+fn start_loaders(site: &Site, count: usize, peer_port: u16) -> Vec<Daemon> {
+    let start = |index| {
+        let engine = site.engine_addr(index);
+        let name = format!("side-{index}");
+        let mut settings = settings(site.store_addr(), &name, engine, peer_port);
+        settings["engine_addr"] = json!(engine.to_string());
+        Daemon::start("loader", &settings, log(&settings))
+    };
+    (0..count).map(start).collect()
+}
+
 /// Creates the file for the log of a daemon, which stays after the run.
 fn log(settings: &Value) -> Stdio {
     let instance = settings["instance"].as_str().unwrap_or("unnamed");
