quarantine: refuse nothing shared while something narrower explains the crashes

Change: a mark is chosen only if no other explains all of its crashes with fewer requests. Result: a_shared_part_is_spared_while_a_narrower_one_explains_the_same plays these times: it fails without the condition and passes with it.

--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -1,6 +1,7 @@
 //! Decides from crashes and from requests that got through what crashes servers.
 
 use std::{
+    cmp::Reverse,
     collections::{
         BTreeMap,
         BTreeSet, //
@@ -81,7 +82,10 @@
 /// What the crashes say of one mark.
 #[derive(Debug, Default)]
 struct Tally {
+    /// Number of crashes that are apart from one another.
     crashes: u32,
+    /// All of the crashes, by their positions in time.
+    ends: BTreeSet<usize>,
     addresses: BTreeSet<u64>,
     runs: usize,
     /// Time of the last crash that was counted.
@@ -98,6 +102,11 @@
         self.crashes >= needed
     }
 
+    /// Returns whether the mark explains all crashes that `other` explains, with fewer requests.
+    fn is_narrower(&self, other: &Self) -> bool {
+        self.runs < other.runs && self.ends.is_superset(&other.ends)
+    }
+
     /// Counts a crash under runs with the mark, of which the last was sent at `sent_at`, unless it may
     /// have the same cause as the one counted before.
     fn count(&mut self, end: &End, sent_at: Time, runs: usize) {
@@ -124,7 +133,8 @@
 /// A mark is suspected of what ended under it, and is cleared by any request that got through with
 /// it. What remains is the cause of the crashes if it was there often enough. Of several marks that
 /// explain the same crashes, the one that explains most is chosen, then the one with the fewest
-/// requests. Marks that only came together can't be told apart, so only requests that carry all of
+/// requests; none is chosen while a narrower one explains the same, even if that was not there often
+/// enough yet. Marks that only came together can't be told apart, so only requests that carry all of
 /// them match.
 ///
 /// # Examples
@@ -257,17 +267,10 @@
         let mut patterns: Vec<Pattern> = Vec::new();
         loop {
             let tallies = tallies(&ends);
-            let is_enough =
-                |mark: &Mark, tally: &Tally| tally.is_enough(self.is_proven(*mark, now));
-            let enough = tallies
-                .iter()
-                .filter(|(mark, tally)| is_enough(mark, tally));
-            let best =
-                enough.max_by_key(|(_, tally)| (tally.crashes, std::cmp::Reverse(tally.runs)));
-            let Some((mark, tally)) = best else {
+            let Some((mark, tally)) = self.best(&tallies, now) else {
                 return patterns;
             };
-            let marks = self.companions(*mark);
+            let marks = self.companions(mark);
             ends.retain(|end| !end.runs.values().any(|run| run.marks.is_superset(&marks)));
             let is_proven = marks.iter().all(|mark| self.is_proven(*mark, now));
             let lasts = if is_proven { PROOF_TIME } else { RETENTION };
@@ -279,6 +282,20 @@
         }
     }
 
+    /// Returns the mark that counts as the cause of most crashes, if any does.
+    fn best<'a>(&self, tallies: &'a BTreeMap<Mark, Tally>, now: Time) -> Option<(Mark, &'a Tally)> {
+        let mut best: Option<(Mark, &Tally)> = None;
+        for (mark, tally) in tallies {
+            let weight = |tally: &Tally| (tally.crashes, Reverse(tally.runs));
+            let is_better = best.is_none_or(|(_, known)| weight(tally) > weight(known));
+            let is_explained = || tallies.values().any(|other| other.is_narrower(tally));
+            if is_better && tally.is_enough(self.is_proven(*mark, now)) && !is_explained() {
+                best = Some((*mark, tally));
+            }
+        }
+        best
+    }
+
     /// Returns whether requests with a mark have got through lately.
     fn is_proven(&self, mark: Mark, now: Time) -> bool {
         let cleared = self.cleared.get(&mark);
@@ -352,7 +369,7 @@
 /// Counts the crashes of each mark; `ends` are in the order of time.
 fn tallies(ends: &[&End]) -> BTreeMap<Mark, Tally> {
     let mut tallies: BTreeMap<Mark, Tally> = BTreeMap::new();
-    for end in ends {
+    for (position, end) in ends.iter().enumerate() {
         let mut here: BTreeMap<Mark, (Time, usize)> = BTreeMap::new();
         for run in end.runs.values() {
             for mark in &run.marks {
@@ -362,7 +379,9 @@
             }
         }
         for (mark, (sent_at, runs)) in here {
-            tallies.entry(mark).or_default().count(end, sent_at, runs);
+            let tally = tallies.entry(mark).or_default();
+            tally.ends.insert(position);
+            tally.count(end, sent_at, runs);
         }
     }
     tallies
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -386,3 +386,43 @@
         assert!(refused * 100 <= sound * 5, "{refused} of {sound}, {load:?}");
     }
 }
+
+/// Guards against a part that all requests share, which is refused because it counts as the cause
+/// before the crashing part does: requests with it were sent at any moment.
+#[test]
+fn a_shared_part_is_spared_while_a_narrower_one_explains_the_same() {
+    let mut evidence = Evidence::default();
+    let run = |id, worked_ms, parts: &[u64]| Run {
+        id,
+        worked_ms,
+        marks: parts.iter().map(|part| Mark::of_part(*part)).collect(),
+    };
+    let ends = [
+        (147, vec![run(1, 90, &[1, CRASHING, 11])]),
+        (
+            384,
+            vec![run(2, 148, &[1, CRASHING, 12]), run(3, 20, &[1, 13])],
+        ),
+        (
+            466,
+            vec![run(4, 90, &[1, CRASHING, 14]), run(5, 16, &[1, 15])],
+        ),
+    ];
+    for (process, (at, runs)) in ends.into_iter().enumerate() {
+        let process = process as u64;
+        let crash = Crash {
+            process,
+            address: process,
+            age_ms: 0,
+            runs,
+        };
+        evidence.record(Fact::Crash(crash), Time::from_millis(at));
+    }
+    let findings = evidence.findings(Time::from_millis(470));
+    let shared = [Mark::of_part(1), Mark::of_part(16)];
+    let refuses_shared = |pattern: &Pattern| pattern.matches(&shared);
+    assert!(
+        !findings.patterns.iter().any(refuses_shared),
+        "{findings:?}"
+    );
+}
