gateway: remember for whole requests too that they got through

Cause: the mark of a whole request was taken only while something was suspected, so the history that spares what got through lately knew parts only.

--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -114,18 +114,13 @@
     pub(super) fn marks(&self) -> &[Mark] {
         self.marks.get_or_init(|| {
             let mut marks = vec![self.content_mark()];
-            marks.extend(self.part_marks());
+            let parts = self.head.prompt.iter().take(MAX_MARKS);
+            marks.extend(parts.map(|part| Mark::of_part(part.id)));
             marks.truncate(MAX_MARKS);
             marks
         })
     }
 
-    /// Returns the marks of the parts of the prompt.
-    pub(super) fn part_marks(&self) -> Vec<Mark> {
-        let parts = self.head.prompt.iter().take(MAX_MARKS);
-        parts.map(|part| Mark::of_part(part.id)).collect()
-    }
-
     fn content_mark(&self) -> Mark {
         let caller = self.headers.get(AUTHORIZATION);
         Mark::of_request(&Content {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod link;
 mod message;
 mod origins;
+mod passes;
 mod pick;
 mod quarantine;
 mod rates;
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -9,7 +9,10 @@
     time::Duration,
 };
 
-use super::job::Job;
+use super::{
+    job::Job,
+    passes::Passes, //
+};
 use crate::{
     quarantine::{
         Crash,
@@ -25,9 +28,6 @@
     timer::Time,
 };
 
-/// Maximum number of marks of which it is known when requests with them last got through.
-const MAX_PASSED: usize = 4_096;
-
 /// Limits of the groups in which marks that got through are told, each with its longest time since.
 const PASSED_AGES: [Duration; 4] = [
     Duration::from_millis(100),
@@ -60,7 +60,7 @@
     /// Marks of which hubs want to know when a request that carries them gets through.
     suspects: RefCell<BTreeSet<Mark>>,
     /// When a request with the mark last got through at this gateway.
-    passed: RefCell<BTreeMap<Mark, Time>>,
+    passed: RefCell<Passes>,
     /// What this gateway has seen itself.
     own: RefCell<Evidence>,
     /// The same, to be told to hubs.
@@ -81,7 +81,7 @@
         let mut shortest = Duration::ZERO;
         for longest in PASSED_AGES {
             let passed = self.passed.borrow();
-            let age = |mark: &Mark| passed.get(mark).map(|at| now - *at);
+            let age = |mark: &Mark| passed.last(*mark).map(|at| now - at);
             let is_within = |age: Duration| age >= shortest && age < longest;
             let marks = marks.iter().filter(|mark| age(mark).is_some_and(is_within));
             let marks: Vec<_> = marks.copied().collect();
@@ -184,22 +184,9 @@
         Some(known.ends_at().remaining(now))
     }
 
-    /// Remembers that requests with these marks got through now.
-    fn keep_passed(&self, marks: &[Mark], now: Time) {
-        let mut passed = self.passed.borrow_mut();
-        if passed.len() + marks.len() > MAX_PASSED {
-            passed.retain(|_, at| now - *at <= PROOF_TIME);
-        }
-        for mark in marks {
-            if passed.len() < MAX_PASSED || passed.contains_key(mark) {
-                passed.insert(*mark, now);
-            }
-        }
-    }
-
     /// Records that a request got through on a server. Returns whether that clears a suspect.
     pub(super) fn record_passed(&self, job: &Job, now: Time) -> bool {
-        self.keep_passed(&job.part_marks(), now);
+        self.passed.borrow_mut().record(job.marks(), now);
         if self.suspects.borrow().is_empty() {
             return false;
         }
--- a/src/quarantine/mark.rs
+++ b/src/quarantine/mark.rs
@@ -11,6 +11,10 @@
     Sha256, //
 };
 
+/// Maximum number of bytes of a body that are digested at each of its ends. The mark of every request
+/// is taken, so a long body must not make it costly.
+const BODY_END_BYTES: usize = 4 << 10;
+
 /// Digest of something that a request carries and that may crash the servers which run it.
 ///
 /// The digest is cryptographic: clients choose what they send, and must not be able to make the
@@ -55,7 +59,8 @@
     }
 
     /// Returns the mark of a request that comes again with a new id: the same method, host and target,
-    /// from the same caller, with the same body. `caller` is empty if nothing names the caller.
+    /// from the same caller, with a body of the same length and the same first and last
+    /// 4 KiB. `caller` is empty if nothing names the caller.
     ///
     /// # Examples
     ///
@@ -74,6 +79,10 @@
     /// ```
     pub fn of_request(content: &Content<'_>) -> Self {
         let (method, host, target) = (content.method, content.host, content.target);
+        let body = content.body;
+        let start = &body[..body.len().min(BODY_END_BYTES)];
+        let end = &body[body.len().saturating_sub(BODY_END_BYTES)..];
+        let length = (body.len() as u64).to_be_bytes();
         Self::new(
             b"request",
             &[
@@ -81,7 +90,9 @@
                 host.as_bytes(),
                 target.as_bytes(),
                 content.caller,
-                content.body,
+                &length,
+                start,
+                end,
             ],
         )
     }
