quarantine, hub, gateway: keep what crashes servers in the store

Cause: when all processes ended at once, everything known of requests that crash servers was lost, and it took three more crashes to know it again; the bound allows three arrivals in all. Change: a hub writes each lasting pattern that it gives to its gateways to keyed.quarantine (one append a pattern and hub, dropped when the pattern ends); a gateway reads them once when it starts. Nothing waits for the store. The record's age is by the time of day, which may be wrong by seconds for a refusal of minutes. The time of day is read in one place (timer::unix_millis) instead of three.

--- a/src/agent/call.rs
+++ b/src/agent/call.rs
@@ -1,10 +1,6 @@
 //! Forwards calls to the plain service beside this agent.
 
-use std::time::{
-    Duration,
-    SystemTime,
-    UNIX_EPOCH, //
-};
+use std::time::Duration;
 
 use bytes::Bytes;
 
@@ -28,7 +24,10 @@
     context::Context,
     id, report,
     settings::Role,
-    timer::Time,
+    timer::{
+        Time,
+        unix_millis, //
+    },
     wire::{
         self,
         Reason, //
@@ -121,12 +120,11 @@
                 Ok(None)
             };
         };
-        let now = SystemTime::now().duration_since(UNIX_EPOCH);
-        let millis = u64::try_from(now.unwrap_or_default().as_millis()).unwrap_or(u64::MAX);
-        let key = Key::accept(key, &request.institution, millis).map_err(|error| match error {
-            key::Error::Malformed => Reason::BadKey,
-            key::Error::Expired => Reason::KeyExpired,
-        })?;
+        let key =
+            Key::accept(key, &request.institution, unix_millis()).map_err(|error| match error {
+                key::Error::Malformed => Reason::BadKey,
+                key::Error::Expired => Reason::KeyExpired,
+            })?;
         if self.keeps_claims {
             Ok(Some(key))
         } else {
--- a/src/emulator/site/store.rs
+++ b/src/emulator/site/store.rs
@@ -59,6 +59,31 @@
         self.append_count.send_modify(|count| *count += 1);
     }
 
+    /// Appends the records of a call to a topic whose records have keys.
+    fn append(&self, topic: &str, mut body: &[u8]) -> Response {
+        let mut records = Vec::new();
+        while let Some((length, rest)) = body.split_first_chunk::<4>() {
+            let length = u32::from_be_bytes(*length) as usize;
+            let record = rest.split_at_checked(length);
+            let Some((Some((key_length, keyed)), rest)) =
+                record.map(|(record, rest)| (record.split_first(), rest))
+            else {
+                return Response::error(400, "a record is cut short");
+            };
+            let Some((key, value)) = keyed.split_at_checked(usize::from(*key_length)) else {
+                return Response::error(400, "a key is cut short");
+            };
+            records.push((String::from_utf8_lossy(key).into_owned(), value.to_vec()));
+            body = rest;
+        }
+        self.lock()
+            .entry(topic.to_owned())
+            .or_default()
+            .extend(records);
+        self.append_count.send_modify(|count| *count += 1);
+        Response::json(200, &json!({ "endOffset": self.end(topic) }))
+    }
+
     /// Returns the number of records appended so far, including lost ones.
     pub(super) fn record_count(&self) -> u64 {
         *self.append_count.borrow()
@@ -84,6 +109,7 @@
             .collect();
         let items: Vec<_> = newest
             .into_iter()
+            .filter(|(_, (_, value))| !value.is_empty())
             .map(|(key, (offset, value))| {
                 json!({ "key": key, "value": STANDARD.encode(value), "offset": offset })
             })
@@ -147,6 +173,7 @@
             let body = read_or_wait(store, &topic, from, wait).await;
             Response::buffered(200, "application/octet-stream", Bytes::from(body))
         }
+        "/api/log-append" => store.append(&topic, &call.body),
         _ => Response::error(404, "no such path"),
     }
 }
--- a/src/follow/reader.rs
+++ b/src/follow/reader.rs
@@ -17,10 +17,12 @@
     snapshot::{
         Age,
         Assembly,
-        Part,
+        Part, //
+    },
+    timer::{
+        Time,
         unix_millis, //
     },
-    timer::Time,
 };
 
 /// Effect of a record.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -97,6 +97,8 @@
     tokio::task::spawn_local(async move { configuration.follow_configuration().await });
     tokio::task::spawn_local(async move { follower.follow_servers().await });
     tokio::task::spawn_local(fleet::follow(state.clone()));
+    let store = Store::new(settings.store_addr);
+    tokio::task::spawn_local(quarantine::recall(state.clone(), store));
     tokio::task::spawn_local(ready::serve(listen.ready, state.clone()));
     let server = Rc::new(Server::new(state.clone()));
     let accepting = tokio::task::spawn_local(server.clone().accept(listen.callers));
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -6,14 +6,19 @@
         BTreeMap,
         BTreeSet, //
     },
+    rc::Rc,
     time::Duration,
 };
 
+use tokio::time::sleep;
+
 use super::{
     job::Job,
-    passes::Passes, //
+    passes::Passes,
+    state::State, //
 };
 use crate::{
+    platform::store::Store,
     quarantine::{
         Crash,
         Evidence,
@@ -25,9 +30,18 @@
         Pattern,
     },
     report,
-    timer::Time,
+    timer::{
+        self,
+        Time, //
+    },
 };
 
+/// Timeout for the store's response when the gateway starts.
+const RECALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Delay after a read of the store that failed.
+const RECALL_DELAY: Duration = Duration::from_millis(500);
+
 /// Limits of the groups in which marks that got through are told, each with its longest time since.
 const PASSED_AGES: [Duration; 4] = [
     Duration::from_millis(100),
@@ -200,6 +214,28 @@
     }
 }
 
+/// Reads from the store, once, what was known before all processes ended.
+pub(super) async fn recall(state: Rc<State>, store: Store) {
+    let stored = loop {
+        match store.patterns(RECALL_TIMEOUT).await {
+            Ok(stored) => break stored,
+            Err(error) => report::warn("patterns_not_read", &[("error", &error)]),
+        }
+        sleep(RECALL_DELAY).await;
+    };
+    let now = Time::now();
+    for pattern in stored
+        .iter()
+        .filter_map(|stored| stored.pattern(timer::unix_millis()))
+    {
+        state.quarantine.add(pattern.clone(), now);
+        state.quarantine.record(Fact::Found(pattern), now);
+    }
+    if !stored.is_empty() {
+        state.tell_facts();
+    }
+}
+
 fn pattern(marks: &[Mark], known: &Refusal, now: Time) -> Pattern {
     Pattern {
         marks: marks.to_vec(),
--- a/src/hub/quarantine.rs
+++ b/src/hub/quarantine.rs
@@ -5,6 +5,7 @@
         Cell,
         RefCell, //
     },
+    collections::BTreeSet,
     rc::Rc,
     time::Duration,
 };
@@ -15,20 +16,33 @@
 };
 
 use crate::{
+    platform::store::Store,
     quarantine::{
+        self,
         Evidence,
         Fact,
         FactLog,
         Findings,
-        Mark, //
+        Mark,
+        Pattern,
+        Stored, //
     },
     report,
-    timer::Time,
+    timer::{
+        self,
+        Time, //
+    },
 };
 
 /// Time in which facts are collected before it is decided what follows from them.
 const DECISION_DELAY: Duration = Duration::from_millis(20);
 
+/// Delay after a call to the store that failed.
+const STORE_RETRY_DELAY: Duration = Duration::from_millis(1_000);
+
+/// Timeout for the store's response to a call.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
 /// What followed from the facts when it was last decided.
 #[derive(Debug, Default)]
 struct Decision {
@@ -50,6 +64,8 @@
     decision: RefCell<Decision>,
     /// Whether a decision is about to be made.
     is_deciding: Cell<bool>,
+    /// Marks of the patterns that this hub keeps in the store.
+    kept: RefCell<BTreeSet<Vec<Mark>>>,
     /// Notified of new facts from the hub's gateways.
     pub(crate) own_changed: watch::Sender<()>,
     /// Notified of any new fact.
@@ -116,6 +132,48 @@
         Some(decision.findings.clone().after(now - made_at))
     }
 
+    /// Keeps the patterns that this hub has found in the store, so that they are known after all
+    /// processes have ended; never returns.
+    pub(crate) async fn keep(&self, store: &Store) {
+        let mut changed = self.changed.subscribe();
+        loop {
+            while let Some((marks, pattern)) = self.next_to_keep() {
+                let stored = pattern.map(|pattern| Stored::new(&pattern, timer::unix_millis()));
+                let key = quarantine::key(&marks);
+                let result = store.keep_pattern(&key, stored.as_ref(), STORE_TIMEOUT);
+                if let Err(error) = result.await {
+                    report::warn("pattern_not_kept", &[("key", &key), ("error", &error)]);
+                    sleep(STORE_RETRY_DELAY).await;
+                    continue;
+                }
+                let mut kept = self.kept.borrow_mut();
+                match stored {
+                    Some(_) => kept.insert(marks),
+                    None => kept.remove(&marks),
+                };
+            }
+            // The sender lives as long as this value.
+            let _ = changed.changed().await;
+        }
+    }
+
+    /// Returns a pattern that is to be kept, or the marks of one that is to be dropped.
+    fn next_to_keep(&self) -> Option<(Vec<Mark>, Option<Pattern>)> {
+        let decision = self.decision.borrow();
+        let kept = self.kept.borrow();
+        let mut lasting = decision.findings.patterns.iter().filter(|p| p.is_lasting());
+        let new = lasting.find(|pattern| !kept.contains(&pattern.marks));
+        if let Some(pattern) = new {
+            return Some((pattern.marks.clone(), Some(pattern.clone())));
+        }
+        let is_found = |marks: &Vec<Mark>| {
+            let mut patterns = decision.findings.patterns.iter();
+            patterns.any(|pattern| pattern.marks == *marks)
+        };
+        let dropped = kept.iter().find(|marks| !is_found(marks));
+        dropped.map(|marks| (marks.clone(), None))
+    }
+
     /// Returns the facts to pass on to another hub, and advances the position of its connection.
     pub(crate) fn new_facts(&self, position: &mut u64, now: Time) -> Vec<Fact> {
         self.own.borrow().since(position, now)
--- a/src/loader/mod.rs
+++ b/src/loader/mod.rs
@@ -76,6 +76,9 @@
     tokio::task::spawn_local(async move { follower.follow_servers().await });
     tokio::task::spawn_local(hub::serve(settings.peer_addr(), hub));
     tokio::task::spawn_local(uplink::maintain(state.clone()));
+    let quarantine = state.quarantine.clone();
+    let store = Store::new(settings.store_addr);
+    tokio::task::spawn_local(async move { quarantine.keep(&store).await });
     tokio::task::spawn_local(driver::run(live, engine, state, metrics));
     signals.wait_for_stop().await;
     report::info("stopping", &[]);
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,4 +1,4 @@
-//! Client for reads from the platform's store.
+//! Client of the platform's store.
 
 use std::{
     cell::Cell,
@@ -16,10 +16,11 @@
 };
 use http_body_util::Full;
 use hyper::{
-    HeaderMap,
-    Request,
-    StatusCode,
-    header::HeaderName, //
+    HeaderMap, Request, StatusCode,
+    header::{
+        HOST,
+        HeaderName, //
+    },
 };
 use serde::Deserialize;
 use tokio::time::timeout;
@@ -38,6 +39,7 @@
         Piece,
         Pool, //
     },
+    quarantine::Stored,
     report,
     timer::Time,
     watch::{
@@ -55,6 +57,12 @@
 /// Topic of the servers' descriptions. The key of a record is the server's id.
 const SERVERS_TOPIC: &str = "keyed.servers";
 
+/// Topic of what crashes servers.
+const QUARANTINE_TOPIC: &str = "keyed.quarantine";
+
+/// Maximum length of a record's key in bytes.
+const MAX_KEY_BYTES: usize = 255;
+
 /// Number that rises by one each time the store comes back from a copy that lacks the newest
 /// records.
 const ERA: HeaderName = HeaderName::from_static("store-era");
@@ -192,6 +200,44 @@
         })
     }
 
+    /// Reads what was kept of patterns of requests that crash servers. Records that can't be read are
+    /// skipped.
+    pub(crate) async fn patterns(&self, response_timeout: Duration) -> Result<Vec<Stored>, Error> {
+        let newest = match self.newest(QUARANTINE_TOPIC, response_timeout).await {
+            // Nothing has ever been kept.
+            Err(Error::Status(404)) => return Ok(Vec::new()),
+            newest => newest?,
+        };
+        let records = newest.records.iter();
+        let (read, unreadable): (Vec<_>, Vec<_>) = records
+            .map(|(_, value)| serde_json::from_slice(value).ok())
+            .partition(Option::is_some);
+        if !unreadable.is_empty() {
+            report::warn("patterns_unreadable", &[("count", &unreadable.len())]);
+        }
+        Ok(read.into_iter().flatten().collect())
+    }
+
+    /// Keeps a pattern under a key, or drops what is kept there.
+    pub(crate) async fn keep_pattern(
+        &self,
+        key: &str,
+        pattern: Option<&Stored>,
+        response_timeout: Duration,
+    ) -> Result<(), Error> {
+        let value = pattern.map_or_else(Vec::new, |pattern| {
+            // Encoding can't fail: the type has only numbers.
+            serde_json::to_vec(pattern).unwrap_or_default()
+        });
+        let path = format!("/api/log-append?topic={QUARANTINE_TOPIC}&part=0");
+        let request = Request::post(path).body(Full::from(record(key, &value)));
+        let answer = self.call(request, response_timeout).await?;
+        match answer.status {
+            StatusCode::OK => Ok(()),
+            status => Err(Error::Status(status.as_u16())),
+        }
+    }
+
     /// Reads the newest record of each key of a topic.
     async fn newest(&self, topic: &str, response_timeout: Duration) -> Result<Newest, Error> {
         let mut records = Vec::new();
@@ -227,7 +273,17 @@
     /// Sends a request; fails with [`Error::Outdated`] if the response is of an earlier era than
     /// another one that has been received.
     async fn get(&self, path: &str, response_timeout: Duration) -> Result<Answer, Error> {
-        let result = self.exchange(path, response_timeout).await;
+        let request = Request::get(path).body(Full::default());
+        self.call(request, response_timeout).await
+    }
+
+    async fn call(
+        &self,
+        request: hyper::http::Result<Request<Full<Bytes>>>,
+        response_timeout: Duration,
+    ) -> Result<Answer, Error> {
+        let request = request.map_err(|error| Error::Malformed(error.to_string()))?;
+        let result = self.exchange(request, response_timeout).await;
         if matches!(result, Err(Error::Timeout)) {
             // Whatever made this call hang may affect the idle connections as well.
             self.pool.clear();
@@ -241,11 +297,14 @@
     }
 
     /// Sends a request to the store. The timeout covers the time until the response begins.
-    async fn exchange(&self, path: &str, response_timeout: Duration) -> Result<Answer, Error> {
-        let request = Request::get(path)
-            .header("host", self.address.to_string())
-            .body(Full::default())
-            .map_err(|error| Error::Malformed(error.to_string()))?;
+    async fn exchange(
+        &self,
+        mut request: Request<Full<Bytes>>,
+        response_timeout: Duration,
+    ) -> Result<Answer, Error> {
+        let host = self.address.to_string().parse();
+        let host = host.map_err(|_| Error::Malformed("address of the store".to_owned()))?;
+        request.headers_mut().insert(HOST, host);
         let unreachable = |error: crate::http::Error| Error::Unreachable(error.to_string());
         let begin = async {
             let (mut channel, _) = self.pool.take(CONNECT_TIMEOUT).await.map_err(unreachable)?;
@@ -335,6 +394,17 @@
     Ok((from + records.len() as u64, records))
 }
 
+/// Builds a record of a keyed topic, preceded by its length. An empty value drops the key.
+fn record(key: &str, value: &[u8]) -> Vec<u8> {
+    let key = &key.as_bytes()[..key.len().min(MAX_KEY_BYTES)];
+    let length = (1 + key.len() + value.len()) as u32;
+    let mut record = length.to_be_bytes().to_vec();
+    record.push(key.len() as u8);
+    record.extend_from_slice(key);
+    record.extend_from_slice(value);
+    record
+}
+
 /// Splits a record of a keyed topic into key and value.
 fn split_key(record: &[u8]) -> Option<(&[u8], &[u8])> {
     let (length, rest) = record.split_first()?;
--- a/src/quarantine/fact.rs
+++ b/src/quarantine/fact.rs
@@ -7,7 +7,10 @@
     Serialize, //
 };
 
-use super::Mark;
+use super::{
+    Mark,
+    PROOF_TIME, //
+};
 
 /// Maximum number of marks of a request that are told. Parts of a prompt beyond it are not.
 pub const MAX_MARKS: usize = 24;
@@ -51,6 +54,11 @@
 }
 
 impl Pattern {
+    /// Returns whether the refusal lasts for so long that it is to outlive all processes.
+    pub(crate) fn is_lasting(&self) -> bool {
+        Duration::from_millis(u64::from(self.lasts_ms)) > PROOF_TIME
+    }
+
     fn grow_older(&mut self, elapsed: Duration) {
         self.age_ms = self.age_ms.saturating_add(millis(elapsed));
     }
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -9,6 +9,7 @@
 mod fact;
 mod log;
 mod mark;
+mod stored;
 
 pub use evidence::Evidence;
 pub(crate) use evidence::PROOF_TIME;
@@ -26,3 +27,5 @@
     Content,
     Mark, //
 };
+pub use stored::Stored;
+pub(crate) use stored::key;
--- a/src/snapshot.rs
+++ b/src/snapshot.rs
@@ -2,11 +2,7 @@
 
 use std::{
     collections::BTreeMap,
-    time::{
-        Duration,
-        SystemTime,
-        UNIX_EPOCH, //
-    },
+    time::Duration, //
 };
 
 use serde::{
@@ -14,6 +10,8 @@
     Serialize, //
 };
 
+use crate::timer::unix_millis;
+
 /// Maximum size of a part in bytes of JSON text.
 pub const MAX_PART_BYTES: usize = 256 << 10;
 
@@ -136,9 +134,3 @@
         is_old || has_many
     }
 }
-
-/// Returns the milliseconds since the Unix epoch.
-pub(crate) fn unix_millis() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH);
-    u64::try_from(now.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
-}
--- a/src/timer.rs
+++ b/src/timer.rs
@@ -1,4 +1,4 @@
-//! Monotonic time and periodic timers.
+//! Monotonic time, the time of day, and periodic timers.
 
 use std::{
     ops::{
@@ -6,7 +6,11 @@
         Sub, //
     },
     thread,
-    time::Duration, //
+    time::{
+        Duration,
+        SystemTime,
+        UNIX_EPOCH, //
+    },
 };
 
 use rustix::time::{
@@ -86,6 +90,12 @@
     }
 }
 
+/// Returns the milliseconds since the Unix epoch.
+pub(crate) fn unix_millis() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    u64::try_from(now.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Spawns a thread that calls `tick` every `period` until `tick` returns false.
 ///
 /// # Errors
--- a/tests/hosted/crashing.rs
+++ b/tests/hosted/crashing.rs
@@ -40,6 +40,9 @@
 /// Duration of the traffic: the crashes, twice the time above, and some seconds.
 const TRAFFIC_TIME: Duration = Duration::from_secs(15);
 
+/// What a client is told whose request is refused because requests like it crash servers.
+const REFUSAL: &str = "requests like this crash servers";
+
 /// Number of requests so far, from which each request gets an id of its own.
 static NEXT_REQUEST: AtomicU32 = AtomicU32::new(0);
 
@@ -264,6 +267,34 @@
     assert_eq!(system.site.crashes().arrivals.len(), before);
 }
 
+/// Guards against a crashing part that reaches servers again because all processes have ended.
+#[test]
+fn what_crashes_servers_is_known_after_all_processes_ended() {
+    let mut system = start(&PART, Trigger::default());
+    wait_until("sound requests are served", || {
+        send(system.caller_addr, PART.sound).is_served
+    });
+    wait_until("the part is found", || {
+        send(system.caller_addr, PART.crashing);
+        thread::sleep(Duration::from_millis(100));
+        system.gateway_log().contains("event=quarantine_begun")
+    });
+    // The hub keeps in the store what it has found.
+    thread::sleep(Duration::from_millis(500));
+    system.gateway.signal("KILL");
+    system.restart_loaders();
+    let (_gateway, address) = system.start_gateway("front-2");
+    wait_until("sound requests are served again", || {
+        send(address, PART.sound).is_served
+    });
+    let before = system.site.crashes().arrivals.len();
+    for _ in 0..10 {
+        let response = send_raw(address, &(PART.crashing)(number()));
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    }
+    assert_eq!(system.site.crashes().arrivals.len(), before);
+}
+
 /// Guards against a prompt of so many parts that what gateways tell of it does not fit into a message,
 /// so that hubs close their connections again and again.
 #[test]
@@ -283,13 +314,14 @@
         let requests: Vec<_> = (0..150)
             .map(|_| {
                 let gateway = system.caller_addr;
-                thread::spawn(move || send(gateway, MANY.crashing))
+                thread::spawn(move || send_raw(gateway, &(MANY.crashing)(number())))
             })
             .collect();
-        for request in requests {
-            request.join().expect("the request ends");
-        }
-        system.gateway_log().contains("event=quarantine_begun")
+        let responses: Vec<_> = requests
+            .into_iter()
+            .map(|request| request.join().expect("the request ends"))
+            .collect();
+        responses.iter().any(|response| response.contains(REFUSAL))
     });
     assert!(!system.gateway_log().contains("event=hub_lost"));
 }
