quarantine: count each crash of a server that is back under its id

What callers would have seen: a request that crashes one or two servers which come back within seconds under their ids reaches them more often before it is refused. Cause: crashes were joined by the server's id and listed start; a server that is back before its new start is listed is the same process by that, so its next crash was taken for the one before. Change: reports of one process are one crash only within 500 ms. Result: each_crash_of_a_server_counts_before_its_new_start_is_listed found no pattern in six crashes of two servers before, and finds it now.

--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -45,6 +45,9 @@
 /// under such requests.
 const CLEARANCE_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// Time within which gateways see the same end of a process. A server needs longer to be back.
+const SAME_END_TIME: Duration = Duration::from_millis(500);
+
 /// Maximum number of crashes that are kept.
 const MAX_CRASHES: usize = 256;
 
@@ -63,6 +66,10 @@
 /// Maximum number of suspects that are told to gateways.
 const MAX_SUSPECTS: usize = 1_024;
 
+/// Process and time of the first report of its end. A server that is back with the same id counts as the
+/// same process until its new start is known.
+type EndKey = (u64, Time);
+
 /// A request that was at work when its server's process ended.
 #[derive(Debug)]
 struct Run {
@@ -155,7 +162,7 @@
 /// ```
 #[derive(Debug, Default)]
 pub struct Evidence {
-    ends: BTreeMap<u64, End>,
+    ends: BTreeMap<EndKey, End>,
     /// When a request with the mark last got through.
     cleared: BTreeMap<Mark, Time>,
     /// Patterns that others found.
@@ -184,7 +191,8 @@
         if now - at > RETENTION {
             return false;
         }
-        let end = self.ends.entry(crash.process).or_insert_with(|| End {
+        let key = self.end_key(crash.process, at);
+        let end = self.ends.entry(key).or_insert_with(|| End {
             at,
             address: crash.address,
             runs: BTreeMap::new(),
@@ -207,6 +215,15 @@
         is_new
     }
 
+    /// Returns the key of the end of a process: that of a known end at about the same time, else a new
+    /// one.
+    fn end_key(&self, process: u64, at: Time) -> EndKey {
+        let earliest = at.before(SAME_END_TIME);
+        let latest = at + SAME_END_TIME;
+        let mut known = self.ends.range((process, earliest)..=(process, latest));
+        known.next().map_or((process, at), |(key, _)| *key)
+    }
+
     /// Records that a request with the mark got through; returns whether that was not known.
     fn clear(&mut self, mark: Mark, at: Time) -> bool {
         let known = self.cleared.get(&mark).copied();
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -426,3 +426,31 @@
         "{findings:?}"
     );
 }
+
+/// Guards against crashes that count as one because a server is back under its id before its new start
+/// is listed.
+#[test]
+fn each_crash_of_a_server_counts_before_its_new_start_is_listed() {
+    let mut evidence = Evidence::default();
+    for number in 0..6 {
+        let crash = |age_ms, id, parts: [u64; 2]| Crash {
+            process: number % 2,
+            address: number % 2,
+            age_ms,
+            runs: vec![Run {
+                id,
+                worked_ms: 90,
+                marks: parts.map(Mark::of_part).to_vec(),
+            }],
+        };
+        let now = Time::from_millis(5_000 * number + 10_000);
+        let crashing = crash(0, 10 * number, [CRASHING, 100 + number]);
+        evidence.record(Fact::Crash(crashing), now);
+        // Another gateway saw the same crash and tells of it later.
+        let other = crash(90, 10 * number + 1, [1_000 + number, 2_000 + number]);
+        evidence.record(Fact::Crash(other), now + Duration::from_millis(100));
+    }
+    let findings = evidence.findings(Time::from_millis(40_000));
+    let marks: Vec<_> = findings.patterns.iter().map(|p| p.marks.clone()).collect();
+    assert_eq!(marks, [vec![Mark::of_part(CRASHING)]]);
+}
