soak: servers that end by chance and under requests that crash them

Cause: the soak drew neither, so nothing played what crashes servers together with kills, cuts, freezes, upgrades and the loss of all processes. Judged: no sound request is refused for it, and from 4 s after everything works again at most three such requests reach an engine in 3 s.

--- a/tests/soak/client.rs
+++ b/tests/soak/client.rs
@@ -14,7 +14,10 @@
         AtomicBool,
         Ordering, //
     },
-    thread::sleep,
+    thread::{
+        self,
+        sleep, //
+    },
     time::Duration,
 };
 
@@ -24,6 +27,7 @@
 use super::site_support::{
     HOST,
     is_terminated,
+    send_raw,
     unchunked, //
 };
 
@@ -34,6 +38,15 @@
 /// than the deadline of the request, by which the gateway must have answered.
 const CLIENT_TIMEOUT: Duration = Duration::from_millis(DEADLINE_MS + 1_500);
 
+/// Start of the header of a prompt whose first part crashes engines.
+const CRASHING_PROMPT: &str = "Prompt-Prefix: bad:10";
+
+/// What a client is told whose request is refused because requests like it crash servers.
+const REFUSAL: &str = "requests like this crash servers";
+
+/// Pause between the requests of a client that crash engines.
+const CRASHING_PAUSE: Duration = Duration::from_millis(350);
+
 /// Number of events in each stream.
 const EVENTS: usize = 6;
 
@@ -157,6 +170,10 @@
             own_runs().all(|run| run.path == self.kind.path() && run.body == self.id.as_bytes()),
             "ran with another path or body",
         );
+        check(
+            !self.response.contains(REFUSAL),
+            "refused as one that crashes servers",
+        );
         match self.status() {
             "200" => self.check_response(&mut check),
             "503" | "429" | "408" | "421" => {
@@ -298,6 +315,24 @@
     records
 }
 
+/// Sends requests that crash engines, at random gateways, until `stop` is set. What becomes of them does
+/// not matter.
+pub(crate) fn run_crashing(gateways: &[SocketAddr], seed: u64, stop: &AtomicBool) {
+    let mut random = Rng::with_seed(seed);
+    let mut number = 0;
+    while !stop.load(Ordering::Relaxed) {
+        number += 1;
+        let gateway = gateways[random.usize(..gateways.len())];
+        let text = format!(
+            "POST /chat/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: bad-{number}\r\n\
+             Deadline-Ms: {DEADLINE_MS}\r\nModel: m1\r\n{CRASHING_PROMPT},{number:x}:5\r\n\
+             Connection: close\r\nContent-Length: 0\r\n\r\n"
+        );
+        thread::spawn(move || send_raw(gateway, &text));
+        sleep(CRASHING_PAUSE);
+    }
+}
+
 /// A request to send.
 pub(crate) struct Request<'a> {
     pub(crate) id: &'a str,
--- a/tests/soak/fault.rs
+++ b/tests/soak/fault.rs
@@ -176,7 +176,7 @@
     let process = random_process(random, size);
     let engine = random.usize(..size.engines);
     let service = random.usize(..size.services);
-    match random.u32(..14) {
+    match random.u32(..16) {
         0 | 1 => (Action::Kill(process), Some(Action::Start(process))),
         2 => (Action::Stop(process), Some(Action::Start(process))),
         3 | 4 => (Action::Freeze(process), Some(Action::Thaw(process))),
@@ -215,6 +215,14 @@
             let fault = json!({ "kind": kind });
             (Action::StoreFault(fault), Some(Action::ClearFaults))
         }
+        13 | 14 => {
+            let link = match random.usize(..size.engines + size.services) {
+                number if number < size.engines => Link::Engine(number),
+                number => Link::Service(number - size.engines),
+            };
+            let end = Action::SetLink(link, Mode::Pass);
+            (Action::SetLink(link, Mode::Down), Some(end))
+        }
         _ if random.bool() => (Action::Configure, None),
         _ => (Action::Drain(service), Some(Action::Undrain(service))),
     }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -39,6 +39,7 @@
     Kind,
     Record, //
 };
+use proxy::lock;
 use system::{
     RECOVERY,
     System,
@@ -55,6 +56,16 @@
 /// Time for which all processes are gone after a loss of power.
 const POWER_OFF: Duration = Duration::from_millis(500);
 
+/// Each of so many seeds has a client whose requests crash engines.
+const CRASHING_SEEDS: u64 = 3;
+
+/// Time without faults after which all gateways know what crashes engines.
+const CONTACT_TIME: Duration = Duration::from_secs(4);
+
+/// Time after that in which requests that crash engines are counted, and how many may reach one.
+const COUNTED_TIME: Duration = Duration::from_secs(3);
+const MAX_ARRIVALS: usize = 3;
+
 /// Number of clients that send requests concurrently to a system of the usual size.
 const CLIENTS: usize = 5;
 
@@ -84,6 +95,10 @@
             })
         })
         .collect();
+    let crashing = seed.is_multiple_of(CRASHING_SEEDS).then(|| {
+        let (gateways, stop) = (system.caller_addrs(), stop.clone());
+        thread::spawn(move || client::run_crashing(&gateways, seed, &stop))
+    });
     let start = Instant::now();
     let schedule = fault::schedule(&mut fastrand::Rng::with_seed(seed), size());
     for (at, action) in &schedule {
@@ -96,6 +111,9 @@
         sleep(POWER_OFF);
     }
     system.recover(unserved);
+    let late_arrivals = crashing
+        .is_some()
+        .then(|| count_late_arrivals(seed, &system));
     stop.store(true, Ordering::Relaxed);
     let records: Vec<_> = clients
         .into_iter()
@@ -112,7 +130,26 @@
     });
     let engine_violations = system.violations().into_iter();
     let engine_violations = engine_violations.map(|rule| format!("seed {seed}: {rule}"));
-    client_violations.chain(engine_violations).collect()
+    let late = late_arrivals.filter(|late| *late > MAX_ARRIVALS);
+    let late = late.map(|late| format!("seed {seed}: {late} late requests that crash engines"));
+    let all = client_violations.chain(engine_violations).chain(late);
+    all.collect()
+}
+
+/// Returns the number of requests that crash engines and still reach one when all gateways must know
+/// them.
+fn count_late_arrivals(seed: u64, system: &System) -> usize {
+    sleep(CONTACT_TIME);
+    let bound = Instant::now();
+    sleep(COUNTED_TIME);
+    let arrivals = lock(&system.trigger.arrivals).clone();
+    let crashes = lock(&system.trigger.crashes).len();
+    let late = arrivals.iter().filter(|at| **at > bound).count();
+    println!(
+        "seed={seed} crashing_arrivals={} crashes={crashes} late={late}",
+        arrivals.len()
+    );
+    late
 }
 
 /// Prints how many requests ended with each status, and whether they were served.
--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -2,7 +2,17 @@
 
 use std::{
     io,
-    net::SocketAddr, //
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
 };
 
 use tokio::{
@@ -19,6 +29,7 @@
     },
     runtime::Handle,
     sync::watch,
+    time::sleep,
 };
 
 /// Maximum number of bytes read at once.
@@ -35,6 +46,8 @@
     Mute,
     /// Closes all connections, open and new ones.
     Refuse,
+    /// Closes all connections and the port, as if the process behind it had ended.
+    Down,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -51,7 +64,7 @@
         let passes = match self.mode {
             Mode::Pass => true,
             Mode::Mute => !is_response,
-            Mode::Cut | Mode::Refuse => false,
+            Mode::Cut | Mode::Refuse | Mode::Down => false,
         };
         passes && number > self.stalled
     }
@@ -70,6 +83,7 @@
         runtime: &Handle,
         listen: SocketAddr,
         target: SocketAddr,
+        trigger: Option<Arc<Trigger>>,
     ) -> io::Result<Self> {
         let _guard = runtime.enter();
         let listener = std::net::TcpListener::bind(listen)?;
@@ -81,7 +95,7 @@
             connections: 0,
             stalled: 0,
         });
-        runtime.spawn(accept(listener, target, state.clone()));
+        runtime.spawn(accept(listener, target, state.clone(), trigger));
         Ok(Self { state, addr })
     }
 
@@ -98,30 +112,107 @@
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, state: watch::Sender<State>) {
-    while let Ok((client, _)) = listener.accept().await {
-        state.send_modify(|state| state.connections += 1);
-        let number = state.borrow().connections;
-        if state.borrow().mode != Mode::Refuse {
-            tokio::spawn(relay(client, target, number, state.subscribe()));
+/// Serves the port; closes it while the mode is [`Mode::Down`].
+async fn accept(
+    mut listener: TcpListener,
+    target: SocketAddr,
+    state: watch::Sender<State>,
+    trigger: Option<Arc<Trigger>>,
+) {
+    let Ok(address) = listener.local_addr() else {
+        return;
+    };
+    loop {
+        let mut changes = state.subscribe();
+        loop {
+            let client = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = changes.wait_for(|state| state.mode == Mode::Down) => break,
+            };
+            let Ok((client, _)) = client else {
+                return;
+            };
+            state.send_modify(|state| state.connections += 1);
+            let number = state.borrow().connections;
+            if state.borrow().mode != Mode::Refuse {
+                let link = LinkState {
+                    number,
+                    state: state.clone(),
+                    trigger: trigger.clone(),
+                };
+                tokio::spawn(relay(client, target, link));
+            }
         }
+        drop(listener);
+        // The sender is owned by this task.
+        let _ = changes.wait_for(|state| state.mode != Mode::Down).await;
+        listener = loop {
+            match TcpListener::bind(address).await {
+                Ok(listener) => break listener,
+                Err(_) => sleep(Duration::from_millis(10)).await,
+            }
+        };
     }
 }
 
-/// Relays a connection until either end closes it or the mode becomes `Refuse`.
-async fn relay(
-    client: TcpStream,
-    target: SocketAddr,
+/// Requests that crash the server behind a proxy.
+#[derive(Debug)]
+pub(crate) struct Trigger {
+    /// Text that such requests contain.
+    pub(crate) text: &'static str,
+    /// When they reached a server.
+    pub(crate) arrivals: Mutex<Vec<Instant>>,
+    /// When servers crashed under them.
+    pub(crate) crashes: Mutex<Vec<Instant>>,
+}
+
+impl Trigger {
+    /// Crashes the server behind a proxy if the bytes are of such a request, and brings it back.
+    fn check(self: &Arc<Self>, bytes: &[u8], state: &watch::Sender<State>) {
+        if !String::from_utf8_lossy(bytes).contains(self.text) {
+            return;
+        }
+        lock(&self.arrivals).push(Instant::now());
+        let (trigger, state) = (self.clone(), state.clone());
+        tokio::spawn(async move {
+            sleep(Duration::from_millis(fastrand::u64(20..200))).await;
+            if state.borrow().mode != Mode::Pass {
+                return;
+            }
+            lock(&trigger.crashes).push(Instant::now());
+            state.send_modify(|state| state.mode = Mode::Down);
+            sleep(Duration::from_millis(fastrand::u64(700..2_000))).await;
+            state.send_modify(|state| {
+                if state.mode == Mode::Down {
+                    state.mode = Mode::Pass;
+                }
+            });
+        });
+    }
+}
+
+pub(crate) fn lock<T>(value: &Mutex<T>) -> MutexGuard<'_, T> {
+    value.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// What a connection of a link needs to know.
+#[derive(Clone)]
+struct LinkState {
     number: u64,
-    mut state: watch::Receiver<State>,
-) {
+    state: watch::Sender<State>,
+    trigger: Option<Arc<Trigger>>,
+}
+
+/// Relays a connection until either end closes it or the mode becomes `Refuse` or `Down`.
+async fn relay(client: TcpStream, target: SocketAddr, link: LinkState) {
+    let mut state = link.state.subscribe();
     let Ok(server) = TcpStream::connect(target).await else {
         return;
     };
     let (from_client, to_client) = client.into_split();
     let (from_server, to_server) = server.into_split();
     let requests = Direction {
-        number,
+        link,
         is_response: false,
         state: state.clone(),
     };
@@ -132,14 +223,14 @@
     tokio::select! {
         _ = requests.copy(from_client, to_server) => (),
         _ = responses.copy(from_server, to_client) => (),
-        _ = state.wait_for(|state| state.mode == Mode::Refuse) => (),
+        _ = state.wait_for(|state| matches!(state.mode, Mode::Refuse | Mode::Down)) => (),
     }
 }
 
 /// One direction of a connection.
 #[derive(Clone)]
 struct Direction {
-    number: u64,
+    link: LinkState,
     is_response: bool,
     state: watch::Receiver<State>,
 }
@@ -152,12 +243,15 @@
             let count = from.read(&mut buffer).await?;
             // The end of the connection is held back like bytes: through a cut link, a peer can't
             // learn that the other end closed.
-            let passes = |state: &State| state.passes(self.number, self.is_response);
+            let passes = |state: &State| state.passes(self.link.number, self.is_response);
             let passing = self.state.wait_for(passes).await;
             passing.map_err(|_| io::ErrorKind::BrokenPipe)?;
             if count == 0 {
                 return Ok(());
             }
+            if let Some(trigger) = self.link.trigger.as_ref().filter(|_| !self.is_response) {
+                trigger.check(&buffer[..count], &self.link.state);
+            }
             to.write_all(&buffer[..count]).await?;
         }
     }
--- a/tests/soak/system.rs
+++ b/tests/soak/system.rs
@@ -10,6 +10,10 @@
     },
     path::PathBuf,
     process::Stdio,
+    sync::{
+        Arc,
+        Mutex, //
+    },
     time::{
         Duration,
         Instant, //
@@ -40,7 +44,8 @@
     },
     proxy::{
         Mode,
-        Proxy, //
+        Proxy,
+        Trigger, //
     },
     site_support::{
         Daemon,
@@ -114,6 +119,8 @@
     gateways: Vec<Restartable>,
     loaders: Vec<Restartable>,
     links: Vec<(Link, Proxy)>,
+    /// Requests that crash engines.
+    pub(crate) trigger: Arc<Trigger>,
     version: u64,
     caller_addrs: Vec<SocketAddr>,
     ready_addrs: Vec<SocketAddr>,
@@ -146,6 +153,12 @@
             gateways: Vec::new(),
             loaders: Vec::new(),
             links: Vec::new(),
+            trigger: Arc::new(Trigger {
+                // Gateways write the names of headers in lower case.
+                text: "prompt-prefix: bad:10",
+                arrivals: Mutex::default(),
+                crashes: Mutex::default(),
+            }),
             version: 1,
             caller_addrs: Vec::new(),
             ready_addrs: Vec::new(),
@@ -170,7 +183,8 @@
 
     /// Starts a proxy for a link and returns its address.
     fn add_proxy(&mut self, link: Link, listen: SocketAddr, target: SocketAddr) -> SocketAddr {
-        let proxy = Proxy::start(self.runtime.handle(), listen, target);
+        let trigger = matches!(link, Link::Engine(_)).then(|| self.trigger.clone());
+        let proxy = Proxy::start(self.runtime.handle(), listen, target, trigger);
         let proxy = proxy.expect("the proxy starts");
         let address = proxy.addr;
         self.links.push((link, proxy));
