quarantine: narrow a learned pattern instead of dropping it

What callers would have seen: after the loss of all processes, requests that crash servers reached them again as soon as a sound request shared one part with them. Change: the mark that got through is taken out of the pattern, which stays with the rest; only an empty one is dropped. Result: a_learned_pattern_gets_narrower_when_a_part_of_it_gets_through fails before and passes now.

--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -237,24 +237,38 @@
                 is_new |= run.marks.remove(&mark);
             }
         }
-        self.learned
-            .retain(|marks, pattern| pattern.at > at || !marks.contains(&mark));
-        is_new
+        is_new | self.narrow_learned(mark, at)
+    }
+
+    /// Takes a mark that got through out of the patterns that others found; returns whether any had it.
+    fn narrow_learned(&mut self, mark: Mark, at: Time) -> bool {
+        let has_mark =
+            |marks: &Vec<Mark>, pattern: &mut Learned| pattern.at <= at && marks.contains(&mark);
+        let wider: Vec<_> = self.learned.extract_if(.., has_mark).collect();
+        let any = !wider.is_empty();
+        for (mut marks, pattern) in wider {
+            marks.retain(|other| *other != mark);
+            if !marks.is_empty() {
+                self.learned.insert(marks, pattern);
+            }
+        }
+        any
     }
 
-    /// Adopts a pattern that another process found, unless something in it has got through since.
+    /// Adopts a pattern that another process found, without what has got through since.
     fn learn(&mut self, pattern: Pattern, now: Time) -> bool {
         let at = before(now, pattern.age_ms);
         let is_cleared = |mark: &Mark| self.cleared.get(mark).is_some_and(|cleared| *cleared >= at);
-        let is_void = pattern.marks.is_empty() || now - at > RETENTION;
-        if is_void || pattern.marks.iter().any(is_cleared) {
+        let mut marks = pattern.marks;
+        marks.retain(|mark| !is_cleared(mark));
+        if marks.is_empty() || now - at > RETENTION {
             return false;
         }
-        if self.learned.len() >= MAX_LEARNED && !self.learned.contains_key(&pattern.marks) {
+        if self.learned.len() >= MAX_LEARNED && !self.learned.contains_key(&marks) {
             return false;
         }
         let lasts_ms = pattern.lasts_ms;
-        let known = self.learned.insert(pattern.marks, Learned { at, lasts_ms });
+        let known = self.learned.insert(marks, Learned { at, lasts_ms });
         known.is_none()
     }
 
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -454,3 +454,33 @@
     let marks: Vec<_> = findings.patterns.iter().map(|p| p.marks.clone()).collect();
     assert_eq!(marks, [vec![Mark::of_part(CRASHING)]]);
 }
+
+fn passed(part: u64) -> Fact {
+    Fact::Cleared {
+        marks: vec![Mark::of_part(part)],
+        age_ms: 0,
+    }
+}
+
+/// Guards against a pattern that another process found, which is dropped as a whole because requests
+/// with a part of it get through.
+#[test]
+fn a_learned_pattern_gets_narrower_when_a_part_of_it_gets_through() {
+    let mut evidence = Evidence::default();
+    let mut marks = [1, 2, CRASHING].map(Mark::of_part).to_vec();
+    marks.sort_unstable();
+    let pattern = Pattern {
+        marks,
+        age_ms: 500,
+        lasts_ms: 1_800_000,
+    };
+    evidence.record(Fact::Found(pattern), Time::from_millis(10_000));
+    for (part, at) in [(1, 11_000), (2, 12_000)] {
+        evidence.record(passed(part), Time::from_millis(at));
+    }
+    let findings = evidence.findings(Time::from_millis(13_000));
+    let marks: Vec<_> = findings.patterns.iter().map(|p| p.marks.clone()).collect();
+    assert_eq!(marks, [vec![Mark::of_part(CRASHING)]]);
+    evidence.record(passed(CRASHING), Time::from_millis(14_000));
+    assert_eq!(evidence.findings(Time::from_millis(15_000)).patterns, []);
+}
