quarantine: judge what was sound by the time of the crashes

What callers would have seen: a part that many sound requests share and that was refused for 60 s by mistake could be refused for 30 minutes after that. Cause: whether requests with a mark had got through lately was asked at the time of the decision; while the mark is refused nothing gets through, so after 60 s the same evidence counted as that of a mark never proven. Change: it is asked for the time of the first crash of the evidence.

--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -95,7 +95,8 @@
     ends: BTreeSet<usize>,
     addresses: BTreeSet<u64>,
     runs: usize,
-    /// Time of the last crash that was counted.
+    /// Time of the first crash, and of the last one that was counted.
+    first: Option<Time>,
     last: Option<Time>,
 }
 
@@ -118,6 +119,7 @@
     /// have the same cause as the one counted before.
     fn count(&mut self, end: &End, sent_at: Time, runs: usize) {
         self.runs += runs;
+        self.first.get_or_insert(end.at);
         self.addresses.insert(end.address);
         let is_separate = |last: Time| sent_at >= last || end.at - last >= SEPARATION;
         if self.last.is_none_or(is_separate) {
@@ -298,12 +300,12 @@
         let mut patterns: Vec<Pattern> = Vec::new();
         loop {
             let tallies = tallies(&ends);
-            let Some((mark, tally)) = self.best(&tallies, now) else {
+            let Some((mark, tally)) = self.best(&tallies) else {
                 return patterns;
             };
             let marks = self.companions(mark);
             ends.retain(|end| !end.runs.values().any(|run| run.marks.is_superset(&marks)));
-            let is_proven = marks.iter().all(|mark| self.is_proven(*mark, now));
+            let is_proven = marks.iter().all(|mark| self.was_proven(*mark, tally));
             let lasts = if is_proven { PROOF_TIME } else { RETENTION };
             patterns.push(Pattern {
                 marks: marks.into_iter().collect(),
@@ -314,23 +316,25 @@
     }
 
     /// Returns the mark that counts as the cause of most crashes, if any does.
-    fn best<'a>(&self, tallies: &'a BTreeMap<Mark, Tally>, now: Time) -> Option<(Mark, &'a Tally)> {
+    fn best<'a>(&self, tallies: &'a BTreeMap<Mark, Tally>) -> Option<(Mark, &'a Tally)> {
         let mut best: Option<(Mark, &Tally)> = None;
         for (mark, tally) in tallies {
             let weight = |tally: &Tally| (tally.crashes, Reverse(tally.runs));
             let is_better = best.is_none_or(|(_, known)| weight(tally) > weight(known));
             let is_explained = || tallies.values().any(|other| other.is_narrower(tally));
-            if is_better && tally.is_enough(self.is_proven(*mark, now)) && !is_explained() {
+            if is_better && tally.is_enough(self.was_proven(*mark, tally)) && !is_explained() {
                 best = Some((*mark, tally));
             }
         }
         best
     }
 
-    /// Returns whether requests with a mark have got through lately.
-    fn is_proven(&self, mark: Mark, now: Time) -> bool {
+    /// Returns whether requests with a mark got through shortly before the crashes of a tally. It counts
+    /// then and not now, since nothing with the mark gets through while it is refused.
+    fn was_proven(&self, mark: Mark, tally: &Tally) -> bool {
         let cleared = self.cleared.get(&mark);
-        cleared.is_some_and(|at| now - *at <= PROOF_TIME)
+        let first = tally.first.unwrap_or(Time::ZERO);
+        cleared.is_some_and(|at| first - *at <= PROOF_TIME)
     }
 
     /// Returns the marks that all requests with this mark carried, itself included.
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -484,3 +484,33 @@
     evidence.record(passed(CRASHING), Time::from_millis(14_000));
     assert_eq!(evidence.findings(Time::from_millis(15_000)).patterns, []);
 }
+
+/// Guards against a part that was sound until it counted as a cause, which is refused for longer and
+/// longer because nothing with it can get through while it is refused.
+#[test]
+fn a_part_that_was_sound_before_is_refused_for_a_short_time_only() {
+    let mut evidence = Evidence::default();
+    evidence.record(passed(7), Time::from_millis(9_000));
+    for number in 0..6 {
+        let run = Run {
+            id: number,
+            worked_ms: 50,
+            marks: [7, 100 + number].map(Mark::of_part).to_vec(),
+        };
+        let crash = Crash {
+            process: number,
+            address: number,
+            age_ms: 0,
+            runs: vec![run],
+        };
+        evidence.record(
+            Fact::Crash(crash),
+            Time::from_millis(10_000 + 1_000 * number),
+        );
+    }
+    for now in [16_000, 100_000] {
+        let findings = evidence.findings(Time::from_millis(now));
+        assert_eq!(findings.patterns.len(), 1);
+        assert_eq!(findings.patterns[0].lasts_ms, 60_000);
+    }
+}
