quarantine: keep each pattern under a key of its own

What callers would have seen: after the loss of all processes, requests of a pattern of 16 marks or more reach servers again, although it had been kept. Cause: found by reading: the key was all marks as text, cut at the store's 255 bytes, so a pattern and the narrower one that follows it shared a key, and dropping the former dropped the latter. Change: the key is a digest of the marks. Result: patterns_of_many_marks_have_short_keys_of_their_own failed before (both keys began with the same 15 marks) and passes.

--- a/src/quarantine/mark.rs
+++ b/src/quarantine/mark.rs
@@ -97,6 +97,13 @@
         )
     }
 
+    /// Returns the mark of a set of marks, given in their order.
+    pub(super) fn of_marks(marks: &[Self]) -> Self {
+        let marks: Vec<_> = marks.iter().map(|mark| mark.0.to_be_bytes()).collect();
+        let items: Vec<_> = marks.iter().map(|bytes| bytes.as_slice()).collect();
+        Self::new(b"marks", &items)
+    }
+
     /// Returns the mark of a sequence of byte strings of a kind.
     fn new(kind: &[u8], items: &[&[u8]]) -> Self {
         let mut digest = Sha256::new();
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -27,5 +27,7 @@
     Content,
     Mark, //
 };
-pub use stored::Stored;
-pub(crate) use stored::key;
+pub use stored::{
+    Stored,
+    key, //
+};
--- a/src/quarantine/stored.rs
+++ b/src/quarantine/stored.rs
@@ -54,8 +54,16 @@
     }
 }
 
-/// Returns the key under which a pattern is kept.
-pub(crate) fn key(marks: &[Mark]) -> String {
-    let marks: Vec<_> = marks.iter().map(Mark::to_string).collect();
-    marks.join(".")
+/// Returns the key under which a pattern is kept. Keys of the store have at most 255 bytes.
+///
+/// # Examples
+///
+/// ```
+/// use chestnuthub::quarantine::{Mark, key};
+///
+/// let marks = [1, 2].map(Mark::of_part);
+/// assert_ne!(key(&marks), key(&marks[..1]));
+/// ```
+pub fn key(marks: &[Mark]) -> String {
+    Mark::of_marks(marks).to_string()
 }
--- a/tests/quarantine_cases.rs
+++ b/tests/quarantine_cases.rs
@@ -7,9 +7,11 @@
         Crash,
         Evidence,
         Fact,
+        MAX_MARKS,
         Mark,
         Pattern,
-        Run, //
+        Run,
+        key, //
     },
     timer::Time,
 };
@@ -144,3 +146,14 @@
         assert_eq!(findings.patterns[0].lasts_ms, 60_000);
     }
 }
+
+/// Guards against a pattern that is dropped from the store because a wider one, whose key had the same
+/// first bytes, is dropped.
+#[test]
+fn patterns_of_many_marks_have_short_keys_of_their_own() {
+    const MAX_KEY_BYTES: usize = 255;
+    let marks: Vec<_> = (0..MAX_MARKS as u64).map(Mark::of_part).collect();
+    let stored = |marks| key(marks).chars().take(MAX_KEY_BYTES).collect::<String>();
+    assert_ne!(stored(&marks), stored(&marks[..MAX_MARKS - 1]));
+    assert!(key(&marks).len() <= MAX_KEY_BYTES);
+}
