--- a/src/deployment/mod.rs
+++ b/src/deployment/mod.rs
@@ -1,8 +1,14 @@
-//! Deployment on the users' platform: routes, services, models and servers.
+//! Deployment on the users' platform: routes, services, models, servers and client accounts.
 
+mod account;
 mod configuration;
 mod server;
 
+pub use account::{
+    Account,
+    Allowance,
+    Unit, //
+};
 pub use configuration::{
     Configuration,
     Engine,
