gateway: let requests in by the key of a client account

Change: the accounts of a configuration are decoded once at the platform's edge. Servers get the account's name and never the key; its priority goes before the route's, and its name instead of the key is in quarantine marks. An unreadable configuration is logged by its position, as the decoder's text may repeat a value. Without accounts requests reach their servers as before.

--- a/src/deployment/account.rs
+++ b/src/deployment/account.rs
@@ -1,6 +1,11 @@
 //! Client accounts and their allowances.
 
-use std::time::Duration;
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
+
+use crate::credential::Credentials;
 
 /// What an allowance counts.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -79,3 +84,53 @@
     /// What its requests may use; unlimited if absent.
     pub allowance: Option<Allowance>,
 }
+
+/// The client accounts of a configuration, found by their keys.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Accounts {
+    list: Vec<Rc<Account>>,
+    owners: Credentials<Rc<Account>>,
+}
+
+impl Accounts {
+    /// Adds an account without keys.
+    pub fn add(&mut self, account: Account) -> Rc<Account> {
+        let account = Rc::new(account);
+        self.list.push(account.clone());
+        account
+    }
+
+    /// Adds a key of an account. Returns the account that held the key so far; it loses it.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::deployment::{Account, Accounts};
+    ///
+    /// let account = |name: &str| Account {
+    ///     name: name.to_owned(),
+    ///     priority: None,
+    ///     allowance: None,
+    /// };
+    /// let mut accounts = Accounts::default();
+    /// let cascade = accounts.add(account("cascade"));
+    /// let tengis = accounts.add(account("tengis"));
+    /// assert_eq!(accounts.add_key("k1", &cascade), None);
+    /// assert_eq!(accounts.find("k1"), Some(cascade.clone()));
+    /// assert_eq!(accounts.add_key("k1", &tengis), Some(cascade));
+    /// assert_eq!(accounts.find("k1"), Some(tengis));
+    /// ```
+    pub fn add_key(&mut self, key: &str, account: &Rc<Account>) -> Option<Rc<Account>> {
+        self.owners.insert(key, account.clone())
+    }
+
+    /// Finds the account that holds a key.
+    pub fn find(&self, key: &str) -> Option<Rc<Account>> {
+        self.owners.find(key)
+    }
+
+    /// Returns all accounts, also those without keys.
+    pub fn list(&self) -> &[Rc<Account>] {
+        &self.list
+    }
+}
--- a/src/deployment/configuration.rs
+++ b/src/deployment/configuration.rs
@@ -7,6 +7,8 @@
     Serialize, //
 };
 
+use super::account::Accounts;
+
 /// Kind of request, which determines whether a second server may run it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
@@ -77,6 +79,8 @@
     pub priority: u8,
     /// Maximum number of servers to which one attempt of a client is sent.
     pub attempts: u32,
+    /// Whether the requests need no key. Of no effect if the configuration names no accounts.
+    pub is_public: bool,
     /// Services that handle the requests; at least one.
     pub targets: Vec<Target>,
 }
@@ -186,6 +190,8 @@
     pub services: Vec<Service>,
     /// Limits on the requests and connections of clients.
     pub limits: Limits,
+    /// Client accounts. `None` if the configuration names none: requests then need no key.
+    pub accounts: Option<Accounts>,
 }
 
 impl Configuration {
--- a/src/deployment/mod.rs
+++ b/src/deployment/mod.rs
@@ -6,6 +6,7 @@
 
 pub use account::{
     Account,
+    Accounts,
     Allowance,
     Unit, //
 };
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -43,6 +43,7 @@
     },
 };
 use crate::{
+    credential,
     id,
     report,
     timer::Time,
@@ -166,7 +167,7 @@
     request: &Request<Incoming>,
 ) -> Result<Envelope, Problem> {
     let started_at = Instant::now();
-    let institution = header::token(request.headers())
+    let institution = credential::token(request.headers())
         .and_then(|token| shared.credentials.find(token))
         .ok_or_else(|| Problem::not_run(401, "unauthorized", "a valid bearer token is needed"))?;
     let timeout = header::timeout(request.headers())?;
--- a/src/entry/header.rs
+++ b/src/entry/header.rs
@@ -4,17 +4,11 @@
 
 use hyper::{
     HeaderMap,
-    header::{
-        AUTHORIZATION,
-        HeaderName, //
-    },
+    header::HeaderName, //
 };
 use uuid::Uuid;
 
-use super::{
-    credential,
-    problem::Problem, //
-};
+use super::problem::Problem;
 
 /// Header with the request id, in requests and responses.
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
@@ -34,22 +28,6 @@
 /// Maximum length of a request id that is accepted from a client, in bytes.
 const MAX_ID_BYTES: usize = 100;
 
-/// Returns the bearer token of a request, if there is exactly one.
-///
-/// # Examples
-///
-/// ```
-/// use chestnuthub::entry::header;
-/// use hyper::HeaderMap;
-///
-/// let mut headers = HeaderMap::new();
-/// headers.insert("authorization", "Bearer abc".parse().unwrap());
-/// assert_eq!(header::token(&headers), Some("abc"));
-/// ```
-pub fn token(headers: &HeaderMap) -> Option<&str> {
-    credential::bearer(single_value(headers, &AUTHORIZATION).ok()??)
-}
-
 /// Returns the client's request id, or a new one if there is none or it can't be logged unchanged.
 ///
 /// # Examples
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,7 +2,6 @@
 
 pub mod admission;
 pub mod budget;
-pub mod credential;
 pub mod header;
 pub mod path;
 pub mod problem;
@@ -43,10 +42,10 @@
 
 use crate::{
     context::Context,
+    credential::Credentials,
     id,
     settings, //
 };
-use credential::Credentials;
 use shared::Shared;
 
 /// Maximum number of connections that wait to be accepted.
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -18,7 +18,6 @@
         Share, //
     },
     budget::Budget,
-    credential::Credentials,
     problem::Problem,
     route, //
 };
@@ -29,6 +28,7 @@
     },
     client::list,
     context::Context,
+    credential::Credentials,
     id,
     timer::Time, //
 };
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -244,7 +244,8 @@
         &Outgoing {
             server,
             timeout: remaining,
-            priority: job.head.model.is_some().then_some(job.route.priority),
+            priority: job.head.model.is_some().then_some(job.priority()),
+            caller: job.caller(),
             last_event,
         },
     );
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -16,6 +16,7 @@
     Request, Response, StatusCode,
     body::Incoming,
     header::{
+        AUTHORIZATION,
         CONNECTION,
         CONTENT_LENGTH,
         CONTENT_TYPE,
@@ -29,6 +30,7 @@
 };
 
 use super::{
+    access,
     events::Events,
     forward,
     job::{
@@ -223,11 +225,17 @@
         log_no_route(state, &head.id, &host, path, route);
         return Err(Failure::NoRoute);
     };
+    let headers = request.headers();
+    let account = access::check(state, &configuration, route, headers, &head.id)?;
     let route = route.clone();
     let service = service.to_owned();
     let remaining = head.timeout.unwrap_or(route.timeout).min(route.timeout);
     let deadline = started + remaining;
-    let (parts, body) = request.into_parts();
+    let (mut parts, body) = request.into_parts();
+    if configuration.accounts.is_some() {
+        // Nothing after this needs the key.
+        parts.headers.remove(AUTHORIZATION);
+    }
     let body = read_body(&configuration, body, deadline).await?;
     let target = parts
         .uri
@@ -238,6 +246,7 @@
         method: parts.method,
         headers: parts.headers,
         configuration,
+        account,
         route,
         service,
         head,
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -17,6 +17,7 @@
 use super::{
     demand::InFlight,
     message::{
+        Caller,
         ModelName,
         RequestHead,
         ResponseHead, //
@@ -25,6 +26,7 @@
 };
 use crate::{
     deployment::{
+        Account,
         Configuration,
         Route,
         Server, //
@@ -60,6 +62,9 @@
 #[derive(Debug)]
 pub(super) struct Job {
     pub(super) configuration: Rc<Configuration>,
+    /// Account whose key the request bears; `None` if the route is public or the configuration names
+    /// no accounts.
+    pub(super) account: Option<Rc<Account>>,
     pub(super) route: Route,
     pub(super) service: String,
     pub(super) head: RequestHead,
@@ -109,6 +114,22 @@
         self.head.model.as_ref()
     }
 
+    /// Returns the priority: that of the account, else that of the route.
+    pub(super) fn priority(&self) -> u8 {
+        let account = self.account.as_ref();
+        let priority = account.and_then(|account| account.priority);
+        priority.unwrap_or(self.route.priority)
+    }
+
+    /// Returns for whom the request is made.
+    pub(super) fn caller(&self) -> Caller<'_> {
+        match &self.account {
+            Some(account) => Caller::Account(&account.name),
+            None if self.configuration.accounts.is_some() => Caller::Anonymous,
+            None => Caller::Unchecked,
+        }
+    }
+
     /// Returns the marks of what the request carries and may crash servers: the parts of its prompt,
     /// and all of it.
     pub(super) fn marks(&self) -> &[Mark] {
@@ -122,12 +143,19 @@
     }
 
     fn content_mark(&self) -> Mark {
-        let caller = self.headers.get(AUTHORIZATION);
+        let caller = match self.caller() {
+            Caller::Account(name) => name.as_bytes(),
+            Caller::Anonymous => &[],
+            Caller::Unchecked => {
+                let credentials = self.headers.get(AUTHORIZATION);
+                credentials.map_or(&[][..], |credentials| credentials.as_bytes())
+            }
+        };
         Mark::of_request(&Content {
             method: self.method.as_str(),
             host: &self.route.host,
             target: &self.target,
-            caller: caller.map_or(&[], |caller| caller.as_bytes()),
+            caller,
             body: &self.body,
         })
     }
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -30,6 +30,9 @@
     pub model: Option<ModelName>,
     /// Number of tokens of the prompt.
     pub prompt_tokens: u64,
+    /// Number of tokens of the prompt and maximum number of tokens of the response together, if the
+    /// request states them.
+    pub tokens: Option<u64>,
     /// Parts of the prompt, in order.
     pub prompt: Vec<Part>,
     /// Id of the last event that the client received, if it resumes a stream.
@@ -38,6 +41,17 @@
     pub resumes: Option<String>,
 }
 
+/// For whom a request is made, as its server is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Caller<'a> {
+    /// The configuration names no accounts; the client's own headers are passed on.
+    Unchecked,
+    /// The route is public; the server is told nothing.
+    Anonymous,
+    /// The request bears a key of the account with this name.
+    Account(&'a str),
+}
+
 /// Headers that the gateway sets on a request to a server.
 #[derive(Debug, Clone, Copy)]
 pub struct Outgoing<'a> {
@@ -47,6 +61,8 @@
     pub timeout: Duration,
     /// Priority among the server's requests; 0 is the most urgent.
     pub priority: Option<u8>,
+    /// For whom the request is made.
+    pub caller: Caller<'a>,
     /// Id of the last event that was passed on, if a stream is resumed.
     pub last_event: Option<&'a str>,
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,5 +1,6 @@
 //! The gateway: forwards each client's request to a server of the request's route.
 
+mod access;
 mod attempt;
 mod backend;
 mod cold;
@@ -28,8 +29,14 @@
 mod verdict;
 mod waiters;
 
+pub use access::{
+    Currency,
+    Denial,
+    account, //
+};
 pub use events::Events;
 pub use message::{
+    Caller,
     Load,
     Malformed,
     ModelName,
--- a/src/gateway/pick.rs
+++ b/src/gateway/pick.rs
@@ -246,7 +246,7 @@
         let requested = self.requested.as_ref();
         let is_same = requested.is_some_and(|(requested, _)| Rc::ptr_eq(requested, backend));
         if let Some(name) = self.job.model().filter(|_| !is_same) {
-            let entry = backend.add_to_backlog(name, self.job.route.priority, self.started);
+            let entry = backend.add_to_backlog(name, self.job.priority(), self.started);
             self.requested = Some((backend.clone(), entry));
         }
     }
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -25,7 +25,8 @@
         CONNECTION,
         CONTENT_TYPE,
         HeaderValue,
-        RETRY_AFTER, //
+        RETRY_AFTER,
+        WWW_AUTHENTICATE, //
     },
 };
 use tokio::sync::mpsc::Receiver;
@@ -110,6 +111,8 @@
     Malformed(String),
     /// No route matches the request, or the route has no service.
     NoRoute,
+    /// No account holds the key that the request bears, or it bears none or several.
+    Unauthorized,
     /// The body exceeds the limit.
     TooLarge,
     /// The request has not run and will not, for this reason; the client may retry after this time.
@@ -125,6 +128,7 @@
         match self {
             Self::Malformed(_) => StatusCode::BAD_REQUEST,
             Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::Unauthorized => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Refused(..) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown(_) => StatusCode::BAD_GATEWAY,
@@ -136,6 +140,7 @@
         match self {
             Self::Malformed(reason) => reason,
             Self::NoRoute => "no route",
+            Self::Unauthorized => "no account holds this key",
             Self::TooLarge => "body too large",
             Self::Refused(reason, _) | Self::Unknown(reason) => reason,
             Self::TimedOut => "the time ran out",
@@ -149,6 +154,9 @@
         *response.status_mut() = self.status();
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        if *self == Self::Unauthorized {
+            headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+        }
         if let Self::Refused(_, after) = self {
             let seconds = format!("{:.2}", after.as_secs_f64().max(0.05));
             if let Ok(value) = HeaderValue::try_from(seconds) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod cli;
 pub mod client;
 pub mod context;
+pub mod credential;
 pub mod daemon;
 pub mod decision;
 pub mod deployment;
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     context::Context,
-    entry::credential::{
+    credential::{
         Credentials,
         bearer, //
     },
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -2,10 +2,15 @@
 
 use std::time::Duration;
 
+use hyper::header::HeaderValue;
 use serde::Deserialize;
+use serde_json::error::Category;
 
 use crate::{
     deployment::{
+        Account,
+        Accounts,
+        Allowance,
         Configuration,
         Engine,
         Kind,
@@ -13,12 +18,13 @@
         Model,
         Route,
         Service,
-        Target, //
+        Target,
+        Unit, //
     },
     report,
 };
 
-#[derive(Debug, Deserialize)]
+#[derive(Deserialize)]
 struct WireConfiguration {
     version: u64,
     #[serde(default)]
@@ -26,6 +32,7 @@
     #[serde(default)]
     services: Vec<WireService>,
     limits: Option<WireLimits>,
+    tenants: Option<Vec<WireAccount>>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -45,6 +52,8 @@
     attempts: Option<f64>,
     #[serde(default)]
     resumable: bool,
+    #[serde(default)]
+    public: bool,
 }
 
 #[derive(Debug, Deserialize)]
@@ -94,6 +103,20 @@
     idle_timeout_ms: Option<f64>,
 }
 
+/// An account with its keys, which must never be formatted.
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireAccount {
+    name: String,
+    #[serde(default)]
+    api_keys: Vec<String>,
+    priority: Option<f64>,
+    unit: Option<String>,
+    plain_tokens: Option<f64>,
+    rate_per_s: Option<f64>,
+    burst: Option<f64>,
+}
+
 /// Decodes a configuration.
 ///
 /// # Errors
@@ -116,6 +139,7 @@
         routes: wire.routes.into_iter().map(route).collect(),
         services: wire.services.into_iter().map(service).collect(),
         limits: wire.limits.map_or_else(Limits::default, limits),
+        accounts: wire.tenants.map(accounts),
     })
 }
 
@@ -138,12 +162,28 @@
     values.find_map(|value| match decode(value) {
         Ok(configuration) => Some(configuration),
         Err(error) => {
-            report::warn("configuration_unreadable", &[("error", &error)]);
+            log_unreadable(&error);
             None
         }
     })
 }
 
+/// Logs where the error lies. Its own text may repeat a value, which may be a key.
+fn log_unreadable(error: &serde_json::Error) {
+    let reason = match error.classify() {
+        Category::Data => "a field is missing or has a wrong type",
+        _ => "not JSON",
+    };
+    report::warn(
+        "configuration_unreadable",
+        &[
+            ("error", &reason),
+            ("line", &error.line()),
+            ("column", &error.column()),
+        ],
+    );
+}
+
 fn route(wire: WireRoute) -> Route {
     let timeout = millis(wire.timeout_ms);
     let mut targets: Vec<_> = wire.split.into_iter().map(target).collect();
@@ -160,6 +200,7 @@
         latency_objective: wire.target_latency_ms.map_or(timeout, millis),
         priority: wire.priority as u8,
         attempts: wire.attempts.map_or(1, |attempts| attempts as u32),
+        is_public: wire.public,
         targets,
     }
 }
@@ -218,6 +259,56 @@
     }
 }
 
+/// Decodes the accounts and logs what is wrong with them. Neither keys nor their digests are logged.
+fn accounts(wire: Vec<WireAccount>) -> Accounts {
+    let mut accounts = Accounts::default();
+    for wire in wire {
+        if !is_header_value(&wire.name) {
+            // Its requests could not bear the name at the servers, so its keys open nothing.
+            report::warn("account_refused", &[("name", &wire.name.escape_debug())]);
+            continue;
+        }
+        let account = accounts.add(Account {
+            priority: wire.priority.map(|priority| priority as u8),
+            allowance: allowance(&wire),
+            name: wire.name,
+        });
+        for key in wire.api_keys.iter().filter(|key| !key.is_empty()) {
+            let former = accounts.add_key(key, &account);
+            if let Some(former) = former.filter(|former| former.name != account.name) {
+                report::warn(
+                    "key_of_two_accounts",
+                    &[("account", &account.name), ("not_of", &former.name)],
+                );
+            }
+        }
+    }
+    accounts
+}
+
+/// Returns whether a server reads the name from a header as it is.
+fn is_header_value(name: &str) -> bool {
+    !name.is_empty() && name.trim() == name && HeaderValue::try_from(name).is_ok()
+}
+
+/// Decodes an allowance. A rate of 0 means that there is no limit.
+fn allowance(wire: &WireAccount) -> Option<Allowance> {
+    /// Tokens that a request counts as if neither it nor the account states a number.
+    const PLAIN_TOKENS: f64 = 1.0;
+    let per_s = wire.rate_per_s.filter(|rate| *rate > 0.0)?;
+    let unit = match wire.unit.as_deref() {
+        Some("tokens") => Unit::Tokens {
+            plain: wire.plain_tokens.unwrap_or(PLAIN_TOKENS).max(0.0),
+        },
+        _ => Unit::Requests,
+    };
+    Some(Allowance {
+        per_s,
+        burst: wire.burst.unwrap_or_default().max(0.0),
+        unit,
+    })
+}
+
 fn limits(wire: WireLimits) -> Limits {
     let default = Limits::default();
     Limits {
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -5,6 +5,7 @@
 use hyper::{
     HeaderMap,
     header::{
+        AUTHORIZATION,
         CONNECTION,
         CONTENT_ENCODING,
         HeaderName,
@@ -18,6 +19,7 @@
         RequestRate, //
     },
     gateway::{
+        Caller,
         Load,
         Malformed,
         ModelName,
@@ -41,6 +43,8 @@
 /// Id of the attempt that brought the first event of a stream that its client takes up again.
 const RESUMES: HeaderName = HeaderName::from_static("resumes");
 
+/// Name of the client account that a request belongs to.
+const ACCOUNT: HeaderName = HeaderName::from_static("tenant");
 const PRIORITY: HeaderName = HeaderName::from_static("request-priority");
 const SIGNATURE: HeaderName = HeaderName::from_static("response-signature");
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("not-executed");
@@ -119,6 +123,7 @@
         prompt_tokens: text(headers, &TOKENS)
             .and_then(first_number)
             .unwrap_or_default(),
+        tokens: text(headers, &TOKENS).and_then(sum),
         prompt,
         last_event: text(headers, &LAST_EVENT).map(str::to_owned),
         resumes: text(headers, &RESUMES).map(str::to_owned),
@@ -131,6 +136,10 @@
     for name in &RESERVED {
         headers.remove(name);
     }
+    if outgoing.caller != Caller::Unchecked {
+        headers.remove(AUTHORIZATION);
+        headers.remove(ACCOUNT);
+    }
     let mut set = |name: HeaderName, value: String| {
         if let Ok(value) = HeaderValue::try_from(value) {
             headers.insert(name, value);
@@ -142,6 +151,9 @@
     if let Some(priority) = outgoing.priority {
         set(PRIORITY, priority.min(9).to_string());
     }
+    if let Caller::Account(name) = outgoing.caller {
+        set(ACCOUNT, name.to_owned());
+    }
     if let Some(last_event) = outgoing.last_event {
         set(LAST_EVENT, last_event.to_owned());
     }
@@ -244,6 +256,14 @@
     list.split(',').next()?.trim().parse().ok()
 }
 
+/// Returns the sum of the first two numbers of a list; the second one may be missing.
+fn sum(list: &str) -> Option<u64> {
+    let first = first_number(list)?;
+    let second = list.split(',').nth(1);
+    let second = second.and_then(|number| number.trim().parse().ok());
+    Some(first.saturating_add(second.unwrap_or_default()))
+}
+
 /// Parses MODEL or MODEL/ADAPTER.
 fn model_name(text: &str) -> ModelName {
     match text.split_once('/') {
--- a/tests/caller_port/parse.rs
+++ b/tests/caller_port/parse.rs
@@ -5,8 +5,8 @@
         Catalogue,
         Note, //
     },
+    credential,
     entry::{
-        credential,
         header,
         path,
         sse::Splitter, //
@@ -83,7 +83,7 @@
         for name in [header::REQUEST_ID, header::TIMEOUT, header::IDEMPOTENCY_KEY, AUTHORIZATION] {
             headers.insert(name, value.clone());
         }
-        let _ = (header::token(&headers), header::idempotency_key(&headers));
+        let _ = (credential::token(&headers), header::idempotency_key(&headers));
         if let Ok(timeout) = header::timeout(&headers) {
             prop_assert!(!timeout.is_zero() && timeout.as_secs() <= 300);
         }
--- a/tests/header.rs
+++ b/tests/header.rs
@@ -8,6 +8,7 @@
         RequestRate, //
     },
     gateway::{
+        Caller,
         Malformed,
         ModelName,
         Outgoing,
@@ -37,6 +38,7 @@
     server: "i-1",
     timeout: Duration::from_micros(1_234_900),
     priority: Some(1),
+    caller: Caller::Unchecked,
     last_event: None,
 };
 
@@ -247,3 +249,59 @@
     assert!(!is_encoded(" Identity "));
     assert!(!header::decode_response(200, &headers(&[])).is_encoded);
 }
+
+/// Guards against tokens that are not counted, or counted as a request that states none.
+#[test]
+fn the_tokens_of_a_request_are_both_numbers_together() {
+    let tokens = |text| {
+        let headers = headers(&[("request-id", "r1"), ("token-count", text)]);
+        let head = header::decode_request(&headers).expect("a request");
+        head.tokens
+    };
+    assert_eq!(tokens("1460,80"), Some(1_540));
+    assert_eq!(tokens(" 1460 , 80 "), Some(1_540));
+    assert_eq!(tokens("1460"), Some(1_460));
+    assert_eq!(tokens("1460,x"), Some(1_460));
+    assert_eq!(tokens("18446744073709551615,1"), Some(u64::MAX));
+    assert_eq!(tokens("x,80"), None);
+}
+
+/// Guards against a server that sees a client's key, or takes a client for the account that the
+/// client names, in whatever case, number or hop-by-hop list the header comes.
+#[test]
+fn keys_and_names_of_accounts_are_the_systems_to_pass_on() {
+    let client = headers(&[
+        ("request-id", "r1"),
+        ("AUTHORIZATION", "Bearer k1"),
+        ("authorization", "Basic azE="),
+        ("Tenant", "other"),
+        ("tenant", "another"),
+        ("TENANT", ""),
+        ("Connection", "Tenant, Authorization"),
+        ("Trailer", "Tenant"),
+    ]);
+    let sent = |caller| header::encode_request(&client, &Outgoing { caller, ..OUTGOING });
+    let named = sent(Caller::Account("cascade"));
+    assert!(!named.contains_key("authorization"));
+    let names: Vec<_> = named.get_all("tenant").iter().collect();
+    assert_eq!(names, ["cascade"]);
+    let anonymous = sent(Caller::Anonymous);
+    assert!(!anonymous.contains_key("authorization"));
+    assert!(!anonymous.contains_key("tenant"));
+}
+
+/// Guards against requests that reach their servers otherwise than before where the configuration
+/// names no accounts.
+#[test]
+fn without_accounts_the_clients_headers_are_passed_on() {
+    let client = headers(&[
+        ("request-id", "r1"),
+        ("authorization", "Bearer k1"),
+        ("authorization", "Bearer k2"),
+        ("tenant", "own"),
+    ]);
+    let sent = header::encode_request(&client, &OUTGOING);
+    let keys: Vec<_> = sent.get_all("authorization").iter().collect();
+    assert_eq!(keys, ["Bearer k1", "Bearer k2"]);
+    assert_eq!(sent["tenant"], "own");
+}
