platform: report an unreadable configuration by its position

Cause: configurations hold keys now, and the decoder's text repeats the value that it could not decode: "invalid type: string \"secret-key-1\", expected a sequence" in `configuration_unreadable` and `dependency_lost`. Shown by no_report_of_an_unreadable_configuration_has_a_key on the decoder's own error. Change: decode fails with `Unreadable`: whether it is JSON, line and column.

--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -1,6 +1,10 @@
 //! Wire format of the operators' configuration in the platform's store.
 
-use std::time::Duration;
+use std::{
+    error::Error,
+    fmt,
+    time::Duration, //
+};
 
 use hyper::header::HeaderValue;
 use serde::Deserialize;
@@ -117,6 +121,37 @@
     burst: Option<f64>,
 }
 
+/// Where a configuration can't be read. The decoder's own text may repeat a value, which may be a key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Unreadable {
+    is_json: bool,
+    line: usize,
+    column: usize,
+}
+
+impl From<serde_json::Error> for Unreadable {
+    fn from(error: serde_json::Error) -> Self {
+        Self {
+            is_json: error.classify() == Category::Data,
+            line: error.line(),
+            column: error.column(),
+        }
+    }
+}
+
+impl fmt::Display for Unreadable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let reason = if self.is_json {
+            "a field is missing or has a wrong type"
+        } else {
+            "not JSON"
+        };
+        write!(f, "{reason} at line {} column {}", self.line, self.column)
+    }
+}
+
+impl Error for Unreadable {}
+
 /// Decodes a configuration.
 ///
 /// # Errors
@@ -132,7 +167,7 @@
 /// assert_eq!(decoded.version, 7);
 /// assert!(configuration::decode(b"{}").is_err());
 /// ```
-pub fn decode(bytes: &[u8]) -> Result<Configuration, serde_json::Error> {
+pub fn decode(bytes: &[u8]) -> Result<Configuration, Unreadable> {
     let wire: WireConfiguration = serde_json::from_slice(bytes)?;
     Ok(Configuration {
         version: wire.version,
@@ -162,28 +197,12 @@
     values.find_map(|value| match decode(value) {
         Ok(configuration) => Some(configuration),
         Err(error) => {
-            log_unreadable(&error);
+            report::warn("configuration_unreadable", &[("error", &error)]);
             None
         }
     })
 }
 
-/// Logs where the error lies. Its own text may repeat a value, which may be a key.
-fn log_unreadable(error: &serde_json::Error) {
-    let reason = match error.classify() {
-        Category::Data => "a field is missing or has a wrong type",
-        _ => "not JSON",
-    };
-    report::warn(
-        "configuration_unreadable",
-        &[
-            ("error", &reason),
-            ("line", &error.line()),
-            ("column", &error.column()),
-        ],
-    );
-}
-
 fn route(wire: WireRoute) -> Route {
     let timeout = millis(wire.timeout_ms);
     let mut targets: Vec<_> = wire.split.into_iter().map(target).collect();
--- a/tests/account.rs
+++ b/tests/account.rs
@@ -227,3 +227,24 @@
     assert!(!text.contains("owners: {"), "{text}");
     assert!(text.contains("tokens: 1"), "{text}");
 }
+
+/// Guards against a key in the log because a configuration that can't be read is reported with the
+/// value that could not be decoded.
+#[test]
+fn no_report_of_an_unreadable_configuration_has_a_key() {
+    let tenant = r#"{"name":"a","apiKeys":["k1"]}"#;
+    for tenants in [
+        r#""secret-key-1""#.to_owned(),
+        r#"["secret-key-1"]"#.to_owned(),
+        r#"[{"name":"a","apiKeys":"secret-key-1"}]"#.to_owned(),
+        r#"[{"name":"a","apiKeys":["k1"],"priority":"secret-key-1"}]"#.to_owned(),
+        format!(r#"[{tenant},{{"secret-key-1":1}}]"#),
+        format!(r#"[{tenant}"secret-key-1"]"#),
+    ] {
+        let text = format!(r#"{{"version":7,"tenants":{tenants}}}"#);
+        let error = configuration::decode(text.as_bytes()).expect_err("it is unreadable");
+        let text = format!("{error} {error:?}");
+        assert!(!text.contains("secret-key-1"), "{text}");
+        assert!(text.contains("line 1"), "{text}");
+    }
+}
