gateway: end requests whose server's process is known to be gone

Cause: only resumable streams were ended before their time when their server fell silent. Change: dispatch::Detector decides from evidence: a refused connection, a later start named by the loader or the list, a server off the list that answers no probe. Silence alone ends nothing, but for a begun stream at a server that answers no probe for twice the time that clients bear. Servers for which their loader speaks are not probed. Ruled out: an end by silence, keepalive of the operating system (docs/design/streams.md).

--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod budget;
 mod choose;
+mod detector;
 mod lineage;
 mod prefix;
 mod quota;
@@ -28,6 +29,12 @@
     ENGINE_WAITING_MS,
     PREFILL_TOKENS_PER_MS, //
 };
+pub use detector::{
+    Cause,
+    Detector,
+    Probe,
+    Run, //
+};
 pub use lineage::{
     Continuation,
     Knowledge,
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,6 +1,7 @@
 //! Sends a request once to one server.
 
 use std::{
+    cell::Cell,
     rc::Rc,
     time::Duration, //
 };
@@ -35,6 +36,7 @@
         Rest, //
     },
     pick::cache_scope,
+    presence,
     state::State,
     verdict::{
         Verdict,
@@ -43,7 +45,10 @@
 };
 use crate::{
     deployment::Kind,
-    dispatch::Outcome,
+    dispatch::{
+        Outcome,
+        Run, //
+    },
     http::{
         Channel,
         Error,
@@ -148,11 +153,19 @@
         Kind::Idempotent if may_retry => remaining.min(job.route.latency_objective * WAIT_FACTOR),
         _ => remaining,
     };
+    let run = Cell::new(Run {
+        connected_at: channel.connected_at(),
+        heard_at: now,
+        stream_objective: None,
+    });
+    presence::watch(backend);
     let response = tokio::select! {
+        biased;
         response = timeout(max_wait, channel.send(request)) => {
             response.unwrap_or(Err(Error::Timeout))
         }
         () = backend.unresponsive(), if may_retry => Err(Error::Timeout),
+        cause = backend.presence.ended(&run) => Err(Error::Ended(cause.as_str())),
     };
     let response = response.map_err(|error| {
         log_error(job, &error);
@@ -163,6 +176,7 @@
         crash::record(state, backend, BrokenRun::new(job, now, None));
         SendError::Unknown("no answer")
     })?;
+    backend.presence.record_heard(Time::now());
     let response_head = header::decode_response(response.status().as_u16(), response.headers());
     record_announcements(job, backend, &response_head);
     let exchange = Exchange {
@@ -171,6 +185,7 @@
         channel,
         framing: response.body().framing(response.headers()),
         sent_at: now,
+        run,
         response,
         response_head,
     };
--- a/src/gateway/backend.rs
+++ b/src/gateway/backend.rs
@@ -24,6 +24,7 @@
     limit::Limit,
     link::Link,
     message::Load,
+    presence::Presence,
 };
 use crate::{
     deployment::{
@@ -97,6 +98,8 @@
     broken_at: Cell<Option<Time>>,
     /// Requests whose connections broke, until it is known whether the process has ended.
     pub(super) broken_runs: RefCell<Vec<BrokenRun>>,
+    /// Whether the processes at which requests are at work still exist.
+    pub(super) presence: Presence,
     /// Whether the server is unresponsive: either its machine is silent, or the server does not
     /// respond to its loader.
     is_unresponsive: watch::Sender<bool>,
@@ -144,6 +147,7 @@
             cooldown_until: Cell::new(Time::ZERO),
             broken_at: Cell::new(None),
             broken_runs: RefCell::default(),
+            presence: Presence::default(),
             is_unresponsive: watch::Sender::new(false),
             is_replaced: Cell::new(false),
             is_leaving: Cell::new(false),
@@ -404,6 +408,9 @@
         if order(&old) != order(&new) {
             self.order_seen_at.set(now);
         }
+        if let Some(new) = new.as_ref() {
+            self.presence.record_reported_start(new.started_ms);
+        }
         if old.is_some() && new.is_none() {
             report::warn("loader_lost", &[("server", &self.server.borrow().id)]);
             self.record_loader_lost(now);
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -153,12 +153,14 @@
     fn update(&self, state: &Rc<State>) {
         let mut backends = self.backends.borrow_mut();
         let now = Time::now();
+        let spread = state.settings.get().listing_spread();
         state.follower.with_roster(|roster| {
             let servers = roster.servers();
             backends.retain(|id, backend| {
                 let stays = servers.contains_key(id);
                 if !stays {
                     report::info("server_gone", &[("server", id)]);
+                    backend.presence.record_unlisted();
                     self.unindex(backend);
                 }
                 stays
@@ -169,14 +171,18 @@
                     Some(backend) if backend.server().address == server.address => {
                         log_state_change(backend, server);
                         backend.update(server);
+                        backend.presence.record_start(server.started_ms, spread);
                         self.index(backend);
                     }
                     known => {
                         if let Some(former) = known {
                             self.unindex(former);
+                            former.presence.record_unlisted();
+                            former.presence.record_start(server.started_ms, spread);
                         }
                         let link = state.link(&server.service);
                         let backend = Rc::new(Backend::new(server.clone(), link.clone()));
+                        backend.presence.record_start(server.started_ms, spread);
                         log_new_server(server);
                         let mirror = link.mirror.borrow();
                         backend.apply_state(mirror.state(id), Time::now());
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -1,7 +1,10 @@
 //! A request that the gateway processes, and the state of its sends.
 
 use std::{
-    cell::OnceCell,
+    cell::{
+        Cell,
+        OnceCell, //
+    },
     collections::BTreeMap,
     rc::Rc,
     time::Duration, //
@@ -31,7 +34,8 @@
     },
     dispatch::{
         Attempts,
-        Ending, //
+        Ending,
+        Run, //
     },
     http::{
         Channel,
@@ -82,6 +86,8 @@
     pub(super) server: Rc<Server>,
     pub(super) channel: Channel,
     pub(super) sent_at: Time,
+    /// What is known of the process that runs the request.
+    pub(super) run: Cell<Run>,
     /// The response as its server sent it.
     pub(super) response: Response,
     /// How the end of its body is marked.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod origins;
 mod passes;
 mod pick;
+mod presence;
 mod quarantine;
 mod rates;
 mod ready;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,6 +1,8 @@
 //! Passes a server's response on to the client as it arrives.
 
 use std::{
+    cell::Cell,
+    pin::pin,
     rc::Rc,
     time::Duration, //
 };
@@ -34,6 +36,7 @@
     state::State,
 };
 use crate::{
+    dispatch::Run,
     http::{
         Body,
         Framing,
@@ -88,6 +91,7 @@
             job: &job,
             events: &mut events,
             in_flight: &mut exchange.in_flight,
+            run: &exchange.run,
             chunks: &chunks,
             began_at: None,
             has_passed: false,
@@ -208,6 +212,8 @@
     job: &'a Job,
     events: &'a mut Events,
     in_flight: &'a mut InFlight,
+    /// What is known of the process that runs the request.
+    run: &'a Cell<Run>,
     chunks: &'a Sender<Chunk>,
     /// When the first byte of the body arrived.
     began_at: Option<Time>,
@@ -219,15 +225,21 @@
     /// Passes bytes on until the server's response ends.
     async fn pass_on(&mut self, body: &mut Body, silence: &Silence<'_>) -> End {
         let mut event_began = Time::now();
+        let backend = self.in_flight.backend.clone();
+        let run = self.run;
+        let mut ended = pin!(backend.presence.ended(run));
+        self.record_heard();
         loop {
             let remaining = self.job.remaining(Time::now());
             let piece = tokio::select! {
+                biased;
                 () = self.chunks.closed() => return End::Abandoned,
+                piece = timeout(remaining, body.next()) => piece,
+                cause = &mut ended => return End::Lost(cause.as_str()),
                 // An unresponsive server ends only a stream that another server can continue.
                 () = silence.wait(), if self.events.is_resumable() => {
                     return End::Lost("unresponsive");
                 }
-                piece = timeout(remaining, body.next()) => piece,
             };
             let data = match piece {
                 Err(_) => return End::TimedOut,
@@ -248,6 +260,8 @@
             if !data.is_empty() && self.chunks.send(Chunk::Data(data)).await.is_err() {
                 return End::Abandoned;
             }
+            // Nothing was read while the client was slow, so that time is no silence.
+            self.record_heard();
             let is_late = Time::now() - event_began > MAX_EVENT_TIME;
             if self.events.is_overlong() || (self.events.is_inside_event() && is_late) {
                 return End::Lost("event_too_long");
@@ -255,6 +269,18 @@
         }
     }
 
+    /// Records that bytes of the response arrived.
+    fn record_heard(&self) {
+        let now = Time::now();
+        self.in_flight.backend.presence.record_heard(now);
+        let objective = self.job.route.latency_objective;
+        self.run.set(Run {
+            heard_at: now,
+            stream_objective: self.events.is_stream().then_some(objective),
+            ..self.run.get()
+        });
+    }
+
     /// Records that the server has worked on the request without ending, if that is of interest.
     fn record_passed(&mut self) {
         if std::mem::replace(&mut self.has_passed, true) {
--- a/src/http/channel.rs
+++ b/src/http/channel.rs
@@ -31,6 +31,7 @@
         Metered, //
     },
 };
+use crate::timer::Time;
 
 /// Response of a server whose body has not been read yet.
 pub(crate) type Response = hyper::Response<Body>;
@@ -54,6 +55,8 @@
     Timeout,
     /// The request was sent and got bytes that are no answer; it may have run.
     Endless,
+    /// The request was sent and the server's process has ended, for this reason; it may have run.
+    Ended(&'static str),
 }
 
 impl Error {
@@ -71,6 +74,7 @@
             Self::NoResponse(error) => write!(f, "no answer: {error}"),
             Self::Timeout => f.write_str("no answer in time"),
             Self::Endless => f.write_str("bytes that are no answer"),
+            Self::Ended(reason) => write!(f, "no answer: {reason}"),
         }
     }
 }
@@ -80,6 +84,7 @@
 pub(crate) struct Channel {
     sender: SendRequest<Full<Bytes>>,
     meter: Rc<Meter>,
+    connected_at: Time,
 }
 
 impl Channel {
@@ -108,7 +113,11 @@
             // The sender gets the error of the connection as the error of its request.
             let _ = connection.await;
         });
-        Ok(Self { sender, meter })
+        Ok(Self {
+            sender,
+            meter,
+            connected_at: Time::now(),
+        })
     }
 
     /// Sends a request and waits for the head of the response.
@@ -136,6 +145,11 @@
         }
     }
 
+    /// Returns when the connection was opened.
+    pub(crate) const fn connected_at(&self) -> Time {
+        self.connected_at
+    }
+
     /// Returns whether the connection has ended.
     pub(crate) fn is_closed(&self) -> bool {
         self.sender.is_closed()
--- a/tests/hosted/deployment.rs
+++ b/tests/hosted/deployment.rs
@@ -66,6 +66,12 @@
     pub(crate) fn start_without_loaders(plan: &Plan) -> Self {
         let site = Site::start(plan).expect("the site starts");
         site.configure(&configuration(1, &[]));
+        Self::start_site_without_loaders(site)
+    }
+
+    /// Starts a gateway, but no loader, for a site that has a configuration, and waits until the
+    /// gateway is ready.
+    pub(crate) fn start_site_without_loaders(site: Site) -> Self {
         let deployment = Self::start_daemons(site, 0);
         wait_until("the gateway is ready", || deployment.is_ready());
         deployment
--- a/tests/hosted/main.rs
+++ b/tests/hosted/main.rs
@@ -9,6 +9,7 @@
 mod machine;
 #[path = "../site_support/mod.rs"]
 mod site_support;
+mod streams;
 mod timeout;
 mod upgrade;
 
