gateway: take no second copy of a refusal for the answer to a later send

Cause: a server may send an answer once more, late, on a connection that is in use again. The request's id tells copies of answers apart, but not of refusals: they name no request, or the same one when it is sent there again.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -131,7 +131,14 @@
     let in_flight = backend.begin(job.model(), tokens, &state.rates);
     log_send(job, &server.id, progress, backend.load(Time::now()));
     let connect_timeout = CONNECT_TIMEOUT.min(job.remaining(Time::now()));
-    let (mut channel, _) = backend.pool.take(connect_timeout).await.map_err(|error| {
+    let channel = if progress.is_resend() {
+        // A late second copy of the answer to the earlier send bears the same id.
+        backend.pool.connect(connect_timeout).await
+    } else {
+        let taken = backend.pool.take(connect_timeout).await;
+        taken.map(|(channel, _)| channel)
+    };
+    let mut channel = channel.map_err(|error| {
         backend.record_unreachable(Time::now());
         state.refresh_servers();
         log_error(job, &error);
@@ -348,14 +355,14 @@
 }
 
 /// Returns a connection to the pool after a complete response, unless the server is about to close
-/// it.
+/// it, or the response names no request: a second copy of it would be taken for that to the next one.
 pub(super) fn return_connection(
     backend: &Backend,
     channel: Channel,
     response_head: &ResponseHead,
     framing: Framing,
 ) {
-    if !response_head.closes && framing != Framing::Connection {
+    if !response_head.closes && response_head.id.is_some() && framing != Framing::Connection {
         backend.keep(channel, response_head.keep_alive);
     }
 }
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -101,6 +101,8 @@
     /// Servers that the request was sent to. The time is that from which it may be sent there
     /// again; `None` if it may not.
     sent_to: BTreeMap<String, Option<Time>>,
+    /// Whether the request was sent to the current server before.
+    is_resend: bool,
     /// Digest of the only software version at which the stream may go on.
     pub(super) software: Option<u64>,
     pub(super) attempts: Attempts,
@@ -143,6 +145,7 @@
     pub(super) fn new(route: &Route) -> Self {
         Self {
             sent_to: BTreeMap::new(),
+            is_resend: false,
             software: None,
             attempts: Attempts::new(route.kind.is_repeatable(), route.attempts),
         }
@@ -150,7 +153,12 @@
 
     /// Records that the request is sent to a server.
     pub(super) fn record_send(&mut self, server: &str) {
-        self.sent_to.insert(server.to_owned(), None);
+        self.is_resend = self.sent_to.insert(server.to_owned(), None).is_some();
+    }
+
+    /// Returns whether the request was sent to the current server before.
+    pub(super) fn is_resend(&self) -> bool {
+        self.is_resend
     }
 
     /// Records that a server has not run the request, so that it may be sent there again later.
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -37,7 +37,12 @@
         if let Some(channel) = self.take_idle() {
             return Ok((channel, false));
         }
-        Ok((Channel::connect(self.address, connect_timeout).await?, true))
+        Ok((self.connect(connect_timeout).await?, true))
+    }
+
+    /// Opens a connection.
+    pub(crate) async fn connect(&self, connect_timeout: Duration) -> Result<Channel, Error> {
+        Channel::connect(self.address, connect_timeout).await
     }
 
     fn take_idle(&self) -> Option<Channel> {
--- a/tests/hosted/main.rs
+++ b/tests/hosted/main.rs
@@ -1,6 +1,7 @@
 //! Gateways and loaders that run as real processes against an emulated site of the users' platform.
 
 mod announcement;
+mod copies;
 mod crashing;
 mod delivery;
 mod deployment;
