gateway: read what has arrived before a stopping gateway closes

Cause: at the end of the time for which a stopping gateway accepts connections, its port and its idle connections were closed whatever the operating system held for it: connections that it had taken, and requests on kept ones. A process that gets no time just then cut all of them off without an answer. Change: the port is closed once the connections taken by then are handed over; a connection is closed once what has arrived on it is read, a new one after 200 ms for its first request. Connections are counted when they are handed over, so that the drain waits for them. The port of the own interface (entry::server) closes in the same way as before and is not changed here.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -109,7 +109,7 @@
     state.stop(Time::now() + grace.saturating_sub(REFUSAL_MARGIN));
     let accept_period = ACCEPT_AFTER_STOP.min(grace);
     sleep(accept_period).await;
-    accepting.abort();
+    server.close_port(accepting).await;
     server.drain(grace - accept_period).await;
 }
 
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -25,6 +25,7 @@
         Notify,
         watch, //
     },
+    task::JoinHandle,
     time::{
         sleep,
         timeout, //
@@ -50,6 +51,12 @@
 /// Received bytes for one byte of a request's body: a chunk of one byte takes six.
 const MAX_FRAMING_FACTOR: usize = 8;
 
+/// Time in which bytes that have arrived are read.
+const READ_TIME: Duration = Duration::from_millis(20);
+
+/// Time in which the first request on a new connection arrives.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(200);
+
 /// Time in which the bytes that were sent reach the client before a connection is reset.
 const FLUSH_TIME: Duration = Duration::from_millis(50);
 
@@ -58,6 +65,7 @@
 pub(super) struct Server {
     state: Rc<State>,
     connections: Cell<usize>,
+    port_closing: watch::Sender<bool>,
     closing: watch::Sender<bool>,
     connection_closed: Notify,
 }
@@ -67,30 +75,47 @@
         Self {
             state,
             connections: Cell::new(0),
+            port_closing: watch::Sender::new(false),
             closing: watch::Sender::new(false),
             connection_closed: Notify::new(),
         }
     }
 
-    /// Accepts connections; never returns.
+    /// Accepts connections until the port is closed.
     pub(super) async fn accept(self: Rc<Self>, address: SocketAddr) {
         let handle = |stream| {
+            // Counted at once, so that none is missed while the last ones are accepted.
+            self.connections.set(self.connections.get() + 1);
             let server = self.clone();
             tokio::task::spawn_local(async move { server.handle_connection(stream).await });
         };
-        http::listen(address, handle).await;
+        http::listen_until(address, self.port_closing.subscribe(), handle).await;
+    }
+
+    /// Closes the port, once all connections are accepted that the operating system has taken.
+    pub(super) async fn close_port(&self, accepting: JoinHandle<()>) {
+        self.port_closing.send_replace(true);
+        // The task ends by itself: it waits for nothing but the listener.
+        let _ = accepting.await;
     }
 
     async fn handle_connection(&self, stream: TcpStream) {
-        if http::configure(&stream).is_err() {
-            return;
+        if http::configure(&stream).is_ok() {
+            self.serve(stream).await;
         }
-        self.connections.set(self.connections.get() + 1);
+        self.connections.set(self.connections.get() - 1);
+        self.connection_closed.notify_one();
+    }
+
+    async fn serve(&self, stream: TcpStream) {
         let limits = self.state.follower.configuration().limits;
         let state = self.state.clone();
         let socket = Socket::new(stream, allowance(&limits));
         let response_socket = socket.clone();
+        let has_request = Rc::new(Cell::new(false));
+        let seen = has_request.clone();
         let service = service_fn(move |request: Request<Incoming>| {
+            seen.set(true);
             let is_old_client = request.version() < Version::HTTP_11;
             let socket = response_socket.clone();
             socket.set_allowance(allowance(&state.follower.configuration().limits));
@@ -112,9 +137,14 @@
             .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
             .serve_connection(TokioIo::new(socket.clone()), service);
         let mut closing = self.closing.subscribe();
+        let unread = async {
+            // Waiting can't fail: the sender lives as long as this server.
+            let _ = closing.wait_for(|closing| *closing).await;
+            wait_until_read(&socket, &has_request).await;
+        };
         let result = tokio::select! {
             result = &mut connection => result,
-            _ = closing.wait_for(|closing| *closing) => {
+            () = unread => {
                 Pin::new(&mut connection).graceful_shutdown();
                 (&mut connection).await
             }
@@ -125,8 +155,6 @@
             Err(_) if socket.resets_on_close() => sleep(FLUSH_TIME).await,
             Err(_) => (),
         }
-        self.connections.set(self.connections.get() - 1);
-        self.connection_closed.notify_one();
     }
 
     /// Closes idle connections and waits for the requests in flight, at most for the given time.
@@ -143,6 +171,20 @@
     }
 }
 
+/// Waits until what has arrived on a connection is read, so that no request is cut off that was sent
+/// before the connection is closed.
+async fn wait_until_read(socket: &Socket, has_request: &Cell<bool>) {
+    let first = if has_request.get() {
+        READ_TIME
+    } else {
+        FIRST_REQUEST_TIME
+    };
+    sleep(first).await;
+    while socket.has_unread() {
+        sleep(READ_TIME).await;
+    }
+}
+
 /// Returns how many bytes a client may send from the start of a request to the end of the next head.
 fn allowance(limits: &Limits) -> usize {
     let header_bytes = limits.header_bytes.max(MIN_BUFFER_BYTES);
--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -23,7 +23,11 @@
         TcpListener,
         TcpStream, //
     },
-    time::sleep,
+    sync::watch,
+    time::{
+        sleep,
+        timeout, //
+    },
 };
 
 use crate::report;
@@ -31,6 +35,9 @@
 /// Pause before an address is bound again, or after a failed accept.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
+/// Time in which a connection that the operating system has accepted is handed over.
+const BACKLOG_TIME: Duration = Duration::from_millis(10);
+
 /// Time within which a client of such responses must send its next request, which includes the time
 /// for which its connection may be idle.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(20);
@@ -49,6 +56,32 @@
     }
 }
 
+/// Accepts connections as [`listen`] does until `stopping` becomes true, then those that the operating
+/// system has accepted meanwhile, and closes the port.
+pub(crate) async fn listen_until(
+    address: SocketAddr,
+    mut stopping: watch::Receiver<bool>,
+    mut handle: impl FnMut(TcpStream),
+) {
+    let listener = loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => break listener,
+            Err(error) => report::warn("bind_failed", &[("addr", &address), ("error", &error)]),
+        }
+        tokio::select! {
+            () = sleep(RETRY_PAUSE) => (),
+            _ = stopping.wait_for(|stopping| *stopping) => return,
+        }
+    };
+    tokio::select! {
+        () = accept(&listener, &mut handle) => (),
+        _ = stopping.wait_for(|stopping| *stopping) => (),
+    }
+    while let Ok(Ok((stream, _))) = timeout(BACKLOG_TIME, listener.accept()).await {
+        handle(stream);
+    }
+}
+
 async fn accept(listener: &TcpListener, handle: &mut impl FnMut(TcpStream)) {
     loop {
         match listener.accept().await {
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -21,8 +21,9 @@
     configure, //
 };
 pub(crate) use listener::{
-    listen, //
-    serve,
+    listen,
+    listen_until,
+    serve, //
 };
 pub(crate) use pool::Pool;
 pub(crate) use socket::Socket;
--- a/src/http/socket.rs
+++ b/src/http/socket.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::Cell,
     io,
+    mem::MaybeUninit,
     pin::Pin,
     rc::Rc,
     task::{
@@ -59,6 +60,14 @@
         }
     }
 
+    /// Returns whether bytes have arrived that are not read yet.
+    pub(crate) fn has_unread(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        SockRef::from(&self.0.stream)
+            .peek(&mut byte)
+            .is_ok_and(|count| count > 0)
+    }
+
     /// Returns whether closing the connection resets it.
     pub(crate) fn resets_on_close(&self) -> bool {
         let linger = SockRef::from(&self.0.stream).linger();
--- a/tests/hosted/main.rs
+++ b/tests/hosted/main.rs
@@ -10,6 +10,7 @@
 mod machine;
 #[path = "../site_support/mod.rs"]
 mod site_support;
+mod stopping;
 mod streams;
 mod timeout;
 mod upgrade;
