gateway: accept no key on an older version after a restart

Cause: a gateway that starts anew takes the configuration that it reads. With a store that has come back from an older copy, a key that was withdrawn worked again there while its neighbours refused it (hosted accounts::a_restart_at_an_older_store_brings_no_withdrawn_key_back: 200). There was also no bound for a gateway that can't hear of withdrawn keys at all. Change: hubs remember the newest version that a gateway has announced and tell it with each update (one number; no message more, but one of each gateway to its hub at each new version, at once instead of within 1 s). For twice the time to settle after its first read, a gateway accepts keys only on that version or a newer one (`watch::Floor`), and answers 503 with a time to come back before; requests wait up to an eighth of their time first. A running gateway is not held: it never goes back to an older version. The setting `revocation` bounds the use of keys without the store, and the reads of the configuration then keep to that time. Requests without a key get 503 instead of 401 too while the configuration may be out of date, since a newer version may have made their route public; the test had 401 there. Ruled out: a record of the newest version in the store (lost with the same records), and on the gateway's disk (nothing is kept there). If all hubs have started anew as well, the store is right. The hosted test answers 503 and then 401.

--- a/src/deployment/configuration.rs
+++ b/src/deployment/configuration.rs
@@ -212,6 +212,20 @@
             .max_by_key(|route| route.path_prefix.len())
     }
 
+    /// Returns whether a request needs a key of an account.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::deployment::Configuration;
+    ///
+    /// assert!(!Configuration::default().needs_key("a.example", "/x/"));
+    /// ```
+    pub fn needs_key(&self, host: &str, path: &str) -> bool {
+        let route = self.accounts.as_ref().and_then(|_| self.route(host, path));
+        route.is_some_and(|route| !route.is_public)
+    }
+
     /// Finds a service by its name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.iter().find(|service| service.name == name)
--- a/src/emulator/site/engine.rs
+++ b/src/emulator/site/engine.rs
@@ -29,7 +29,8 @@
     Plan,
     Records,
     Run,
-    lock, //
+    lock,
+    values, //
 };
 
 /// Accelerator memory of each model in MB.
@@ -362,6 +363,8 @@
             path: call.path.clone(),
             body: call.body.to_vec(),
             abandoned,
+            accounts: values(&call, "tenant"),
+            credentials: values(&call, "authorization"),
         };
         lock(&engine.records).runs.push(run);
     });
--- a/src/emulator/site/mod.rs
+++ b/src/emulator/site/mod.rs
@@ -95,6 +95,18 @@
     pub body: Vec<u8>,
     /// Whether the run ended early because the caller had closed the connection.
     pub abandoned: bool,
+    /// Names of client accounts that the request bore.
+    pub accounts: Vec<String>,
+    /// Credentials that the request bore.
+    pub credentials: Vec<String>,
+}
+
+/// Returns all values of a header of a request.
+fn values(call: &http::Call, name: &str) -> Vec<String> {
+    let values = call.headers.get_all(name).iter();
+    values
+        .map(|value| String::from_utf8_lossy(value.as_bytes()).into_owned())
+        .collect()
 }
 
 /// What the servers recorded, for tests to check.
--- a/src/emulator/site/service.rs
+++ b/src/emulator/site/service.rs
@@ -24,7 +24,8 @@
     },
     Records,
     Run,
-    lock, //
+    lock,
+    values, //
 };
 
 /// A server of a plain service.
@@ -130,6 +131,8 @@
         path: call.path.clone(),
         body: call.body.to_vec(),
         abandoned: false,
+        accounts: values(&call, "tenant"),
+        credentials: values(&call, "authorization"),
     };
     lock(&service.records).runs.push(run);
     sleep(service.call_time).await;
--- a/src/gateway/access.rs
+++ b/src/gateway/access.rs
@@ -6,6 +6,7 @@
 };
 
 use hyper::HeaderMap;
+use tokio::time::timeout;
 
 use super::{
     response::Failure,
@@ -22,10 +23,13 @@
     timer::Time,
 };
 
-/// Time after which a client may retry whose key this gateway may not know yet: the maximum pause
-/// between reads of the configuration.
+/// Time after which a client may retry while this gateway can't tell whether its key is in force: the
+/// maximum pause between reads of the configuration.
 const OUTDATED_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 
+/// Interval at which a request checks whether the configuration may be acted on.
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// How far a gateway may rely on the configuration that it has in force.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Currency {
@@ -33,6 +37,9 @@
     Current,
     /// There may be a newer version that this gateway could not read.
     Doubtful,
+    /// There is a newer version that this gateway has not read since it started, or the store has not
+    /// answered for so long that no key may be relied on.
+    Outdated,
 }
 
 /// Why a request is not let in.
@@ -40,7 +47,7 @@
 pub enum Denial {
     /// The request bears no key that an account holds.
     UnknownKey,
-    /// The request bears a key that a newer version may hold.
+    /// A newer version may let the request in, or refuse it.
     Outdated,
 }
 
@@ -87,12 +94,55 @@
     if route.is_public {
         return Ok(None);
     }
-    // A request without a single key is refused by every version that names accounts.
-    let key = credential::token(headers).ok_or(Denial::UnknownKey)?;
-    match (accounts.find(key), currency) {
-        (Some(account), _) => Ok(Some(account)),
+    let account = credential::token(headers).and_then(|key| accounts.find(key));
+    match (account, currency) {
+        (_, Currency::Outdated) | (None, Currency::Doubtful) => Err(Denial::Outdated),
         (None, Currency::Current) => Err(Denial::UnknownKey),
-        (None, Currency::Doubtful) => Err(Denial::Outdated),
+        (Some(account), _) => Ok(Some(account)),
+    }
+}
+
+/// Returns how far this gateway may rely on the configuration that it has in force.
+fn currency(state: &State, now: Time) -> Currency {
+    let settings = state.settings.get();
+    let age = state.follower.configuration_age(now);
+    let is_within = |bound: Duration| age.is_some_and(|age| age <= bound);
+    let is_revocable = settings.strict_revocation().is_none_or(is_within);
+    if !is_revocable || !is_floor_met(state, now) {
+        Currency::Outdated
+    } else if is_within(settings.settled_after()) {
+        Currency::Current
+    } else {
+        Currency::Doubtful
+    }
+}
+
+/// Returns whether keys may be accepted on the configuration that this gateway has in force.
+fn is_floor_met(state: &State, now: Time) -> bool {
+    let configuration = state.follower.configuration();
+    let mut services = configuration.services.iter();
+    let expects_hubs = services.any(|service| service.engine.is_some());
+    let read_at = state.follower.configured_at();
+    !expects_hubs
+        || read_at.is_some_and(|read_at| {
+            let floor = state.floor.borrow();
+            floor.is_met(configuration.version, read_at, now)
+        })
+}
+
+/// Waits until keys may be accepted on the configuration that this gateway has in force, but at most
+/// for `max_wait`.
+pub(super) async fn wait_for_floor(state: &State, max_wait: Duration) {
+    let ends_at = Time::now() + max_wait;
+    loop {
+        let now = Time::now();
+        let remaining = ends_at.remaining(now);
+        if remaining.is_zero() || is_floor_met(state, now) {
+            return;
+        }
+        // A change of the configuration ends the wait.
+        let wait = POLL_INTERVAL.min(remaining);
+        let _ = timeout(wait, state.follower.changed.notified()).await;
     }
 }
 
@@ -104,34 +154,29 @@
     headers: &HeaderMap,
     id: &str,
 ) -> Result<Option<Rc<Account>>, Failure> {
-    let age = state.follower.configuration_age(Time::now());
-    let is_current = age.is_some_and(|age| age <= state.settings.get().settled_after());
-    let currency = if is_current {
-        Currency::Current
-    } else {
-        Currency::Doubtful
-    };
+    let currency = currency(state, Time::now());
     let found = account(configuration, route, headers, currency);
     found.map_err(|denial| {
-        log_denial(id, configuration, route, headers, age.unwrap_or_default());
+        log_denial(state, id, configuration, route, headers);
         match denial {
             Denial::UnknownKey => Failure::Unauthorized,
-            Denial::Outdated => Failure::Refused(
-                "the key is unknown and the configuration may be out of date",
-                OUTDATED_RETRY_AFTER,
-            ),
+            Denial::Outdated => {
+                Failure::Refused("the configuration may be out of date", OUTDATED_RETRY_AFTER)
+            }
         }
     })
 }
 
 /// Logs what this process knew when it found no account, but nothing of the key.
 fn log_denial(
+    state: &State,
     id: &str,
     configuration: &Configuration,
     route: &Route,
     headers: &HeaderMap,
-    age: Duration,
 ) {
+    let age = state.follower.configuration_age(Time::now());
+    let newest = state.floor.borrow().newest();
     let has_key = credential::token(headers).is_some();
     report::info(
         "no_account",
@@ -140,7 +185,8 @@
             ("route", &route.name),
             ("has_key", &has_key),
             ("version", &configuration.version),
-            ("read_ms_ago", &age.as_millis()),
+            ("newest", &newest.unwrap_or_default()),
+            ("read_ms_ago", &age.unwrap_or_default().as_millis()),
             ("process", &std::process::id()),
         ],
     );
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -219,6 +219,12 @@
         configuration.map_err(|_| Failure::Refused("no configuration yet", START_RETRY_AFTER))?;
     let host = host(&request).ok_or_else(|| malformed(&Malformed::Host))?;
     let path = request.uri().path();
+    let configuration = if configuration.needs_key(&host, path) {
+        access::wait_for_floor(state, max_wait).await;
+        state.follower.configuration()
+    } else {
+        configuration
+    };
     let route = configuration.route(&host, path);
     let target = route.and_then(|route| Some((route, route.service(route_draw(&head.id))?)));
     let Some((route, service)) = target else {
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -301,6 +301,7 @@
             .iter()
             .filter(|backend| backend.is_demand_changed.take());
         let needs_origins = link.needs_origins(state);
+        let told = state.follower.configuration().version;
         let demand = Demand {
             servers: changed.map(|backend| backend.demand()).collect(),
             rates: state.rates.since(last_sent, Time::now()),
@@ -322,13 +323,23 @@
         if has_origins || state.quarantine.has_new_facts(facts_sent) {
             continue;
         }
-        // A change of the demand ends the wait.
-        let _ = timeout(HEARTBEAT_INTERVAL, link.demand_changed.notified()).await;
+        // A change of the demand ends the wait. So does a new configuration: hubs tell gateways that
+        // start which version they must have read.
+        let changed = async {
+            tokio::select! {
+                () = link.demand_changed.notified() => (),
+                () = state.follower.wait_for_version_after(told) => (),
+            }
+        };
+        let _ = timeout(HEARTBEAT_INTERVAL, changed).await;
     }
 }
 
 fn apply(state: &State, link: &Link, mut update: Update) {
     link.is_up.set(true);
+    if let Some(version) = update.configuration {
+        state.floor.borrow_mut().hear(version);
+    }
     if update.wants_engine && !link.wants_engine.replace(true) {
         link.demand_changed.notify_one();
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -122,7 +122,7 @@
 /// Returns the periods at which the store is polled.
 fn periods(settings: &Settings) -> Periods {
     Periods {
-        configuration: Some(settings.settled_after()),
+        configuration: Some(settings.configuration_bound()),
         servers: settings.gateway_listing_age(),
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -32,7 +32,10 @@
     },
     metrics::Metrics,
     timer::Time,
-    watch::Follower,
+    watch::{
+        Floor,
+        Follower, //
+    },
 };
 
 /// State shared by the tasks of a gateway.
@@ -48,6 +51,8 @@
     pub(super) waiters: Waiters,
     /// Requests that are refused because requests like them crash servers.
     pub(super) quarantine: Quarantine,
+    /// Lowest version of the configuration on which keys are accepted.
+    pub(super) floor: RefCell<Floor>,
     /// Links to hubs by service.
     links: RefCell<BTreeMap<String, Rc<Link>>>,
     /// Becomes true when the gateway begins to stop.
@@ -62,6 +67,7 @@
 
 impl State {
     pub(super) fn new(settings: Rc<Live>, follower: Rc<Follower>, metrics: Rc<Metrics>) -> Self {
+        let floor = RefCell::new(Floor::new(settings.get().revival()));
         Self {
             settings,
             follower,
@@ -69,6 +75,7 @@
             metrics,
             waiters: Waiters::default(),
             quarantine: Quarantine::default(),
+            floor,
             links: RefCell::default(),
             stopping: watch::Sender::new(false),
             budgets: RefCell::default(),
--- a/src/hosted/live.rs
+++ b/src/hosted/live.rs
@@ -63,6 +63,7 @@
                 "settled_after_ms",
                 old.settled_after_ms == new.settled_after_ms,
             ),
+            ("revocation", old.revocation == new.revocation),
             ("log_level", old.log_level == new.log_level),
         ];
         let current = Settings {
--- a/src/hosted/mod.rs
+++ b/src/hosted/mod.rs
@@ -10,6 +10,7 @@
 pub use live::Live;
 pub use settings::{
     Listen,
+    Revocation,
     Settings, //
 };
 pub(crate) use signal::Signals;
--- a/src/hosted/schema.rs
+++ b/src/hosted/schema.rs
@@ -51,5 +51,12 @@
     required("store_load_window_ms", MILLISECONDS),
     required("server_drain_ms", MILLISECONDS),
     required("settled_after_ms", MILLISECONDS),
+    Field::optional(
+        "revocation",
+        Kind::Object(&[
+            required("strict", Kind::Flag),
+            required("after_ms", MILLISECONDS),
+        ]),
+    ),
     Field::optional("log_level", Kind::Text(text::log_level)),
 ]);
--- a/src/hosted/settings.rs
+++ b/src/hosted/settings.rs
@@ -40,6 +40,16 @@
     pub window_ms: f64,
 }
 
+/// How withdrawn keys of client accounts are treated while the store does not answer.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Revocation {
+    /// Whether no key is accepted once the store has not answered for `after_ms`.
+    pub strict: bool,
+    /// Time within which a withdrawn key is no longer accepted, in milliseconds.
+    pub after_ms: f64,
+}
+
 /// Settings of a daemon on the users' platform.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -72,6 +82,8 @@
     pub server_drain_ms: f64,
     /// Time from the end of a disruption until all bounds hold again, in milliseconds.
     pub settled_after_ms: f64,
+    /// How withdrawn keys of client accounts are treated while the store does not answer.
+    pub revocation: Option<Revocation>,
     /// Log level: error, warn, info or debug.
     #[serde(default = "default_log_level")]
     pub log_level: String,
@@ -172,6 +184,30 @@
         millis(self.settled_after_ms)
     }
 
+    /// Returns the time without an answer of the store after which no key of a client account is
+    /// accepted, if there is such a time.
+    pub(crate) fn strict_revocation(&self) -> Option<Duration> {
+        let strict = self.revocation.filter(|revocation| revocation.strict);
+        strict.map(|revocation| millis(revocation.after_ms))
+    }
+
+    /// Returns the time within which a new version of the configuration is in force after a
+    /// disruption.
+    pub(crate) fn configuration_bound(&self) -> Duration {
+        let settled_after = self.settled_after();
+        let strict = self.strict_revocation();
+        strict.map_or(settled_after, |bound| bound.min(settled_after))
+    }
+
+    /// Returns the time after its start in which a gateway does not accept keys on a version of the
+    /// configuration that is older than one that others have had in force.
+    pub(crate) fn revival(&self) -> Duration {
+        /// Times to settle: one until the store responds again, one until what it lost is written
+        /// again and read.
+        const SETTLINGS: u32 = 2;
+        self.settled_after() * SETTLINGS
+    }
+
     /// Returns the length of the window of the retry budget.
     pub(crate) fn retry_window(&self) -> Duration {
         millis(self.retry.window_ms)
--- a/src/hub/description.rs
+++ b/src/hub/description.rs
@@ -41,12 +41,15 @@
     known: Option<(EngineVersion, Rc<Engine>)>,
     /// The gateway that was asked for the description, and when.
     requested: Option<(u64, Time)>,
+    /// Newest version of the configuration that a gateway has announced.
+    newest: Option<u64>,
 }
 
 impl Description {
     /// Handles the version that a gateway announces; returns whether to ask it for the description,
     /// in which case the request counts as sent at `now`.
     pub fn offer(&mut self, gateway: u64, version: EngineVersion, now: Time) -> bool {
+        self.newest = self.newest.max(Some(version.configuration));
         if let Some((known, _)) = &mut self.known {
             if version.configuration <= known.configuration {
                 return false;
@@ -70,12 +73,19 @@
     pub fn update(&mut self, description: EngineDescription) {
         self.requested = None;
         let version = description.version;
+        self.newest = self.newest.max(Some(version.configuration));
         let known = self.known.as_ref();
         if known.is_none_or(|(known, _)| version.configuration >= known.configuration) {
             self.known = Some((version, Rc::new(description.engine)));
         }
     }
 
+    /// Returns the newest version of the configuration that a gateway has announced, also one that is
+    /// no longer there.
+    pub fn newest(&self) -> Option<u64> {
+        self.newest
+    }
+
     /// Drops the pending request to a gateway that disconnected.
     pub fn remove_gateway(&mut self, gateway: u64) {
         self.requested = self
--- a/src/hub/port.rs
+++ b/src/hub/port.rs
@@ -43,6 +43,11 @@
     watch::Follower,
 };
 
+/// Time after its start after which a hub tells gateways the newest version of the configuration that
+/// it knows. By then other hubs have told it theirs: before, it could tell a gateway that has just
+/// started nothing but the version of that gateway itself.
+const INFORMED_AFTER: Duration = Duration::from_millis(1_000);
+
 /// Timeout for the first message on a connection.
 const HELLO_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -85,6 +90,7 @@
     next_connection: Cell<u64>,
     /// Address of the engine beside the hub.
     engine_addr: SocketAddr,
+    started_at: Time,
 }
 
 impl Hub {
@@ -97,6 +103,7 @@
     ) -> Self {
         Self {
             engine_addr,
+            started_at: Time::now(),
             relay,
             quarantine,
             table: RefCell::default(),
@@ -109,6 +116,14 @@
         }
     }
 
+    /// Returns the newest version of the configuration that a gateway has had in force, once the hub
+    /// can tell.
+    fn newest_configuration(&self, now: Time) -> Option<u64> {
+        let is_informed = now - self.started_at >= INFORMED_AFTER;
+        let newest = self.description.borrow().newest();
+        newest.filter(|_| is_informed)
+    }
+
     fn connect(&self) -> u64 {
         self.next_connection.set(self.next_connection.get() + 1);
         self.next_connection.get()
@@ -314,6 +329,7 @@
         quarantine.mark_unchanged();
         let mut update = sent.update(&hub.table.borrow(), Time::now());
         update.wants_engine = hub.description.borrow().is_requested(connection);
+        update.configuration = hub.newest_configuration(Time::now());
         update.origins = hub.relay.take_answers(connection);
         update.has_origins = hub.relay.has_origins(Time::now());
         update.findings = hub.quarantine.news(&mut quarantine_version, Time::now());
--- a/src/hub/table.rs
+++ b/src/hub/table.rs
@@ -348,6 +348,7 @@
         Update {
             origins: Vec::new(),
             has_origins: None,
+            configuration: None,
             findings: None,
             is_full: since == 0,
             servers: changed.map(|entry| entry.state(since)).collect(),
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -186,6 +186,8 @@
     /// Whether the hub knows origins of streams, because a gateway knows several software versions;
     /// `None` if the hub can't tell yet.
     pub has_origins: Option<bool>,
+    /// Newest version of the configuration that a gateway has had in force, as far as the hub knows.
+    pub configuration: Option<u64>,
     /// What the hub has found out of requests that crash servers, if it changed.
     pub findings: Option<Findings>,
 }
--- a/src/watch/follower.rs
+++ b/src/watch/follower.rs
@@ -89,6 +89,8 @@
     /// Age at which this process reads the list of servers itself.
     max_age: Cell<Duration>,
     configuration: RefCell<Rc<Configuration>>,
+    /// When the first configuration was read.
+    configured_at: Cell<Option<Time>>,
     /// When the store last answered a read of the configuration.
     configuration_read_at: Cell<Option<Time>>,
     roster: RefCell<Roster>,
@@ -108,6 +110,7 @@
             max_age: Cell::new(periods.servers),
             periods,
             configuration: RefCell::default(),
+            configured_at: Cell::new(None),
             configuration_read_at: Cell::new(None),
             roster: RefCell::default(),
             listed_at: Cell::new(None),
@@ -121,6 +124,11 @@
         self.configuration.borrow().clone()
     }
 
+    /// Returns when the first configuration was read.
+    pub(crate) fn configured_at(&self) -> Option<Time> {
+        self.configured_at.get()
+    }
+
     /// Returns the time since the store last answered a read of the configuration.
     pub(crate) fn configuration_age(&self, now: Time) -> Option<Duration> {
         let read_at = self.configuration_read_at.get();
@@ -268,11 +276,16 @@
 
     /// Waits until a configuration has been read and returns it.
     pub(crate) async fn wait_for_configuration(&self) -> Rc<Configuration> {
+        self.wait_for_version_after(0).await;
+        self.configuration()
+    }
+
+    /// Waits until a configuration with a higher version than this one is in force.
+    pub(crate) async fn wait_for_version_after(&self, version: u64) {
         loop {
             let changed = self.changed.notified();
-            let configuration = self.configuration();
-            if configuration.version > 0 {
-                return configuration;
+            if self.configuration.borrow().version > version {
+                return;
             }
             changed.await;
         }
@@ -292,6 +305,8 @@
             ],
         );
         if applied {
+            let read_at = self.configured_at.get().unwrap_or_else(Time::now);
+            self.configured_at.set(Some(read_at));
             *self.configuration.borrow_mut() = Rc::new(configuration);
             self.changed.notify_waiters();
         }
--- a/src/watch/mod.rs
+++ b/src/watch/mod.rs
@@ -2,6 +2,7 @@
 
 mod cursor;
 mod error;
+mod floor;
 mod follower;
 mod mirror;
 mod pace;
@@ -9,6 +10,7 @@
 
 pub use cursor::Cursor;
 pub(crate) use error::Error;
+pub use floor::Floor;
 pub(crate) use follower::{
     Change,
     Follower,
--- a/tests/hosted/main.rs
+++ b/tests/hosted/main.rs
@@ -1,5 +1,6 @@
 //! Gateways and loaders that run as real processes against an emulated site of the users' platform.
 
+mod accounts;
 mod announcement;
 mod crashing;
 mod delivery;
--- a/tests/hosted_settings.rs
+++ b/tests/hosted_settings.rs
@@ -20,6 +20,20 @@
     let settings = Settings::parse("node.jsonc", SETTINGS).expect("valid settings");
     assert_eq!(settings.peer_port, 7_000);
     assert!(settings.listen.is_none());
+    assert!(settings.revocation.is_none());
+}
+
+/// Guards against a bound on withdrawn keys that the operators set and that is not in force.
+#[test]
+fn the_treatment_of_withdrawn_keys_is_read() {
+    let line = r#""revocation": { "strict": true, "after_ms": 5000 }, "grace_ms""#;
+    let text = SETTINGS.replace("\"grace_ms\"", line);
+    let settings = Settings::parse("node.jsonc", &text).expect("valid settings");
+    let revocation = settings.revocation.expect("it is set");
+    assert!(revocation.strict);
+    assert!((revocation.after_ms - 5_000.0).abs() < 1e-9);
+    let wrong = text.replace("true", "1");
+    assert!(Settings::parse("node.jsonc", &wrong).is_err());
 }
 
 /// Guards against errors in the settings that are reported one at a time or without their position.
