soak: play client accounts, withdrawn, moved and forged keys

Each run must bear the name of an account that holds the key in some version, and no credentials; a client may never be answered 401; forged keys never run; after the last fault the key of the version before is answered 401 at every gateway. Without accounts no run may bear the header that the clients invent.

--- a/tests/soak/client.rs
+++ b/tests/soak/client.rs
@@ -88,6 +88,22 @@
     }
 }
 
+/// Key that no configuration holds.
+const FORGED_KEY: &str = "key-forged";
+
+/// Prefix of the ids of requests that bear that key.
+const FORGED_ID: &str = "forged";
+
+/// Pause between such requests.
+const FORGED_PAUSE: Duration = Duration::from_millis(120);
+
+/// A key, and the names of the accounts that hold it, each in some versions of the configuration.
+#[derive(Debug, Clone)]
+pub(crate) struct Credential {
+    pub(crate) key: String,
+    pub(crate) accounts: Vec<String>,
+}
+
 /// A request and the part of its response that the client received. It is empty if the client could
 /// not connect, or if the connection or the client's timeout ended before the first byte.
 #[derive(Debug)]
@@ -100,6 +116,8 @@
     is_closed_in_order: bool,
     /// What the client had received of the stream that this request takes up.
     earlier: Option<Earlier>,
+    /// What the client bore, if the configuration has accounts.
+    credential: Option<Credential>,
 }
 
 /// What a client has received of a stream that was broken.
@@ -170,6 +188,10 @@
             own_runs().all(|run| run.path == self.kind.path() && run.body == self.id.as_bytes()),
             "ran with another path or body",
         );
+        check(
+            own_runs().all(|run| self.bears_account(run)),
+            "ran for another account, or with the key",
+        );
         check(
             !self.response.contains(REFUSAL),
             "refused as one that crashes servers",
@@ -195,6 +217,20 @@
         violations
     }
 
+    /// Returns whether a run of the request bore the name of the key's account and not the key. Public
+    /// routes bear none.
+    fn bears_account(&self, run: &Run) -> bool {
+        let Some(credential) = &self.credential else {
+            return run.accounts.is_empty();
+        };
+        let is_named = match run.accounts.as_slice() {
+            [] => self.kind == Kind::Look,
+            [name] => self.kind != Kind::Look && credential.accounts.contains(name),
+            _ => false,
+        };
+        is_named && run.credentials.is_empty()
+    }
+
     /// Checks a response with status 200.
     fn check_response(&self, check: &mut impl FnMut(bool, &'static str)) {
         let signature = format!("response-signature: signature-{}\r\n", self.id);
@@ -278,6 +314,7 @@
     gateways: &[SocketAddr],
     seed: u64,
     name: &str,
+    credential: Option<&Credential>,
     stop: &AtomicBool,
 ) -> Vec<Record> {
     let mut random = Rng::with_seed(seed);
@@ -304,6 +341,7 @@
             path: kind.path(),
             model,
             earlier,
+            credential,
         };
         let connection = &mut kept[index];
         records.push(send(gateways[index], &request, connection, timeout));
@@ -333,6 +371,40 @@
     }
 }
 
+/// Sends requests with a key that no configuration holds, at random gateways, until `stop` is set.
+pub(crate) fn run_forged(gateways: &[SocketAddr], seed: u64, stop: &AtomicBool) {
+    let mut random = Rng::with_seed(seed);
+    let credential = Credential {
+        key: FORGED_KEY.to_owned(),
+        accounts: Vec::new(),
+    };
+    let kinds = [Kind::Book, Kind::Chat, Kind::Review];
+    let mut number = 0;
+    while !stop.load(Ordering::Relaxed) {
+        number += 1;
+        let kind = kinds[random.usize(..kinds.len())];
+        let request = Request {
+            id: &format!("{FORGED_ID}-{number}"),
+            kind,
+            path: kind.path(),
+            model: "m1",
+            earlier: None,
+            credential: Some(&credential),
+        };
+        let gateway = gateways[random.usize(..gateways.len())];
+        send(gateway, &request, &mut None, CLIENT_TIMEOUT);
+        sleep(FORGED_PAUSE);
+    }
+}
+
+/// Returns the number of runs of requests with a key that no configuration holds.
+pub(crate) fn forged_runs(runs: &[Run]) -> usize {
+    let forged = runs.iter();
+    forged
+        .filter(|run| run.request.starts_with(FORGED_ID))
+        .count()
+}
+
 /// A request to send.
 pub(crate) struct Request<'a> {
     pub(crate) id: &'a str,
@@ -341,6 +413,8 @@
     pub(crate) model: &'static str,
     /// What the client has received of the stream that it takes up.
     pub(crate) earlier: Option<Earlier>,
+    /// What the client bears, if the configuration has accounts.
+    pub(crate) credential: Option<&'a Credential>,
 }
 
 impl Request<'_> {
@@ -357,9 +431,16 @@
             ),
             None => String::new(),
         };
+        // The name of another account is the client's own invention.
+        let credential = self.credential.map_or(String::new(), |credential| {
+            format!(
+                "Authorization: Bearer {}\r\nTenant: other\r\n",
+                credential.key
+            )
+        });
         format!(
             "POST {} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {}\r\nDeadline-Ms: {DEADLINE_MS}\r\n\
-             {model}{earlier}Content-Length: {}\r\n\r\n{}",
+             {model}{earlier}{credential}Content-Length: {}\r\n\r\n{}",
             self.path,
             self.id,
             self.id.len(),
@@ -384,6 +465,7 @@
         response: String::new(),
         is_closed_in_order: false,
         earlier: request.earlier.clone(),
+        credential: request.credential.cloned(),
     };
     let stream = kept
         .take()
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -26,6 +26,7 @@
     },
     thread::{
         self,
+        JoinHandle,
         sleep, //
     },
     time::{
@@ -90,8 +91,10 @@
         .map(|number| {
             let (gateways, stop) = (system.caller_addrs(), stop.clone());
             let name = format!("c{number}");
+            let credential = system.credential(number);
             thread::spawn(move || {
-                client::run(&gateways, seed * client_count + number, &name, &stop)
+                let seed = seed * client_count + number;
+                client::run(&gateways, seed, &name, credential.as_ref(), &stop)
             })
         })
         .collect();
@@ -99,6 +102,10 @@
         let (gateways, stop) = (system.caller_addrs(), stop.clone());
         thread::spawn(move || client::run_crashing(&gateways, seed, &stop))
     });
+    let forging = system.has_accounts().then(|| {
+        let (gateways, stop) = (system.caller_addrs(), stop.clone());
+        thread::spawn(move || client::run_forged(&gateways, seed, &stop))
+    });
     let start = Instant::now();
     let schedule = fault::schedule(&mut fastrand::Rng::with_seed(seed), size());
     for (at, action) in &schedule {
@@ -111,6 +118,7 @@
         sleep(POWER_OFF);
     }
     system.recover(unserved);
+    let withdrawn = withdrawn_in_use(seed, &system);
     let late_arrivals = crashing
         .is_some()
         .then(|| count_late_arrivals(seed, &system));
@@ -121,8 +129,11 @@
         .collect();
     // The emulated engines record a run when it ends.
     sleep(Duration::from_millis(500));
+    drop(forging.map(JoinHandle::join));
     print_outcomes(seed, &records);
     let runs = system.runs();
+    let forged = client::forged_runs(&runs);
+    let forged = (forged > 0).then(|| format!("seed {seed}: {forged} runs with a forged key"));
     let client_violations = records.iter().flat_map(|record| {
         let rules = record.violations(&runs);
         let describe = move |rule| format!("seed {seed}: {rule}: {record:?}");
@@ -133,6 +144,7 @@
     let late = late_arrivals.filter(|late| *late > MAX_ARRIVALS);
     let late = late.map(|late| format!("seed {seed}: {late} late requests that crash engines"));
     let all = client_violations.chain(engine_violations).chain(late);
+    let all = all.chain(withdrawn).chain(forged);
     all.collect()
 }
 
@@ -152,6 +164,29 @@
     late
 }
 
+/// Returns the gateways that accept a withdrawn key, or do not refuse it for good, after the faults.
+fn withdrawn_in_use(seed: u64, system: &System) -> Vec<String> {
+    let Some(credential) = system.withdrawn() else {
+        return Vec::new();
+    };
+    let gateways = system.caller_addrs().into_iter();
+    let statuses = gateways.map(|gateway| {
+        let request = client::Request {
+            id: &format!("withdrawn-{}", fastrand::u64(..)),
+            kind: Kind::Book,
+            path: Kind::Book.path(),
+            model: "m1",
+            earlier: None,
+            credential: Some(&credential),
+        };
+        let record = client::send(gateway, &request, &mut None, RECOVERY);
+        (gateway, record.status().to_owned())
+    });
+    let others = statuses.filter(|(_, status)| status != "401");
+    let describe = |(gateway, status)| format!("seed {seed}: withdrawn key: {status} at {gateway}");
+    others.map(describe).collect()
+}
+
 /// Prints how many requests ended with each status, and whether they were served.
 fn print_outcomes(seed: u64, records: &[Record]) {
     let mut outcomes = BTreeMap::new();
@@ -179,6 +214,8 @@
     let newest = format!("{}x", system.newest_prefix());
     let paths = KINDS.map(|kind| (kind, kind.path()));
     let paths = paths.into_iter().chain([(Kind::Look, newest.as_str())]);
+    let credential = system.credential(1);
+    let credential = credential.as_ref();
     let records = paths.flat_map(|(kind, path)| {
         let gateways = system.caller_addrs().into_iter();
         gateways.map(move |gateway| {
@@ -189,6 +226,7 @@
                 path,
                 model: "m1",
                 earlier: None,
+                credential,
             };
             client::send(gateway, &request, &mut None, RECOVERY)
         })
--- a/tests/soak/system.rs
+++ b/tests/soak/system.rs
@@ -35,7 +35,10 @@
 };
 
 use super::{
-    client::Record,
+    client::{
+        Credential,
+        Record, //
+    },
     fault::{
         Action,
         Link,
@@ -61,6 +64,12 @@
 /// the recovery time that the users' platform requires.
 pub(crate) const RECOVERY: Duration = Duration::from_secs(12);
 
+/// Number of client accounts.
+const ACCOUNTS: u64 = 3;
+
+/// Key that is moved to the next account by each version.
+const MOVING_KEY: &str = "key-moving";
+
 /// Environment variable with the multiple of the usual size that is tested.
 const SCALE_VARIABLE: &str = "CHESTNUTHUB_SOAK_SCALE";
 
@@ -122,6 +131,8 @@
     /// Requests that crash engines.
     pub(crate) trigger: Arc<Trigger>,
     version: u64,
+    /// Whether the configurations have client accounts.
+    has_accounts: bool,
     caller_addrs: Vec<SocketAddr>,
     ready_addrs: Vec<SocketAddr>,
 }
@@ -160,11 +171,14 @@
                 crashes: Mutex::default(),
             }),
             version: 1,
+            has_accounts: has_accounts(seed),
             caller_addrs: Vec::new(),
             ready_addrs: Vec::new(),
         };
         system.site.start_raw().expect("the raw servers start");
-        system.site.configure(&configuration(1, &[]));
+        system
+            .site
+            .configure(&keyed(configuration(1, &[]), 1, system.has_accounts));
         let peer_port = free_port();
         for index in 0..size.engines {
             system.add_loader(seed, index, peer_port);
@@ -244,6 +258,36 @@
         self.site.violations()
     }
 
+    /// Returns what a client bears: each third client a key that moves with each version.
+    pub(crate) fn credential(&self, client: u64) -> Option<Credential> {
+        let name = |number: u64| format!("account-{number}");
+        let credential = match client % ACCOUNTS {
+            0 => Credential {
+                key: MOVING_KEY.to_owned(),
+                accounts: (0..ACCOUNTS).map(name).collect(),
+            },
+            number => Credential {
+                key: format!("key-{number}"),
+                accounts: vec![name(number)],
+            },
+        };
+        self.has_accounts.then_some(credential)
+    }
+
+    /// Returns whether the configurations have client accounts.
+    pub(crate) fn has_accounts(&self) -> bool {
+        self.has_accounts
+    }
+
+    /// Returns the key that was withdrawn last.
+    pub(crate) fn withdrawn(&self) -> Option<Credential> {
+        let is_any = self.has_accounts && self.version > 1;
+        is_any.then(|| Credential {
+            key: passing_key(self.version - 1),
+            accounts: Vec::new(),
+        })
+    }
+
     /// Returns the path prefix of the newest route.
     pub(crate) fn newest_prefix(&self) -> String {
         format!("/new{}/", self.version)
@@ -294,8 +338,9 @@
     fn configure(&mut self) {
         self.version += 1;
         let prefix = self.newest_prefix();
-        self.site
-            .configure(&configuration(self.version, &[&prefix]));
+        let configuration = configuration(self.version, &[&prefix]);
+        let configuration = keyed(configuration, self.version, self.has_accounts);
+        self.site.configure(&configuration);
     }
 
     /// Kills all processes at the same moment, as when all machines lose power.
@@ -335,6 +380,37 @@
     }
 }
 
+/// Returns whether the configurations of a seed have client accounts. Half of the seeds have, with
+/// and without a loss of power.
+fn has_accounts(seed: u64) -> bool {
+    matches!(seed % 4, 1 | 2)
+}
+
+/// Returns a key that only this version holds.
+fn passing_key(version: u64) -> String {
+    format!("key-of-version-{version}")
+}
+
+/// Adds client accounts to a configuration, if it is to have any. Each has a key of its own, one has
+/// a key that moves with each version, and one has a key of this version.
+fn keyed(mut configuration: Value, version: u64, has_accounts: bool) -> Value {
+    if !has_accounts {
+        return configuration;
+    }
+    let account = |number: u64| {
+        let mut keys = vec![format!("key-{number}")];
+        if version % ACCOUNTS == number {
+            keys.extend([MOVING_KEY.to_owned(), passing_key(version)]);
+        }
+        json!({ "name": format!("account-{number}"), "apiKeys": keys })
+    };
+    configuration["tenants"] = (0..ACCOUNTS).map(account).collect();
+    for route in configuration["routes"].as_array_mut().into_iter().flatten() {
+        route["public"] = json!(route["name"] == "look");
+    }
+    configuration
+}
+
 /// Starts a daemon whose log goes to a file named after the seed, the role and the index.
 fn start_daemon(role: &'static str, settings: Value, seed: u64, index: usize) -> Restartable {
     let name = format!("soak-{seed}-{role}-{index}.log");
