--- a/tests/store_era.rs
+++ b/tests/store_era.rs
@@ -191,3 +191,44 @@
     roster.update(vec![entry(1, 200, 1)], start + Duration::from_secs(2));
     assert_eq!(roster.servers().len(), 1);
 }
+
+/// Guards against a server that had left and that a gateway uses again for long after it started anew
+/// at an older store: its hub remembers what left.
+#[test]
+fn a_gateway_that_starts_at_an_older_store_soon_forgets_what_had_left() {
+    /// Interval of the lists of a hub, in ms.
+    const INTERVAL_MS: u64 = 1_600;
+    /// Time for which servers that a read lacks are kept after failed reads, in ms.
+    const RECOVERY_MS: u64 = 2_000;
+    let mut returned_at_first = 0;
+    for seed in 0..SCHEDULES {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut now = Time::from_millis(1_000);
+        let mut listed: Vec<Server> = (1..8).map(|id| entry(id, 100, 1)).collect();
+        let copy = listed.clone();
+        let mut hub = Roster::default();
+        hub.update(listed.clone(), now);
+        now = now + Duration::from_millis(INTERVAL_MS);
+        let gone = listed.swap_remove(random.usize(..listed.len()));
+        hub.update(listed.clone(), now);
+        now = now + Duration::from_millis(random.u64(1..10_000));
+        let mut gateway = Roster::default();
+        if random.bool() {
+            gateway.record_failure();
+        }
+        gateway.update(copy.clone(), now);
+        returned_at_first += u64::from(gateway.servers().contains_key(&gone.id));
+        let started = now;
+        while now - started <= Duration::from_millis(RECOVERY_MS + INTERVAL_MS) {
+            now = now + Duration::from_millis(random.u64(1..=INTERVAL_MS));
+            hub.record_failure();
+            hub.update(copy.clone(), now);
+            let told = hub.servers().values().cloned();
+            gateway.update(told.collect(), now);
+        }
+        assert!(!gateway.servers().contains_key(&gone.id), "seed {seed}");
+        gateway.update(copy, now);
+        assert!(!gateway.servers().contains_key(&gone.id), "seed {seed}");
+    }
+    assert_eq!(returned_at_first, SCHEDULES);
+}
