gateway: let a signed answer without id pass again

A connection is not used again after an answer without id, which alone keeps a second copy of such an answer from a later request.

--- a/src/gateway/verdict.rs
+++ b/src/gateway/verdict.rs
@@ -48,10 +48,7 @@
 /// assert_eq!(verdict(&head, "r2", "server-1"), Verdict::Mismatched);
 /// ```
 pub fn verdict(head: &ResponseHead, request: &str, server: &str) -> Verdict {
-    // Only refusals name no request. Another signed response that names none may be a late one.
-    let is_refusal = head.has_not_run || !head.is_signed;
-    let is_own = head.id.as_deref().map_or(is_refusal, |id| id == request);
-    if !is_own {
+    if head.id.as_deref().is_some_and(|id| id != request) {
         return Verdict::Mismatched;
     }
     if head.has_not_run {
