dispatch, hub, gateway: share an account's allowance over all gateways

Equal shares waste most of an allowance that is uneven over gateways. Change: each gateway holds a replica of one token bucket (dispatch::Meter) and admits the same fraction of its requests, found from the level and from what is asked for everywhere. Use goes from a gateway to its hub, to other hubs and to gateways (link::Spending) with messages that exist. Without a hub a gateway uses its part alone; hubs that don't hear a region use the part that they hear (hub::Hearing). A tenth of what is tolerated beyond the allowance enlarges the burst (setting `excess`). What is over it gets 429 with Retry-After, and an over_allowance line, 20 a second. Ruled out: equal shares, shares by demand, a replica that admits while it is above 0; an overshoot that is deducted by estimate until the next news (it was deducted twice).

--- a/src/deployment/account.rs
+++ b/src/deployment/account.rs
@@ -56,6 +56,23 @@
         }
     }
 
+    /// Returns the allowance with a larger burst.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::deployment::{Allowance, Unit};
+    ///
+    /// let allowance = Allowance { per_s: 2.0, burst: 3.0, unit: Unit::Requests };
+    /// assert_eq!(allowance.with_excess(4.0).burst, 7.0);
+    /// ```
+    pub fn with_excess(self, units: f64) -> Self {
+        Self {
+            burst: self.burst + units,
+            ..self
+        }
+    }
+
     /// Returns the units that may be used in a window.
     ///
     /// # Examples
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -1,6 +1,7 @@
 //! Decides which server gets a request and whether the request may be sent again.
 
 mod absence;
+mod allowance;
 mod attempts;
 mod budget;
 mod choose;
@@ -12,6 +13,10 @@
 mod versions;
 
 pub use absence::Absence;
+pub use allowance::{
+    Meter,
+    Reach, //
+};
 pub use attempts::{
     Attempts,
     Ending,
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -30,7 +30,7 @@
 };
 
 use super::{
-    access,
+    access, allowances,
     events::Events,
     forward,
     job::{
@@ -146,6 +146,8 @@
     let mut progress = Progress::new(&job.route);
     let checked = pick::check_quarantine(state, &job, &progress);
     checked.map_err(|failure| (id.clone(), failure))?;
+    let charge = allowances::charge(state, &job);
+    progress.charge = charge.map_err(|failure| (id.clone(), failure))?;
     state.count_request(&job.service, started);
     if let Some(name) = &job.head.model {
         state.rates.record_request(&name.model, started);
@@ -154,6 +156,10 @@
     progress.software = software.map_err(|failure| (id.clone(), failure))?;
     let last_event = job.head.last_event.as_deref();
     let exchange = forward::send(state, &job, &mut progress, last_event).await;
+    if matches!(exchange, Err(Failure::Refused(..))) {
+        // No server runs it.
+        progress.set_charged(false);
+    }
     let exchange = exchange.map_err(|failure| (id, failure))?;
     origins::record(state, &job, &mut progress, &exchange);
     let status = exchange.response.status();
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -18,6 +18,7 @@
 };
 
 use super::{
+    allowances::Charge,
     demand::InFlight,
     message::{
         Caller,
@@ -111,6 +112,8 @@
     /// Digest of the only software version at which the stream may go on.
     pub(super) software: Option<u64>,
     pub(super) attempts: Attempts,
+    /// What the request uses of its account's allowance.
+    pub(super) charge: Option<Charge>,
 }
 
 impl Job {
@@ -175,13 +178,22 @@
             sent_to: BTreeMap::new(),
             is_resend: false,
             software: None,
+            charge: None,
             attempts: Attempts::new(route.kind.is_repeatable(), route.attempts),
         }
     }
 
+    /// Records whether a server may run the request, so that it counts towards its account's allowance.
+    pub(super) fn set_charged(&self, is_charged: bool) {
+        if let Some(charge) = &self.charge {
+            charge.set_sent(is_charged);
+        }
+    }
+
     /// Records that the request is sent to a server.
     pub(super) fn record_send(&mut self, server: &str) {
         self.is_resend = self.sent_to.insert(server.to_owned(), None).is_some();
+        self.set_charged(true);
     }
 
     /// Returns whether the request was sent to the current server before.
--- a/src/gateway/limit.rs
+++ b/src/gateway/limit.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// Returns the number of gateways, or a large one while it is not known.
+    pub(super) fn known_or_assumed(&self) -> u32 {
+        self.largest.map_or(UNKNOWN_COUNT, |(count, _)| count)
+    }
+
     /// Returns the number of gateways that share limits and the retry budget.
     pub(super) fn count(&self, now: Time) -> u32 {
         match self.largest {
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -265,11 +265,17 @@
     for id in known.states().keys() {
         state.apply_state(id, None);
     }
+    if state.carries_spendings(&link.service) {
+        state.allowances.forget();
+    }
 }
 
 async fn exchange(state: &State, link: &Link, stream: TcpStream) -> io::Result<()> {
     link.connection.set(link.connection.get() + 1);
     state.quarantine.begin_connection(&link.service);
+    if state.carries_spendings(&link.service) {
+        state.allowances.begin_connection();
+    }
     let (mut reader, mut writer) = link::split(stream)?;
     writer.send(&Hello::Gateway).await?;
     let read = async {
@@ -301,6 +307,7 @@
             .iter()
             .filter(|backend| backend.is_demand_changed.take());
         let needs_origins = link.needs_origins(state);
+        let carries_spendings = state.carries_spendings(&link.service);
         let told = state.follower.configuration().version;
         let demand = Demand {
             servers: changed.map(|backend| backend.demand()).collect(),
@@ -315,6 +322,11 @@
             },
             unknown_streams: link.origins.take_questions(),
             facts: state.quarantine.new_facts(&mut facts_sent, Time::now()),
+            spendings: if carries_spendings {
+                state.allowances.news(Time::now())
+            } else {
+                Vec::new()
+            },
         };
         last_sent = state.rates.newest();
         writer.send(&demand).await?;
@@ -325,13 +337,12 @@
         }
         // A change of the demand ends the wait. So does a new configuration: hubs tell gateways that
         // start which version they must have read.
-        let changed = async {
-            tokio::select! {
-                () = link.demand_changed.notified() => (),
-                () = state.follower.wait_for_version_after(told) => (),
-            }
-        };
-        let _ = timeout(HEARTBEAT_INTERVAL, changed).await;
+        tokio::select! {
+            () = link.demand_changed.notified() => (),
+            () = state.follower.wait_for_version_after(told) => (),
+            () = state.allowances.wait(), if carries_spendings => (),
+            () = sleep(HEARTBEAT_INTERVAL) => (),
+        }
     }
 }
 
@@ -357,6 +368,11 @@
         link.demand_changed.notify_one();
     }
     link.origins.learn(&update.origins, Time::now());
+    if state.carries_spendings(&link.service) {
+        let (spendings, fraction) = (&update.spendings, update.heard_fraction);
+        let allowances = &state.allowances;
+        allowances.learn(state, spendings, fraction, Time::now());
+    }
     if let Some(findings) = update.findings.take() {
         let service = &link.service;
         state.quarantine.learn(service, findings, Time::now());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The gateway: forwards each client's request to a server of the request's route.
 
 mod access;
+mod allowances;
 mod attempt;
 mod backend;
 mod cold;
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -117,6 +117,8 @@
     TooLarge,
     /// The request has not run and will not, for this reason; the client may retry after this time.
     Refused(&'static str, Duration),
+    /// The request is over its account's allowance; the client may retry after this time.
+    OverAllowance(Duration),
     /// The request may have run, and its outcome is unknown for this reason.
     Unknown(&'static str),
     /// The request timed out and may have run.
@@ -130,6 +132,7 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::Unauthorized => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::OverAllowance(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::Refused(..) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown(_) => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -142,6 +145,7 @@
             Self::NoRoute => "no route",
             Self::Unauthorized => "no account holds this key",
             Self::TooLarge => "body too large",
+            Self::OverAllowance(_) => "over the account's allowance",
             Self::Refused(reason, _) | Self::Unknown(reason) => reason,
             Self::TimedOut => "the time ran out",
         }
@@ -157,7 +161,7 @@
         if *self == Self::Unauthorized {
             headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
         }
-        if let Self::Refused(_, after) = self {
+        if let Self::Refused(_, after) | Self::OverAllowance(after) = self {
             let seconds = format!("{:.2}", after.as_secs_f64().max(0.05));
             if let Ok(value) = HeaderValue::try_from(seconds) {
                 headers.insert(RETRY_AFTER, value);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -12,6 +12,7 @@
 use tokio::sync::watch;
 
 use super::{
+    allowances::Allowances,
     engines::EngineVersions,
     fleet::Fleet,
     link::Link,
@@ -51,6 +52,8 @@
     pub(super) waiters: Waiters,
     /// Requests that are refused because requests like them crash servers.
     pub(super) quarantine: Quarantine,
+    /// What the requests of client accounts have used.
+    pub(super) allowances: Allowances,
     /// Lowest version of the configuration on which keys are accepted.
     pub(super) floor: RefCell<Floor>,
     /// Links to hubs by service.
@@ -75,6 +78,7 @@
             metrics,
             waiters: Waiters::default(),
             quarantine: Quarantine::default(),
+            allowances: Allowances::default(),
             floor,
             links: RefCell::default(),
             stopping: watch::Sender::new(false),
@@ -105,6 +109,14 @@
         other.cloned().unwrap_or(own)
     }
 
+    /// Returns whether the link of this service carries what accounts have used: one link does, so that
+    /// nothing is counted twice.
+    pub(super) fn carries_spendings(&self, service: &str) -> bool {
+        let links = self.links.borrow();
+        let first = links.iter().find(|(_, link)| link.is_started());
+        first.is_some_and(|(first, _)| first == service)
+    }
+
     /// Tells hubs what was recorded of requests that crash servers; without a hub, decides by it here.
     pub(super) fn tell_facts(&self) {
         let links = self.links.borrow();
--- a/src/hosted/mod.rs
+++ b/src/hosted/mod.rs
@@ -9,6 +9,7 @@
 pub use error::Error;
 pub use live::Live;
 pub use settings::{
+    Excess,
     Listen,
     Revocation,
     Settings, //
--- a/src/hosted/schema.rs
+++ b/src/hosted/schema.rs
@@ -58,5 +58,13 @@
             required("after_ms", MILLISECONDS),
         ]),
     ),
+    Field::optional(
+        "excess",
+        Kind::Object(&[
+            required("ratio", Kind::Number),
+            required("slack", Kind::Number),
+            required("window_ms", MILLISECONDS),
+        ]),
+    ),
     Field::optional("log_level", Kind::Text(text::log_level)),
 ]);
--- a/src/hosted/settings.rs
+++ b/src/hosted/settings.rs
@@ -14,6 +14,7 @@
 
 use super::schema;
 use crate::{
+    deployment::Allowance,
     jsonc::Document,
     settings::Findings, //
 };
@@ -40,6 +41,42 @@
     pub window_ms: f64,
 }
 
+/// What is tolerated beyond the allowances of client accounts, over all gateways.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Excess {
+    /// Part of what an account may use in a window.
+    pub ratio: f64,
+    /// Units in a window in addition.
+    pub slack: f64,
+    /// Length of the window in milliseconds.
+    pub window_ms: f64,
+}
+
+impl Excess {
+    /// Part of what is tolerated that accounts may use. The rest is for what gateways admit before
+    /// they have heard of each other.
+    const USED_FRACTION: f64 = 0.1;
+
+    /// Returns an allowance with the part of the excess that its account may use. Requests come in by
+    /// chance: a sound account needs more than the burst of a small one now and then.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use chestnuthub::deployment::{Allowance, Unit};
+    /// use chestnuthub::hosted::Excess;
+    ///
+    /// let excess = Excess { ratio: 0.1, slack: 20.0, window_ms: 8_000.0 };
+    /// let allowance = Allowance { per_s: 20.0, burst: 40.0, unit: Unit::Requests };
+    /// assert_eq!(excess.added_to(allowance).burst, 44.0);
+    /// ```
+    pub fn added_to(&self, allowance: Allowance) -> Allowance {
+        let in_window = allowance.in_window(millis(self.window_ms));
+        allowance.with_excess(Self::USED_FRACTION * (self.ratio * in_window + self.slack))
+    }
+}
+
 /// How withdrawn keys of client accounts are treated while the store does not answer.
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -84,6 +121,8 @@
     pub settled_after_ms: f64,
     /// How withdrawn keys of client accounts are treated while the store does not answer.
     pub revocation: Option<Revocation>,
+    /// What is tolerated beyond the allowances of client accounts.
+    pub excess: Option<Excess>,
     /// Log level: error, warn, info or debug.
     #[serde(default = "default_log_level")]
     pub log_level: String,
--- a/src/hub/mod.rs
+++ b/src/hub/mod.rs
@@ -8,6 +8,8 @@
 
 mod choice;
 mod description;
+mod hearing;
+mod ledgers;
 mod port;
 mod probe;
 mod quarantine;
@@ -21,6 +23,8 @@
     preferred, //
 };
 pub use description::Description;
+pub use hearing::Hearing;
+pub(crate) use ledgers::Ledgers;
 pub(crate) use port::{
     Hub,
     serve, //
--- a/src/hub/port.rs
+++ b/src/hub/port.rs
@@ -20,6 +20,7 @@
 
 use super::{
     Description,
+    Ledgers,
     Quarantine,
     Relay,
     Sent,
@@ -81,6 +82,7 @@
     description: Rc<RefCell<Description>>,
     relay: Rc<Relay>,
     quarantine: Rc<Quarantine>,
+    ledgers: Rc<Ledgers>,
     /// Version of the table; wakes the connections of gateways.
     version: watch::Sender<u64>,
     /// Wakes the connections to the loader of a server, by server id.
@@ -99,6 +101,7 @@
         description: Rc<RefCell<Description>>,
         relay: Rc<Relay>,
         quarantine: Rc<Quarantine>,
+        ledgers: Rc<Ledgers>,
         engine_addr: SocketAddr,
     ) -> Self {
         Self {
@@ -106,6 +109,7 @@
             started_at: Time::now(),
             relay,
             quarantine,
+            ledgers,
             table: RefCell::default(),
             follower,
             description,
@@ -222,6 +226,7 @@
     match reader.next(HELLO_TIMEOUT).await? {
         Hello::Gateway => {
             hub.table.borrow_mut().add_gateway(connection);
+            hub.ledgers.add_gateway(connection, Time::now());
             let result = tokio::select! {
                 result = read_demand(&mut reader, hub, connection) => result,
                 result = send_updates(writer, hub, connection) => result,
@@ -229,6 +234,9 @@
             hub.table.borrow_mut().remove_gateway(connection);
             hub.description.borrow_mut().remove_gateway(connection);
             hub.relay.remove_gateway(connection);
+            let is_silent = is_timeout(&result);
+            hub.ledgers
+                .remove_gateway(connection, is_silent, Time::now());
             result
         }
         Hello::Probe => writer.send(&Needs::default()).await,
@@ -238,20 +246,26 @@
                 result = read_status(&mut reader, hub, connection, &loader) => result,
                 result = send_needs(writer, hub, loader.subscribe()) => result,
             };
-            let is_silent =
-                matches!(&result, Err(error) if error.kind() == io::ErrorKind::TimedOut);
+            let is_silent = is_timeout(&result);
             let contact = if is_silent {
                 Contact::Silent
             } else {
                 Contact::Lost
             };
             hub.table.borrow_mut().end_contact(connection, contact);
+            let server = loader.borrow().server.clone();
+            hub.ledgers.end_contact(&server, is_silent, Time::now());
             hub.publish();
             result
         }
     }
 }
 
+/// Returns whether a connection ended because the other side fell silent.
+fn is_timeout(result: &io::Result<()>) -> bool {
+    matches!(result, Err(error) if error.kind() == io::ErrorKind::TimedOut)
+}
+
 async fn read_demand(reader: &mut Reader, hub: &Hub, connection: u64) -> io::Result<()> {
     loop {
         let mut demand: Demand = reader.next(GATEWAY_TIMEOUT).await?;
@@ -263,6 +277,7 @@
         hub.relay.ask(connection, &demand.unknown_streams);
         hub.quarantine
             .record_own(std::mem::take(&mut demand.facts), now);
+        hub.ledgers.record_own(connection, &demand.spendings, now);
         if let Some(description) = demand.engine.take() {
             hub.description.borrow_mut().update(description);
         } else if let Some(version) = demand.engine_version
@@ -296,7 +311,12 @@
         hub.relay.record_others(&status.origins, Time::now());
         hub.quarantine
             .record_others(std::mem::take(&mut status.facts), Time::now());
+        let (spendings, gateways) = (std::mem::take(&mut status.spendings), status.gateways);
         let server = hub.table.borrow_mut().set_status(connection, status);
+        if let Some(server) = &server {
+            let now = Time::now();
+            hub.ledgers.record_others(server, gateways, &spendings, now);
+        }
         hub.publish();
         let said = Loader {
             server: server.unwrap_or_default(),
@@ -329,6 +349,8 @@
         update.origins = hub.relay.take_answers(connection);
         update.has_origins = hub.relay.has_origins(Time::now());
         update.findings = hub.quarantine.news(&mut quarantine_version, Time::now());
+        update.spendings = hub.ledgers.news(connection, Time::now());
+        update.heard_fraction = hub.ledgers.fraction(Time::now());
         writer.send(&update).await?;
         sleep(GATEWAY_BATCH).await;
         // Waiting for changes can't fail: the hub owns the senders.
--- a/src/hub/table.rs
+++ b/src/hub/table.rs
@@ -350,6 +350,8 @@
             has_origins: None,
             configuration: None,
             findings: None,
+            spendings: Vec::new(),
+            heard_fraction: 1.0,
             is_full: since == 0,
             servers: changed.map(|entry| entry.state(since)).collect(),
             removed: self.removed.since(since),
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -11,7 +11,10 @@
 };
 use siphasher::sip::SipHasher13;
 
-use super::Origin;
+use super::{
+    Origin,
+    Spending, //
+};
 use crate::{
     deployment::{
         Copies,
@@ -111,6 +114,8 @@
     pub unknown_streams: Vec<u64>,
     /// What the gateway has seen of requests that crash servers.
     pub facts: Vec<Fact>,
+    /// What requests of accounts have used at the gateway.
+    pub spendings: Vec<Spending>,
 }
 
 /// Message of a hub to a loader: what the requests of the hub's gateways need.
@@ -190,6 +195,10 @@
     pub configuration: Option<u64>,
     /// What the hub has found out of requests that crash servers, if it changed.
     pub findings: Option<Findings>,
+    /// What requests of accounts have used at the other gateways.
+    pub spendings: Vec<Spending>,
+    /// Part of all gateways that the hub hears of, itself or from other hubs.
+    pub heard_fraction: f32,
 }
 
 /// Version of an engine description.
@@ -353,4 +362,8 @@
     pub origins: Vec<Origin>,
     /// What gateways have told that hub of requests that crash servers.
     pub facts: Vec<Fact>,
+    /// What requests of accounts have used at that hub's gateways.
+    pub spendings: Vec<Spending>,
+    /// Number of that hub's gateways.
+    pub gateways: u32,
 }
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -8,6 +8,7 @@
 mod connection;
 mod message;
 mod origin;
+mod spending;
 
 pub(crate) use connection::{
     Reader,
@@ -44,3 +45,9 @@
     Origins,
     digest, //
 };
+pub use spending::{
+    Ledger,
+    Pace,
+    Spending,
+    Told, //
+};
--- a/src/loader/mod.rs
+++ b/src/loader/mod.rs
@@ -71,6 +71,7 @@
         state.description.clone(),
         state.relay.clone(),
         state.quarantine.clone(),
+        state.ledgers.clone(),
         engine,
     ));
     tokio::task::spawn_local(async move { follower.follow_servers().await });
--- a/src/loader/state.rs
+++ b/src/loader/state.rs
@@ -24,6 +24,7 @@
     hosted::Live,
     hub::{
         Description,
+        Ledgers,
         Quarantine,
         Relay, //
     },
@@ -65,6 +66,8 @@
     pub(super) relay: Rc<Relay>,
     /// What the hub in this process knows of requests that crash servers.
     pub(super) quarantine: Rc<Quarantine>,
+    /// What accounts have used, as the hub in this process knows it.
+    pub(super) ledgers: Rc<Ledgers>,
     next_connection: Cell<u64>,
     /// The hub at which the loader follows the other servers.
     pub(super) observed: Cell<Option<SocketAddr>>,
@@ -89,6 +92,7 @@
             description: Rc::default(),
             relay: Rc::default(),
             quarantine: Rc::default(),
+            ledgers: Rc::default(),
             next_connection: Cell::new(0),
             observed: Cell::new(None),
             mirror: RefCell::default(),
--- a/src/loader/uplink.rs
+++ b/src/loader/uplink.rs
@@ -202,6 +202,11 @@
     let mut origins_sent = 0;
     let mut facts = state.quarantine.own_changed.subscribe();
     let mut facts_sent = 0;
+    let mut spendings_told = state.ledgers.begin();
+    // The hub in this process knows what its own gateways tell.
+    let is_own = state
+        .server()
+        .is_some_and(|own| own.address.ip() == hub.ip());
     holdings.mark_changed();
     while links.is_wanted(hub) {
         let changed = holdings.has_changed().unwrap_or(true);
@@ -212,6 +217,12 @@
             wants_engine: state.wants_engine(connection),
             origins: state.relay.new_origins(&mut origins_sent),
             facts: state.quarantine.new_facts(&mut facts_sent, Time::now()),
+            spendings: if is_own {
+                Vec::new()
+            } else {
+                state.ledgers.own_news(&mut spendings_told, Time::now())
+            },
+            gateways: if is_own { 0 } else { state.ledgers.gateways() },
         };
         writer.send(&status).await?;
         sleep(BATCH_DELAY).await;
@@ -222,6 +233,7 @@
             _ = holdings.changed() => holdings.mark_changed(),
             _ = origins.changed() => (),
             _ = facts.changed() => (),
+            () = state.ledgers.wait(&mut spendings_told), if !is_own => (),
             () = sleep(HEARTBEAT_INTERVAL) => (),
         }
     }
--- a/tests/hosted/main.rs
+++ b/tests/hosted/main.rs
@@ -1,6 +1,7 @@
 //! Gateways and loaders that run as real processes against an emulated site of the users' platform.
 
 mod accounts;
+mod allowance;
 mod announcement;
 mod copies;
 mod crashing;
--- a/tests/hub.rs
+++ b/tests/hub.rs
@@ -16,6 +16,7 @@
     },
     hub::{
         self,
+        Hearing,
         Sent,
         Table, //
     },
@@ -24,9 +25,13 @@
         Contact,
         Demand,
         Holdings,
+        Ledger,
+        Pace,
         ServerDemand,
         ServerState,
+        Spending,
         Status,
+        Told,
         Traffic,
         Usage,
         Workload, //
@@ -366,3 +371,72 @@
     mirror.apply(1, former_sent.update(&former, Time::ZERO), Time::ZERO);
     assert_eq!(mirror.states().keys().collect::<Vec<_>>(), ["s2"]);
 }
+
+/// Guards against use that is told twice, never, or back to the gateway that told it.
+#[test]
+fn each_use_is_told_once_to_each_of_the_others() {
+    for seed in 0..200 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut ledger = Ledger::default();
+        let mut told = Told::new(&ledger, Pace::Collected);
+        let mut expected: BTreeMap<u64, (i64, u64)> = BTreeMap::new();
+        let mut heard: BTreeMap<u64, (i64, u64)> = BTreeMap::new();
+        let add = |sums: &mut BTreeMap<u64, (i64, u64)>, spending: &Spending| {
+            let sum = sums.entry(spending.account).or_default();
+            *sum = (sum.0 + spending.admitted, sum.1 + spending.asked);
+        };
+        let mut now = Time::from_millis(5_000);
+        for _ in 0..400 {
+            now = now + Duration::from_millis(random.u64(0..40));
+            let asked = random.u64(0..10_000);
+            let spending = Spending {
+                account: random.u64(0..40),
+                per_s: 30_000.0,
+                admitted: random.i64(-200..10_000).min(asked as i64),
+                asked,
+                recent_per_s: None,
+            };
+            ledger.record(&spending, now);
+            if random.f64() < 0.2 {
+                told.skip(&spending);
+            } else {
+                add(&mut expected, &spending);
+            }
+            let news = ledger.news(&mut told, now);
+            for spending in &news {
+                add(&mut heard, spending);
+            }
+        }
+        while ledger.due_in(&mut told, now).is_some() {
+            now = now + Duration::from_millis(2_000);
+            let news = ledger.news(&mut told, now);
+            for spending in &news {
+                add(&mut heard, spending);
+            }
+        }
+        assert_eq!(heard, expected, "seed {seed}");
+    }
+}
+
+/// Guards against an allowance that two parts of a fleet each use whole, and against one that stays
+/// small after gateways have gone to another hub.
+#[test]
+fn gateways_behind_a_silent_hub_are_missing_until_they_are_heard() {
+    let at = |ms: u64| Time::from_millis(100_000 + ms);
+    let mut hearing = Hearing::default();
+    hearing.set("own", 6, at(0));
+    hearing.set("far", 6, at(0));
+    hearing.lose("far", at(1_000));
+    assert_eq!(hearing.fraction(at(1_000)), 0.5);
+    // Three of them come to another hub, and are settled after a time.
+    hearing.set("near", 3, at(2_000));
+    assert!(hearing.fraction(at(2_500)) < 0.65);
+    assert_eq!(hearing.fraction(at(4_500)), 0.75);
+    // An orderly end leaves none missing.
+    hearing.set("near", 0, at(5_000));
+    assert_eq!(hearing.fraction(at(5_000)), 6.0 / 9.0);
+    hearing.set("far", 3, at(6_000));
+    assert_eq!(hearing.fraction(at(8_500)), 1.0);
+    hearing.lose("far", at(9_000));
+    assert_eq!(hearing.fraction(at(40_000)), 1.0);
+}
