--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -8,6 +8,7 @@
 mod error;
 mod fleet;
 mod footprint;
+mod keys;
 mod meter;
 mod path;
 pub mod policy;
@@ -50,6 +51,7 @@
     Burst(burst::Settings, report::Output),
     Capacity { json: bool },
     Demo,
+    Keys(keys::Settings, report::Output),
     Policy(policy::Options),
     Path(path::Settings, report::Output),
     Retries(retries::Settings, report::Output),
@@ -61,6 +63,7 @@
         Command::Burst(settings, output) => burst::run(&settings, &output),
         Command::Capacity { json } => capacity::run(json),
         Command::Demo => demo::run(),
+        Command::Keys(settings, output) => keys::run(&settings, &output),
         Command::Policy(options) => policy::run(&options),
         Command::Path(settings, output) => path::run(&settings, &output),
         Command::Retries(settings, output) => retries::run(&settings, &output),
@@ -106,7 +109,12 @@
         .to_options()
         .descr("Counts attempts while an agent is dead")
         .command("retries");
-    bpaf::construct!([demo, capacity, policy, path, burst, retries])
+    let (settings, output) = (keys::settings(), report::output());
+    let keys = bpaf::construct!(Command::Keys(settings, output))
+        .to_options()
+        .descr("Measures what the keys of client accounts cost a gateway")
+        .command("keys");
+    bpaf::construct!([demo, capacity, policy, path, burst, retries, keys])
         .to_options()
         .descr("Starts small systems on loopback and measures them")
 }
--- a/tests/load_tool.rs
+++ b/tests/load_tool.rs
@@ -117,3 +117,28 @@
     assert!((count("attempted to offered") - ratio).abs() < 1e-9);
     count("last failure after the agent's return");
 }
+
+/// Guards against a report on keys that lacks what it is compared with.
+#[test]
+fn keys_compares_accounts_with_none() {
+    let (report, plots) = run("keys", &["--time-ms", "5"]);
+    check_provenance("keys", &report, &plots);
+    for name in ["decoding of a request's head", "check without accounts"] {
+        assert!(value(&report, name) > 0.0);
+    }
+    for count in [16, 10_000] {
+        let known = value(&report, &format!("check with {count} accounts, known key"));
+        assert!(known > 0.0);
+        value(
+            &report,
+            &format!("check with {count} accounts, unknown key"),
+        );
+        value(&report, &format!("memory of {count} accounts"));
+        let bytes = value(
+            &report,
+            &format!("bytes of {count} accounts in the configuration"),
+        );
+        // Two keys of 32 characters each.
+        assert!(bytes > f64::from(count) * 64.0, "{bytes}");
+    }
+}
