--- a/tests/hosted/main.rs
+++ b/tests/hosted/main.rs
@@ -2,6 +2,7 @@
 
 mod accounts;
 mod announcement;
+mod copies;
 mod crashing;
 mod delivery;
 mod deployment;
@@ -10,6 +11,7 @@
 mod machine;
 #[path = "../site_support/mod.rs"]
 mod site_support;
+mod stopping;
 mod streams;
 mod timeout;
 mod upgrade;
