loader: log what an order for a model's weights is based on

Change: a line `placement` before each load or unload of weights: whether it comes from the store, requests waiting, replicas, traffic, gain and loss. No decision is changed.

--- a/src/loader/driver.rs
+++ b/src/loader/driver.rs
@@ -100,6 +100,35 @@
     }
 }
 
+/// Logs what the decision for an order was based on.
+fn log_placement(planner: &Planner<'_>, order: &Order, from_store: bool) {
+    let pool = &planner.pool;
+    let Some(model) = pool.engine.model(&order.model) else {
+        return;
+    };
+    let rate = pool.rate(&order.model);
+    let waiting = planner.backlogs.iter();
+    let waiting = waiting.filter(|backlog| backlog.model == order.model);
+    report::info(
+        "placement",
+        &[
+            ("operation", &order.operation.as_str()),
+            ("model", &order.model),
+            ("from_store", &from_store),
+            (
+                "waiting",
+                &waiting.map(|backlog| backlog.waiting).sum::<u32>(),
+            ),
+            ("replicas", &pool.replicas(&order.model)),
+            ("in_flight", &rate.in_flight),
+            ("per_s", &rate.per_s),
+            ("recent_per_s", &rate.recent_per_s),
+            ("gain_ms", &pool.gain_ms(model).round()),
+            ("loss_ms", &pool.loss_ms(&order.model, planner.host).round()),
+        ],
+    );
+}
+
 /// An order that the engine is executing, or an unload that is about to be sent.
 #[derive(Debug)]
 struct Execution {
@@ -316,6 +345,9 @@
         if from_store {
             self.limiter.record(now);
         }
+        if order.adapter.is_none() {
+            log_placement(&planner, &order, from_store);
+        }
         self.next_spare = now + SPARE_INTERVAL;
         Some(order)
     }
