--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,6 +1,7 @@
 //! Sends a request once to one server.
 
 use std::{
+    cell::Cell,
     rc::Rc,
     time::Duration, //
 };
@@ -35,6 +36,7 @@
         Rest, //
     },
     pick::cache_scope,
+    presence,
     state::State,
     verdict::{
         Verdict,
@@ -43,7 +45,10 @@
 };
 use crate::{
     deployment::Kind,
-    dispatch::Outcome,
+    dispatch::{
+        Outcome,
+        Run, //
+    },
     http::{
         Channel,
         Error,
@@ -126,7 +131,14 @@
     let in_flight = backend.begin(job.model(), tokens, &state.rates);
     log_send(job, &server.id, progress, backend.load(Time::now()));
     let connect_timeout = CONNECT_TIMEOUT.min(job.remaining(Time::now()));
-    let (mut channel, _) = backend.pool.take(connect_timeout).await.map_err(|error| {
+    let channel = if progress.is_resend() {
+        // A late second copy of the answer to the earlier send bears the same id.
+        backend.pool.connect(connect_timeout).await
+    } else {
+        let taken = backend.pool.take(connect_timeout).await;
+        taken.map(|(channel, _)| channel)
+    };
+    let mut channel = channel.map_err(|error| {
         backend.record_unreachable(Time::now());
         state.refresh_servers();
         log_error(job, &error);
@@ -148,11 +160,19 @@
         Kind::Idempotent if may_retry => remaining.min(job.route.latency_objective * WAIT_FACTOR),
         _ => remaining,
     };
+    let run = Cell::new(Run {
+        connected_at: channel.connected_at(),
+        heard_at: now,
+        stream_objective: None,
+    });
+    presence::watch(backend);
     let response = tokio::select! {
+        biased;
         response = timeout(max_wait, channel.send(request)) => {
             response.unwrap_or(Err(Error::Timeout))
         }
         () = backend.unresponsive(), if may_retry => Err(Error::Timeout),
+        cause = backend.presence.ended(&run) => Err(Error::Ended(cause.as_str())),
     };
     let response = response.map_err(|error| {
         log_error(job, &error);
@@ -163,6 +183,7 @@
         crash::record(state, backend, BrokenRun::new(job, now, None));
         SendError::Unknown("no answer")
     })?;
+    backend.presence.record_heard(Time::now());
     let response_head = header::decode_response(response.status().as_u16(), response.headers());
     record_announcements(job, backend, &response_head);
     let exchange = Exchange {
@@ -171,6 +192,7 @@
         channel,
         framing: response.body().framing(response.headers()),
         sent_at: now,
+        run,
         response,
         response_head,
     };
@@ -244,7 +266,8 @@
         &Outgoing {
             server,
             timeout: remaining,
-            priority: job.head.model.is_some().then_some(job.route.priority),
+            priority: job.head.model.is_some().then_some(job.priority()),
+            caller: job.caller(),
             last_event,
         },
     );
@@ -333,14 +356,14 @@
 }
 
 /// Returns a connection to the pool after a complete response, unless the server is about to close
-/// it.
+/// it, or the response names no request: a second copy of it would be taken for that to the next one.
 pub(super) fn return_connection(
     backend: &Backend,
     channel: Channel,
     response_head: &ResponseHead,
     framing: Framing,
 ) {
-    if !response_head.closes && framing != Framing::Connection {
+    if !response_head.closes && response_head.id.is_some() && framing != Framing::Connection {
         backend.keep(channel, response_head.keep_alive);
     }
 }
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -16,6 +16,7 @@
     Request, Response, StatusCode,
     body::Incoming,
     header::{
+        AUTHORIZATION,
         CONNECTION,
         CONTENT_LENGTH,
         CONTENT_TYPE,
@@ -29,6 +30,7 @@
 };
 
 use super::{
+    access,
     events::Events,
     forward,
     job::{
@@ -217,17 +219,29 @@
         configuration.map_err(|_| Failure::Refused("no configuration yet", START_RETRY_AFTER))?;
     let host = host(&request).ok_or_else(|| malformed(&Malformed::Host))?;
     let path = request.uri().path();
+    let configuration = if configuration.needs_key(&host, path) {
+        access::wait_for_floor(state, max_wait).await;
+        state.follower.configuration()
+    } else {
+        configuration
+    };
     let route = configuration.route(&host, path);
     let target = route.and_then(|route| Some((route, route.service(route_draw(&head.id))?)));
     let Some((route, service)) = target else {
         log_no_route(state, &head.id, &host, path, route);
         return Err(Failure::NoRoute);
     };
+    let headers = request.headers();
+    let account = access::check(state, &configuration, route, headers, &head.id)?;
     let route = route.clone();
     let service = service.to_owned();
     let remaining = head.timeout.unwrap_or(route.timeout).min(route.timeout);
     let deadline = started + remaining;
-    let (parts, body) = request.into_parts();
+    let (mut parts, body) = request.into_parts();
+    if configuration.accounts.is_some() {
+        // Nothing after this needs the key.
+        parts.headers.remove(AUTHORIZATION);
+    }
     let body = read_body(&configuration, body, deadline).await?;
     let target = parts
         .uri
@@ -238,6 +252,7 @@
         method: parts.method,
         headers: parts.headers,
         configuration,
+        account,
         route,
         service,
         head,
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -1,7 +1,10 @@
 //! A request that the gateway processes, and the state of its sends.
 
 use std::{
-    cell::OnceCell,
+    cell::{
+        Cell,
+        OnceCell, //
+    },
     collections::BTreeMap,
     rc::Rc,
     time::Duration, //
@@ -17,6 +20,7 @@
 use super::{
     demand::InFlight,
     message::{
+        Caller,
         ModelName,
         RequestHead,
         ResponseHead, //
@@ -25,13 +29,15 @@
 };
 use crate::{
     deployment::{
+        Account,
         Configuration,
         Route,
         Server, //
     },
     dispatch::{
         Attempts,
-        Ending, //
+        Ending,
+        Run, //
     },
     http::{
         Channel,
@@ -60,6 +66,9 @@
 #[derive(Debug)]
 pub(super) struct Job {
     pub(super) configuration: Rc<Configuration>,
+    /// Account whose key the request bears; `None` if the route is public or the configuration names
+    /// no accounts.
+    pub(super) account: Option<Rc<Account>>,
     pub(super) route: Route,
     pub(super) service: String,
     pub(super) head: RequestHead,
@@ -82,6 +91,8 @@
     pub(super) server: Rc<Server>,
     pub(super) channel: Channel,
     pub(super) sent_at: Time,
+    /// What is known of the process that runs the request.
+    pub(super) run: Cell<Run>,
     /// The response as its server sent it.
     pub(super) response: Response,
     /// How the end of its body is marked.
@@ -95,6 +106,8 @@
     /// Servers that the request was sent to. The time is that from which it may be sent there
     /// again; `None` if it may not.
     sent_to: BTreeMap<String, Option<Time>>,
+    /// Whether the request was sent to the current server before.
+    is_resend: bool,
     /// Digest of the only software version at which the stream may go on.
     pub(super) software: Option<u64>,
     pub(super) attempts: Attempts,
@@ -109,6 +122,22 @@
         self.head.model.as_ref()
     }
 
+    /// Returns the priority: that of the account, else that of the route.
+    pub(super) fn priority(&self) -> u8 {
+        let account = self.account.as_ref();
+        let priority = account.and_then(|account| account.priority);
+        priority.unwrap_or(self.route.priority)
+    }
+
+    /// Returns for whom the request is made.
+    pub(super) fn caller(&self) -> Caller<'_> {
+        match &self.account {
+            Some(account) => Caller::Account(&account.name),
+            None if self.configuration.accounts.is_some() => Caller::Anonymous,
+            None => Caller::Unchecked,
+        }
+    }
+
     /// Returns the marks of what the request carries and may crash servers: the parts of its prompt,
     /// and all of it.
     pub(super) fn marks(&self) -> &[Mark] {
@@ -122,12 +151,19 @@
     }
 
     fn content_mark(&self) -> Mark {
-        let caller = self.headers.get(AUTHORIZATION);
+        let caller = match self.caller() {
+            Caller::Account(name) => name.as_bytes(),
+            Caller::Anonymous => &[],
+            Caller::Unchecked => {
+                let credentials = self.headers.get(AUTHORIZATION);
+                credentials.map_or(&[][..], |credentials| credentials.as_bytes())
+            }
+        };
         Mark::of_request(&Content {
             method: self.method.as_str(),
             host: &self.route.host,
             target: &self.target,
-            caller: caller.map_or(&[], |caller| caller.as_bytes()),
+            caller,
             body: &self.body,
         })
     }
@@ -137,6 +173,7 @@
     pub(super) fn new(route: &Route) -> Self {
         Self {
             sent_to: BTreeMap::new(),
+            is_resend: false,
             software: None,
             attempts: Attempts::new(route.kind.is_repeatable(), route.attempts),
         }
@@ -144,7 +181,12 @@
 
     /// Records that the request is sent to a server.
     pub(super) fn record_send(&mut self, server: &str) {
-        self.sent_to.insert(server.to_owned(), None);
+        self.is_resend = self.sent_to.insert(server.to_owned(), None).is_some();
+    }
+
+    /// Returns whether the request was sent to the current server before.
+    pub(super) fn is_resend(&self) -> bool {
+        self.is_resend
     }
 
     /// Records that a server has not run the request, so that it may be sent there again later.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,5 +1,6 @@
 //! The gateway: forwards each client's request to a server of the request's route.
 
+mod access;
 mod attempt;
 mod backend;
 mod cold;
@@ -18,6 +19,7 @@
 mod origins;
 mod passes;
 mod pick;
+mod presence;
 mod quarantine;
 mod rates;
 mod ready;
@@ -28,8 +30,14 @@
 mod verdict;
 mod waiters;
 
+pub use access::{
+    Currency,
+    Denial,
+    account, //
+};
 pub use events::Events;
 pub use message::{
+    Caller,
     Load,
     Malformed,
     ModelName,
@@ -108,14 +116,14 @@
     state.stop(Time::now() + grace.saturating_sub(REFUSAL_MARGIN));
     let accept_period = ACCEPT_AFTER_STOP.min(grace);
     sleep(accept_period).await;
-    accepting.abort();
+    server.close_port(accepting).await;
     server.drain(grace - accept_period).await;
 }
 
 /// Returns the periods at which the store is polled.
 fn periods(settings: &Settings) -> Periods {
     Periods {
-        configuration: Some(settings.settled_after()),
+        configuration: Some(settings.configuration_bound()),
         servers: settings.gateway_listing_age(),
     }
 }
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -1,11 +1,20 @@
 //! Wire format of the operators' configuration in the platform's store.
 
-use std::time::Duration;
+use std::{
+    error::Error,
+    fmt,
+    time::Duration, //
+};
 
+use hyper::header::HeaderValue;
 use serde::Deserialize;
+use serde_json::error::Category;
 
 use crate::{
     deployment::{
+        Account,
+        Accounts,
+        Allowance,
         Configuration,
         Engine,
         Kind,
@@ -13,12 +22,13 @@
         Model,
         Route,
         Service,
-        Target, //
+        Target,
+        Unit, //
     },
     report,
 };
 
-#[derive(Debug, Deserialize)]
+#[derive(Deserialize)]
 struct WireConfiguration {
     version: u64,
     #[serde(default)]
@@ -26,6 +36,7 @@
     #[serde(default)]
     services: Vec<WireService>,
     limits: Option<WireLimits>,
+    tenants: Option<Vec<WireAccount>>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -45,6 +56,8 @@
     attempts: Option<f64>,
     #[serde(default)]
     resumable: bool,
+    #[serde(default)]
+    public: bool,
 }
 
 #[derive(Debug, Deserialize)]
@@ -94,6 +107,51 @@
     idle_timeout_ms: Option<f64>,
 }
 
+/// An account with its keys, which must never be formatted.
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireAccount {
+    name: String,
+    #[serde(default)]
+    api_keys: Vec<String>,
+    priority: Option<f64>,
+    unit: Option<String>,
+    plain_tokens: Option<f64>,
+    rate_per_s: Option<f64>,
+    burst: Option<f64>,
+}
+
+/// Where a configuration can't be read. The decoder's own text may repeat a value, which may be a key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Unreadable {
+    is_json: bool,
+    line: usize,
+    column: usize,
+}
+
+impl From<serde_json::Error> for Unreadable {
+    fn from(error: serde_json::Error) -> Self {
+        Self {
+            is_json: error.classify() == Category::Data,
+            line: error.line(),
+            column: error.column(),
+        }
+    }
+}
+
+impl fmt::Display for Unreadable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let reason = if self.is_json {
+            "a field is missing or has a wrong type"
+        } else {
+            "not JSON"
+        };
+        write!(f, "{reason} at line {} column {}", self.line, self.column)
+    }
+}
+
+impl Error for Unreadable {}
+
 /// Decodes a configuration.
 ///
 /// # Errors
@@ -109,13 +167,14 @@
 /// assert_eq!(decoded.version, 7);
 /// assert!(configuration::decode(b"{}").is_err());
 /// ```
-pub fn decode(bytes: &[u8]) -> Result<Configuration, serde_json::Error> {
+pub fn decode(bytes: &[u8]) -> Result<Configuration, Unreadable> {
     let wire: WireConfiguration = serde_json::from_slice(bytes)?;
     Ok(Configuration {
         version: wire.version,
         routes: wire.routes.into_iter().map(route).collect(),
         services: wire.services.into_iter().map(service).collect(),
         limits: wire.limits.map_or_else(Limits::default, limits),
+        accounts: wire.tenants.map(accounts),
     })
 }
 
@@ -160,6 +219,7 @@
         latency_objective: wire.target_latency_ms.map_or(timeout, millis),
         priority: wire.priority as u8,
         attempts: wire.attempts.map_or(1, |attempts| attempts as u32),
+        is_public: wire.public,
         targets,
     }
 }
@@ -218,6 +278,56 @@
     }
 }
 
+/// Decodes the accounts and logs what is wrong with them. Neither keys nor their digests are logged.
+fn accounts(wire: Vec<WireAccount>) -> Accounts {
+    let mut accounts = Accounts::default();
+    for wire in wire {
+        if !is_header_value(&wire.name) {
+            // Its requests could not bear the name at the servers, so its keys open nothing.
+            report::warn("account_refused", &[("name", &wire.name.escape_debug())]);
+            continue;
+        }
+        let account = accounts.add(Account {
+            priority: wire.priority.map(|priority| priority as u8),
+            allowance: allowance(&wire),
+            name: wire.name,
+        });
+        for key in wire.api_keys.iter().filter(|key| !key.is_empty()) {
+            let former = accounts.add_key(key, &account);
+            if let Some(former) = former.filter(|former| former.name != account.name) {
+                report::warn(
+                    "key_of_two_accounts",
+                    &[("account", &account.name), ("not_of", &former.name)],
+                );
+            }
+        }
+    }
+    accounts
+}
+
+/// Returns whether a server reads the name from a header as it is.
+fn is_header_value(name: &str) -> bool {
+    !name.is_empty() && name.trim() == name && HeaderValue::try_from(name).is_ok()
+}
+
+/// Decodes an allowance. A rate of 0 means that there is no limit.
+fn allowance(wire: &WireAccount) -> Option<Allowance> {
+    /// Tokens that a request counts as if neither it nor the account states a number.
+    const PLAIN_TOKENS: f64 = 1.0;
+    let per_s = wire.rate_per_s.filter(|rate| *rate > 0.0)?;
+    let unit = match wire.unit.as_deref() {
+        Some("tokens") => Unit::Tokens {
+            plain: wire.plain_tokens.unwrap_or(PLAIN_TOKENS).max(0.0),
+        },
+        _ => Unit::Requests,
+    };
+    Some(Allowance {
+        per_s,
+        burst: wire.burst.unwrap_or_default().max(0.0),
+        unit,
+    })
+}
+
 fn limits(wire: WireLimits) -> Limits {
     let default = Limits::default();
     Limits {
--- a/tests/hosted/main.rs
+++ b/tests/hosted/main.rs
@@ -1,6 +1,8 @@
 //! Gateways and loaders that run as real processes against an emulated site of the users' platform.
 
+mod accounts;
 mod announcement;
+mod copies;
 mod crashing;
 mod delivery;
 mod deployment;
@@ -9,6 +11,8 @@
 mod machine;
 #[path = "../site_support/mod.rs"]
 mod site_support;
+mod stopping;
+mod streams;
 mod timeout;
 mod upgrade;
 
