hosted tests: end the server once the gateway has its answers

Cause: requests_of_a_server_that_ended_silently_end_soon failed beside load (load average 30): the engine ran both streams, but the head of one had not reached the gateway when the server was ended, and 502 is then the right answer. Change: the test waits until the gateway has logged both answers. What it asserts is the same.

--- a/tests/hosted/streams.rs
+++ b/tests/hosted/streams.rs
@@ -191,7 +191,12 @@
     let (system, engine, _) = start(&plan(Duration::from_millis(50)));
     let chat = send(&system, "chat", "/chat/x", "Model: m1\r\n");
     let review = send(&system, "review", "/review/x", "Model: m1\r\n");
-    wait_until("the streams run", || system.site.running_streams(0) == 2);
+    wait_until("the answers have begun", || {
+        let log = system.gateway_log();
+        ["chat", "review"]
+            .iter()
+            .all(|id| log.contains(&format!("event=answered request={id} ")))
+    });
     engine.end();
     for stream in [chat, review] {
         let (response, elapsed) = stream.join().expect("the client ends");
