gateway: bound what is held for slow readers and long bodies, and cut no client that pauses

Cause: a client that does not read for 2.5 s was reset (the limit on unacknowledged bytes covers a closed window), and a stream whose client paused longer than 5 s inside an event was broken off as if its server had stopped in it. Of an answer four pieces were held, so that a stream of short events was left unread at its server; bodies of requests had no bound in all. Change: no such limit towards clients; the time for which a client does not read counts neither as silence nor as part of an event. dispatch::Memory bounds bodies (32 MiB, beyond it 503 as not run) and unread answers (256 KiB a client, 32 MiB in all, beyond it one piece a client; at 48 MiB new requests get 503). Ruled out: dropping the slowest client, bodies on disk. Bytes that a server does not read are not bounded in time anew.

--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 mod choose;
 mod detector;
 mod lineage;
+mod memory;
 mod prefix;
 mod quota;
 mod rate;
@@ -40,6 +41,10 @@
     Knowledge,
     Lineage, //
 };
+pub use memory::{
+    Hold,
+    Memory, //
+};
 pub use prefix::{
     Part,
     Prefixes, //
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -7,11 +7,6 @@
     time::Duration, //
 };
 
-use bytes::Bytes;
-use http_body_util::{
-    BodyExt,
-    Limited, //
-};
 use hyper::{
     Request, Response, StatusCode,
     body::Incoming,
@@ -23,12 +18,10 @@
         HeaderValue, //
     },
 };
-use tokio::{
-    sync::mpsc,
-    time::timeout, //
-};
+use tokio::time::timeout;
 
 use super::{
+    body, buffer,
     events::Events,
     forward,
     job::{
@@ -47,7 +40,6 @@
 };
 use crate::{
     deployment::{
-        Configuration,
         Kind,
         Route, //
     },
@@ -63,9 +55,6 @@
 /// because the store is down. Also sent to a client whose body did not arrive in time.
 const START_RETRY_AFTER: Duration = Duration::from_millis(2_000);
 
-/// Maximum number of chunks of a response that are buffered for the client.
-const MAX_BUFFERED_CHUNKS: usize = 4;
-
 /// Media type of a stream of events.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 
@@ -139,6 +128,10 @@
     let head = header::decode_request(request.headers());
     let head = head.map_err(|error| (String::new(), malformed(&error)))?;
     let id = head.id.clone();
+    if state.answers.is_full() {
+        let failure = Failure::Refused("no memory for the answer", START_RETRY_AFTER);
+        return Err((id, failure));
+    }
     let job = read(state, request, head, started).await;
     let job = Rc::new(job.map_err(|failure| (id.clone(), failure))?);
     let mut progress = Progress::new(&job.route);
@@ -172,7 +165,7 @@
         headers.remove(CONTENT_LENGTH);
     }
     let framing = exchange.framing;
-    let (chunks, receiver) = mpsc::channel(MAX_BUFFERED_CHUNKS);
+    let (chunks, receiver) = buffer::buffer(&state.answers);
     let relayed = relay::run(state.clone(), job, progress, exchange, events, chunks);
     tokio::task::spawn_local(async move {
         relayed.await;
@@ -228,7 +221,7 @@
     let remaining = head.timeout.unwrap_or(route.timeout).min(route.timeout);
     let deadline = started + remaining;
     let (parts, body) = request.into_parts();
-    let body = read_body(&configuration, body, deadline).await?;
+    let (body, hold) = body::read(state, &configuration, body, deadline).await?;
     let target = parts
         .uri
         .path_and_query()
@@ -242,6 +235,7 @@
         service,
         head,
         body,
+        _hold: hold,
         deadline,
         marks: OnceCell::new(),
     })
@@ -267,24 +261,6 @@
     );
 }
 
-async fn read_body(
-    configuration: &Configuration,
-    body: Incoming,
-    deadline: Time,
-) -> Result<Bytes, Failure> {
-    let limited = Limited::new(body, configuration.limits.body_bytes);
-    let remaining = deadline.remaining(Time::now());
-    match timeout(remaining, limited.collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(Failure::TooLarge),
-        Ok(Err(_)) => Err(Failure::Malformed("the body is incomplete".to_owned())),
-        Err(_) => Err(Failure::Refused(
-            "the body came too late",
-            START_RETRY_AFTER,
-        )),
-    }
-}
-
 /// Returns the host in lower case and without its port. Returns `None` if the header is missing or
 /// contradicts the host in the request target.
 fn host(request: &Request<Incoming>) -> Option<String> {
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -35,6 +35,7 @@
     dispatch::{
         Attempts,
         Ending,
+        Hold,
         Run, //
     },
     http::{
@@ -72,6 +73,8 @@
     pub(super) target: String,
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
+    /// The memory that the body takes.
+    pub(super) _hold: Hold,
     /// Time after which the response is of no use to the client.
     pub(super) deadline: Time,
     /// Marks of the request, once they are needed.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -2,6 +2,8 @@
 
 mod attempt;
 mod backend;
+mod body;
+mod buffer;
 mod cold;
 mod crash;
 mod demand;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -7,17 +7,15 @@
     time::Duration, //
 };
 
-use tokio::{
-    sync::mpsc::Sender,
-    time::{
-        sleep,
-        timeout, //
-    },
+use tokio::time::{
+    sleep,
+    timeout, //
 };
 
 use super::{
     attempt,
     backend::Backend,
+    buffer::Writer,
     crash::{
         self,
         BrokenRun, //
@@ -32,7 +30,6 @@
         Progress, //
     },
     pick,
-    response::Chunk,
     state::State,
 };
 use crate::{
@@ -73,7 +70,7 @@
     mut progress: Progress,
     mut exchange: Exchange,
     mut events: Events,
-    chunks: Sender<Chunk>,
+    chunks: Writer,
 ) {
     // The client's response marks its end as that of the first server does.
     let client_framing = exchange.framing;
@@ -106,8 +103,7 @@
                 let channel = exchange.channel;
                 attempt::return_connection(&backend, channel, &exchange.response_head, framing);
                 log_end(&job, "complete", framing, &events, "");
-                // The client may have disconnected meanwhile.
-                let _ = chunks.send(Chunk::End).await;
+                chunks.end();
                 return;
             }
             End::Abandoned => {
@@ -214,7 +210,7 @@
     in_flight: &'a mut InFlight,
     /// What is known of the process that runs the request.
     run: &'a Cell<Run>,
-    chunks: &'a Sender<Chunk>,
+    chunks: &'a Writer,
     /// When the first byte of the body arrived.
     began_at: Option<Time>,
     /// Whether it is recorded that the request got through.
@@ -257,11 +253,14 @@
             if self.events.event_bytes() <= received {
                 event_began = Time::now();
             }
-            if !data.is_empty() && self.chunks.send(Chunk::Data(data)).await.is_err() {
+            let written_from = Time::now();
+            if !data.is_empty() && self.chunks.write(data).await.is_err() {
                 return End::Abandoned;
             }
-            // Nothing was read while the client was slow, so that time is no silence.
+            // Nothing was read while the client was slow, so that time is neither silence nor part of
+            // the event's.
             self.record_heard();
+            event_began = event_began + (Time::now() - written_from);
             let is_late = Time::now() - event_began > MAX_EVENT_TIME;
             if self.events.is_overlong() || (self.events.is_inside_event() && is_late) {
                 return End::Lost("event_too_long");
@@ -304,7 +303,7 @@
         }
         self.record_passed();
         let rest = self.events.rest();
-        if rest.is_empty() || self.chunks.send(Chunk::Data(rest)).await.is_ok() {
+        if rest.is_empty() || self.chunks.write(rest).await.is_ok() {
             return End::Complete;
         }
         End::Abandoned
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -12,6 +12,11 @@
     time::Duration,
 };
 
+use super::buffer::{
+    Chunk,
+    Reader, //
+};
+use crate::http::Framing;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
@@ -28,9 +33,6 @@
         RETRY_AFTER, //
     },
 };
-use tokio::sync::mpsc::Receiver;
-
-use crate::http::Framing;
 
 /// The response could not be completed. The client's connection is closed before the end of the
 /// body, so that the client does not take the response for complete.
@@ -45,23 +47,13 @@
 
 impl std::error::Error for Incomplete {}
 
-/// Part of a server's response that is passed on.
-#[derive(Debug)]
-pub(super) enum Chunk {
-    /// The next bytes.
-    Data(Bytes),
-    /// The response has ended and nothing shows that it is incomplete. Without this, the response is
-    /// incomplete when the sender is dropped.
-    End,
-}
-
 /// Body of a response to a client.
 #[derive(Debug)]
 pub(super) enum ResponseBody {
     /// The gateway's own text.
     Local(Full<Bytes>),
     /// The body of a server's response, passed on as it arrives.
-    Relayed(Receiver<Chunk>),
+    Relayed(Reader),
 }
 
 impl Body for ResponseBody {
@@ -78,7 +70,7 @@
                 frame.map_err(|error: Infallible| match error {})
             }
             Self::Relayed(chunks) => {
-                let chunk = ready!(chunks.poll_recv(context));
+                let chunk = ready!(chunks.poll_next(context));
                 Poll::Ready(match chunk {
                     Some(Chunk::Data(data)) => Some(Ok(Frame::data(data))),
                     Some(Chunk::End) => None,
@@ -167,7 +159,7 @@
     status: StatusCode,
     headers: HeaderMap,
     framing: Framing,
-    chunks: Receiver<Chunk>,
+    chunks: Reader,
 ) -> Response<ResponseBody> {
     let mut response = Response::new(ResponseBody::Relayed(chunks));
     *response.status_mut() = status;
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -100,7 +100,9 @@
     }
 
     async fn handle_connection(&self, stream: TcpStream) {
-        if http::configure(&stream).is_ok() {
+        // No limit on the time for which sent bytes stay unread: a client that reads slowly is no
+        // client that is gone, and the request's deadline ends both.
+        if stream.set_nodelay(true).is_ok() {
             self.serve(stream).await;
         }
         self.connections.set(self.connections.get() - 1);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -22,7 +22,8 @@
 use crate::{
     dispatch::{
         Budget,
-        Limit, //
+        Limit,
+        Memory, //
     },
     hosted::Live,
     link::{
@@ -35,6 +36,13 @@
     watch::Follower,
 };
 
+/// Maximum number of bytes of requests' bodies that are held at a time.
+const MAX_BODY_BYTES: usize = 32 << 20;
+
+/// Number of bytes of unread responses from which on each client may have one piece at a time. At
+/// half as much again no request is begun.
+const MAX_ANSWER_BYTES: usize = 32 << 20;
+
 /// State shared by the tasks of a gateway.
 #[derive(Debug)]
 pub(super) struct State {
@@ -48,6 +56,10 @@
     pub(super) waiters: Waiters,
     /// Requests that are refused because requests like them crash servers.
     pub(super) quarantine: Quarantine,
+    /// Memory that the bodies of requests take.
+    pub(super) bodies: Rc<Memory>,
+    /// Memory that responses take which clients have not read.
+    pub(super) answers: Rc<Memory>,
     /// Links to hubs by service.
     links: RefCell<BTreeMap<String, Rc<Link>>>,
     /// Becomes true when the gateway begins to stop.
@@ -69,6 +81,8 @@
             metrics,
             waiters: Waiters::default(),
             quarantine: Quarantine::default(),
+            bodies: Memory::new(MAX_BODY_BYTES),
+            answers: Memory::new(MAX_ANSWER_BYTES),
             links: RefCell::default(),
             stopping: watch::Sender::new(false),
             budgets: RefCell::default(),
--- a/tests/hosted/main.rs
+++ b/tests/hosted/main.rs
@@ -8,6 +8,7 @@
 mod endless;
 mod failing;
 mod machine;
+mod readers;
 #[path = "../site_support/mod.rs"]
 mod site_support;
 mod stopping;
