--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,5 +1,6 @@
 //! The gateway: forwards each client's request to a server of the request's route.
 
+mod access;
 mod attempt;
 mod backend;
 mod body;
@@ -31,8 +32,14 @@
 mod verdict;
 mod waiters;
 
+pub use access::{
+    Currency,
+    Denial,
+    account, //
+};
 pub use events::Events;
 pub use message::{
+    Caller,
     Load,
     Malformed,
     ModelName,
@@ -118,7 +125,7 @@
 /// Returns the periods at which the store is polled.
 fn periods(settings: &Settings) -> Periods {
     Periods {
-        configuration: Some(settings.settled_after()),
+        configuration: Some(settings.configuration_bound()),
         servers: settings.gateway_listing_age(),
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -33,7 +33,10 @@
     },
     metrics::Metrics,
     timer::Time,
-    watch::Follower,
+    watch::{
+        Floor,
+        Follower, //
+    },
 };
 
 /// Maximum number of bytes of requests' bodies that are held at a time.
@@ -60,6 +63,8 @@
     pub(super) bodies: Rc<Memory>,
     /// Memory that responses take which clients have not read.
     pub(super) answers: Rc<Memory>,
+    /// Lowest version of the configuration on which keys are accepted.
+    pub(super) floor: RefCell<Floor>,
     /// Links to hubs by service.
     links: RefCell<BTreeMap<String, Rc<Link>>>,
     /// Becomes true when the gateway begins to stop.
@@ -74,6 +79,7 @@
 
 impl State {
     pub(super) fn new(settings: Rc<Live>, follower: Rc<Follower>, metrics: Rc<Metrics>) -> Self {
+        let floor = RefCell::new(Floor::new(settings.get().revival()));
         Self {
             settings,
             follower,
@@ -83,6 +89,7 @@
             quarantine: Quarantine::default(),
             bodies: Memory::new(MAX_BODY_BYTES),
             answers: Memory::new(MAX_ANSWER_BYTES),
+            floor,
             links: RefCell::default(),
             stopping: watch::Sender::new(false),
             budgets: RefCell::default(),
