--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,6 +4,8 @@
 mod allowances;
 mod attempt;
 mod backend;
+mod body;
+mod buffer;
 mod cold;
 mod crash;
 mod demand;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -23,7 +23,8 @@
 use crate::{
     dispatch::{
         Budget,
-        Limit, //
+        Limit,
+        Memory, //
     },
     hosted::Live,
     link::{
@@ -39,6 +40,13 @@
     },
 };
 
+/// Maximum number of bytes of requests' bodies that are held at a time.
+const MAX_BODY_BYTES: usize = 32 << 20;
+
+/// Number of bytes of unread responses from which on each client may have one piece at a time. At
+/// half as much again no request is begun.
+const MAX_ANSWER_BYTES: usize = 32 << 20;
+
 /// State shared by the tasks of a gateway.
 #[derive(Debug)]
 pub(super) struct State {
@@ -54,6 +62,10 @@
     pub(super) quarantine: Quarantine,
     /// What the requests of client accounts have used.
     pub(super) allowances: Allowances,
+    /// Memory that the bodies of requests take.
+    pub(super) bodies: Rc<Memory>,
+    /// Memory that responses take which clients have not read.
+    pub(super) answers: Rc<Memory>,
     /// Lowest version of the configuration on which keys are accepted.
     pub(super) floor: RefCell<Floor>,
     /// Links to hubs by service.
@@ -79,6 +91,8 @@
             waiters: Waiters::default(),
             quarantine: Quarantine::default(),
             allowances: Allowances::default(),
+            bodies: Memory::new(MAX_BODY_BYTES),
+            answers: Memory::new(MAX_ANSWER_BYTES),
             floor,
             links: RefCell::default(),
             stopping: watch::Sender::new(false),
