--- a/tests/allowance_support/mod.rs
+++ b/tests/allowance_support/mod.rs
@@ -2,12 +2,13 @@
 //! come in unevenly, messages take time and are lost with connections.
 
 mod rival;
+mod scene;
 mod world;
 
 pub(crate) use rival::Rule;
-pub(crate) use world::{
+pub(crate) use scene::{
     Load,
     Outcome,
-    Trouble,
-    World, //
+    Trouble, //
 };
+pub(crate) use world::World;
--- a/tests/allowance_support/world.rs
+++ b/tests/allowance_support/world.rs
@@ -1,11 +1,10 @@
 //! The schedule: arrivals, messages, faults and what was admitted.
 
+mod trouble;
+
 use std::{
-    collections::{
-        BTreeMap,
-        VecDeque, //
-    },
-    time::Duration,
+    collections::BTreeMap,
+    time::Duration, //
 };
 
 use chestnuthub::{
@@ -28,14 +27,21 @@
 };
 use fastrand::Rng;
 
-use super::rival::{
-    Rival,
-    Rule, //
+use super::{
+    rival::{
+        Rival,
+        Rule, //
+    },
+    scene::{
+        Load,
+        Outcome,
+        START_MS,
+        Trouble, //
+    },
 };
 
 const STEP_MS: u64 = 10;
 const ACCOUNT: u64 = 0x5eed_5eed_5eed_5eed;
-const WINDOW: Duration = Duration::from_secs(8);
 /// What is tolerated beyond an allowance.
 const EXCESS: Excess = Excess {
     ratio: 0.1,
@@ -48,94 +54,12 @@
 /// Time without word from the hub after which a gateway goes by its part alone.
 const MAX_SILENCE: Duration = Duration::from_millis(600);
 
-/// What comes in.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Load {
-    pub(crate) gateways: usize,
-    pub(crate) hubs: usize,
-    /// Units per second and burst of the account's allowance.
-    pub(crate) per_s: f64,
-    /// Mean units of a request.
-    pub(crate) cost: f64,
-    /// Units asked for, as a multiple of `per_s`, and from when on.
-    pub(crate) asked: &'static [(u64, f64)],
-    /// Part of the requests that come in at a tenth of the gateways.
-    pub(crate) uneven: f64,
-    pub(crate) length_s: u64,
-}
-
-/// What goes wrong.
-#[derive(Debug, Clone, Copy)]
-pub(crate) enum Trouble {
-    /// This part of the gateways starts anew at a time (s), after half a second.
-    Restart(u64, f64),
-    /// This part of the gateways freezes from a time (s) for some ms, and goes on.
-    Freeze(u64, f64, u64),
-    /// This part of the gateways hears no hub from a time (s) on, for some s.
-    Cut(u64, f64, u64),
-    /// The regions, each half of the gateways and hubs, don't hear each other.
-    Regions(u64, u64),
-    /// Half of the hubs end; their gateways go to others within 300 ms.
-    Hubs(u64),
-    /// From a time (s) on the allowance is this multiple, in force within 4 s.
-    Limit(u64, f64),
-}
-
-/// What came out.
-#[derive(Debug, Default)]
-pub(crate) struct Outcome {
-    /// Admitted requests: time and units.
-    pub(crate) admitted: Vec<(Time, f64)>,
-    /// What one token bucket at one place would have admitted of the same requests.
-    pub(crate) central: f64,
-    pub(crate) asked: u64,
-    pub(crate) refused: u64,
-    /// Requests that were refused while the central bucket, fed with what was admitted, held them.
-    pub(crate) refused_below: u64,
-    /// Messages that tell of the account, and accounts in them: by gateways, by hubs to hubs, by
-    /// hubs to gateways.
-    pub(crate) messages: [u64; 3],
-}
-
-impl Outcome {
-    /// Returns the most units in a window that begins in this time, in seconds.
-    pub(crate) fn most_in_window(&self, from_s: u64) -> f64 {
-        let mut window = VecDeque::new();
-        let (mut sum, mut most) = (0.0, 0.0_f64);
-        for (at, units) in &self.admitted {
-            if at.as_millis() < START_MS + from_s * 1_000 {
-                continue;
-            }
-            window.push_back((*at, *units));
-            sum += units;
-            while window
-                .front()
-                .is_some_and(|(first, _)| *at - *first >= WINDOW)
-            {
-                sum -= window.pop_front().map_or(0.0, |(_, units)| units);
-            }
-            most = most.max(sum);
-        }
-        most
-    }
-
-    /// Returns the units that were admitted in a time, in seconds.
-    pub(crate) fn used(&self, from_s: u64, to_s: u64) -> f64 {
-        let within = START_MS + from_s * 1_000..START_MS + to_s * 1_000;
-        let admitted = self.admitted.iter();
-        let admitted = admitted.filter(|(at, _)| within.contains(&at.as_millis()));
-        admitted.map(|(_, units)| units).sum()
-    }
-}
-
 /// Time after which a hub takes a gateway that tells nothing for missing.
 const GATEWAY_TIMEOUT: Duration = Duration::from_millis(3_500);
 
 /// Time for which hubs that are heard again count as unheard.
 const SPLIT_HOLD: Duration = Duration::from_secs(2);
 
-const START_MS: u64 = 100_000;
-
 #[derive(Debug)]
 struct Gateway {
     meter: Meter,
@@ -255,94 +179,6 @@
         self.outcome
     }
 
-    fn begin(&mut self, trouble: Trouble, at_ms: u64) {
-        let now = self.now;
-        let picked = |rng: &mut Rng, part: f64| rng.f64() < part;
-        match trouble {
-            Trouble::Restart(at, part) if at * 1_000 == at_ms => {
-                for number in 0..self.gateways.len() {
-                    if picked(&mut self.rng, part) {
-                        let known = &self.gateways[number];
-                        let (hub, weight) = (known.hub, known.weight);
-                        let seed = self.rng.u64(..);
-                        self.hubs[hub].to_gateways.remove(&number);
-                        self.gateways[number] = Gateway {
-                            weight,
-                            down_until: now + Duration::from_millis(500),
-                            ..gateway(
-                                self.rule,
-                                self.allowance,
-                                self.load.gateways,
-                                hub,
-                                now,
-                                seed,
-                            )
-                        };
-                    }
-                }
-            }
-            Trouble::Freeze(at, part, for_ms) if at * 1_000 == at_ms => {
-                for gateway in &mut self.gateways {
-                    if picked(&mut self.rng, part) {
-                        gateway.frozen_until = now + Duration::from_millis(for_ms);
-                    }
-                }
-            }
-            Trouble::Cut(at, part, for_s) if at * 1_000 == at_ms => {
-                for number in 0..self.gateways.len() {
-                    if picked(&mut self.rng, part) {
-                        let gateway = &mut self.gateways[number];
-                        gateway.cut_at = now;
-                        gateway.cut_until = now + Duration::from_secs(for_s);
-                        gateway.is_new = true;
-                        self.hubs[gateway.hub].to_gateways.remove(&number);
-                    }
-                }
-            }
-            Trouble::Regions(at, for_s) if at * 1_000 == at_ms => {
-                self.regions_cut_at = now;
-                self.regions_cut_until = now + Duration::from_secs(for_s);
-            }
-            Trouble::Hubs(at) if at * 1_000 == at_ms => {
-                let gone = self.hubs.len() / 2;
-                for hub in &mut self.hubs[..gone] {
-                    hub.is_gone = true;
-                }
-                let left = self.hubs.len() - gone;
-                for gateway in &mut self.gateways {
-                    if gateway.hub < gone {
-                        gateway.hub = gone + gateway.hub % left;
-                        gateway.moving_until = now + Duration::from_millis(300);
-                    }
-                }
-            }
-            Trouble::Limit(at, factor) if at * 1_000 == at_ms => {
-                for number in 0..self.gateways.len() {
-                    let delay = Duration::from_millis(self.rng.u64(50..4_000));
-                    self.limits.insert((now + delay, number), factor);
-                }
-            }
-            _ => (),
-        }
-    }
-
-    fn change_limits(&mut self) {
-        while let Some(((at, number), factor)) = self.limits.pop_first() {
-            if at > self.now {
-                self.limits.insert((at, number), factor);
-                return;
-            }
-            let allowance = Allowance {
-                per_s: self.load.per_s * factor,
-                burst: self.load.per_s * factor,
-                ..self.allowance
-            };
-            self.gateways[number]
-                .meter
-                .set_allowance(EXCESS.added_to(allowance), self.now);
-        }
-    }
-
     /// The central bucket, and the one that is fed with what was admitted.
     fn refill(&mut self) {
         let gained = self.load.per_s * STEP_MS as f64 / 1_000.0;
