link: the example of a ledger waits until its news is due

The examples had not been run with the code. Change: the example waits as a connection does, and also shows that nothing is due before. Result: that example passes; the sources are unchanged.

--- a/src/link/spending.rs
+++ b/src/link/spending.rs
@@ -89,7 +89,11 @@
 /// let mut ledger = Ledger::default();
 /// let mut told = Told::default();
 /// let spending = Spending { account: 7, per_s: 10.0, admitted: 8, asked: 9, recent_per_s: None };
-/// ledger.record(&spending, Time::from_millis(1_000));
+/// let used_at = Time::from_millis(1_000);
+/// ledger.record(&spending, used_at);
+/// // From now on the connection waits until it is due.
+/// assert!(ledger.due_in(&mut told, used_at).is_some());
+/// assert!(ledger.news(&mut told, used_at).is_empty());
 /// let due_at = Time::from_millis(1_100);
 /// assert_eq!(ledger.news(&mut told, due_at), [spending]);
 /// assert!(ledger.news(&mut told, due_at).is_empty());
