--- a/src/dispatch/lineage.rs
+++ b/src/dispatch/lineage.rs
@@ -5,8 +5,10 @@
 pub struct Lineage {
     /// Digest of the software version that began the stream, if it is known.
     pub version: Option<u64>,
-    /// Whether this gateway knows several versions of the service that serve, or served lately.
+    /// Whether several versions of the service are known that serve, or served lately.
     pub are_several: bool,
+    /// Whether every version is known that served lately.
+    pub is_complete: bool,
     /// Whether the list of servers is recent enough to contain each version that begins streams.
     pub is_list_recent: bool,
     /// What hubs know about the stream.
@@ -43,7 +45,8 @@
 }
 
 impl Lineage {
-    /// Returns where the stream may go on.
+    /// Returns where the stream may go on. One of unknown origin goes on only where it is known that no
+    /// other version served while it may have begun.
     ///
     /// # Examples
     ///
@@ -53,6 +56,7 @@
     /// let mut lineage = Lineage {
     ///     version: None,
     ///     are_several: true,
+    ///     is_complete: true,
     ///     is_list_recent: true,
     ///     hub: Knowledge::Unasked,
     /// };
@@ -66,13 +70,12 @@
         if let Some(version) = self.version {
             return Continuation::At(version);
         }
+        let is_single = self.is_complete && !self.are_several;
         match self.hub {
             Knowledge::Unasked => Continuation::Ask,
-            Knowledge::Empty if !self.are_several => Continuation::Anywhere,
-            // Without word of a hub, a version that is no longer listed would not be known.
-            Knowledge::Unsettled | Knowledge::Unreachable
-                if !self.are_several && self.is_list_recent =>
-            {
+            Knowledge::Empty if is_single => Continuation::Anywhere,
+            // Without word of a hub, a version that others have begun to use would not be known.
+            Knowledge::Unsettled | Knowledge::Unreachable if is_single && self.is_list_recent => {
                 Continuation::Anywhere
             }
             _ => Continuation::Nowhere,
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -49,6 +49,8 @@
     holders: RefCell<BTreeMap<String, Vec<Rc<Backend>>>>,
     /// Software versions of the servers of each service.
     pub(super) versions: Versions,
+    /// When the list was read that was taken over last.
+    listed_at: Cell<Option<Time>>,
     /// Number of gateways that share the limits of servers and the retry budget.
     sharers: Cell<Gateways>,
 }
@@ -153,6 +155,10 @@
     fn update(&self, state: &Rc<State>) {
         let mut backends = self.backends.borrow_mut();
         let now = Time::now();
+        let listed_at = state.follower.listed_at();
+        if listed_at.is_some() && self.listed_at.replace(listed_at) != listed_at {
+            self.versions.record_list(now);
+        }
         let spread = state.settings.get().listing_spread();
         state.follower.with_roster(|roster| {
             let servers = roster.servers();
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -294,6 +294,7 @@
     let mut last_sent = 0;
     let mut origins_sent = 0;
     let mut facts_sent = None;
+    let mut history_told = 0;
     for backend in state.fleet.of_service(&link.service).iter() {
         backend.is_demand_changed.set(true);
     }
@@ -327,6 +328,7 @@
             } else {
                 Vec::new()
             },
+            history: state.fleet.versions.news(&mut history_told, Time::now()),
         };
         last_sent = state.rates.newest();
         writer.send(&demand).await?;
@@ -363,6 +365,9 @@
     if update.is_full {
         changed.extend(link.mirror.borrow().states().keys().cloned());
     }
+    if let Some(history) = &update.history {
+        state.fleet.versions.learn(history, Time::now());
+    }
     let knew = link.hub_has_origins.replace(update.has_origins);
     if knew != update.has_origins && update.has_origins == Some(true) {
         link.demand_changed.notify_one();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -104,6 +104,9 @@
     let store = Store::new(settings.store_addr);
     let follower = Rc::new(Follower::new(store, periods(&settings)));
     let state = Rc::new(State::new(live.clone(), follower.clone(), metrics));
+    if settings.is_first_start {
+        state.fleet.versions.begin();
+    }
     let configuration = follower.clone();
     tokio::task::spawn_local(async move { configuration.follow_configuration().await });
     tokio::task::spawn_local(async move { follower.follow_servers().await });
--- a/src/gateway/origins.rs
+++ b/src/gateway/origins.rs
@@ -109,7 +109,9 @@
     if continuation == Continuation::Ask {
         lineage.version = ask(state, job, &lineage).await;
         lineage.hub = state.origin_link(&job.service).hub_knowledge();
-        lineage.are_several = state.fleet.versions.are_several(&job.service, Time::now());
+        let (versions, now) = (&state.fleet.versions, Time::now());
+        lineage.are_several = versions.are_several(&job.service, now);
+        lineage.is_complete = versions.is_complete(now);
         continuation = lineage.continuation();
     }
     log_taken_up(job, &lineage);
@@ -122,24 +124,37 @@
         }
         Continuation::Ask | Continuation::Nowhere => Err(Failure::Refused(
             "the stream's software version is not known",
-            UNKNOWN_RETRY_AFTER,
+            unknown_retry_after(state, &lineage),
         )),
     }
 }
 
+/// Returns when a stream may go on that is refused because its version is not known. With one version
+/// in service, it may once this gateway knows that no other one served.
+fn unknown_retry_after(state: &State, lineage: &Lineage) -> Duration {
+    let incomplete = state.fleet.versions.incomplete_for(Time::now());
+    if lineage.are_several {
+        UNKNOWN_RETRY_AFTER
+    } else {
+        UNKNOWN_RETRY_AFTER.max(incomplete)
+    }
+}
+
 /// Returns what this gateway knows about the stream that a request takes up.
 fn lineage(state: &State, job: &Job) -> Lineage {
     let now = Time::now();
     let link = state.origin_link(&job.service);
     let are_several = state.fleet.versions.are_several(&job.service, now);
+    let is_complete = state.fleet.versions.is_complete(now);
     let spread = state.settings.get().listing_spread();
     let listed_at = state.follower.listed_at();
     Lineage {
         version: stream(job).and_then(|stream| link.origins.version(stream)),
         are_several,
+        is_complete,
         is_list_recent: listed_at.is_some_and(|at| now - at <= spread),
         hub: match link.hub_knowledge() {
-            Knowledge::Empty if !are_several => Knowledge::Empty,
+            Knowledge::Empty if is_complete && !are_several => Knowledge::Empty,
             _ if link.is_started() => Knowledge::Unasked,
             _ => Knowledge::Unreachable,
         },
@@ -159,6 +174,7 @@
             ("resumes", &job.head.resumes.as_deref().unwrap_or_default()),
             ("known", &lineage.version.is_some()),
             ("several_versions", &lineage.are_several),
+            ("versions_complete", &lineage.is_complete),
             ("list_recent", &lineage.is_list_recent),
             ("hub", &format!("{:?}", lineage.hub)),
         ],
@@ -173,7 +189,13 @@
         return None;
     }
     let link = state.origin_link(&job.service);
-    let is_single = || !lineage.are_several && link.hub_knowledge() == Knowledge::Empty;
+    let versions = &state.fleet.versions;
+    let is_single = || {
+        let now = Time::now();
+        versions.is_complete(now)
+            && !versions.are_several(&job.service, now)
+            && link.hub_knowledge() == Knowledge::Empty
+    };
     let answer = async {
         loop {
             let answered = link.origins.answered.notified();
--- a/src/hosted/live.rs
+++ b/src/hosted/live.rs
@@ -63,6 +63,7 @@
                 "settled_after_ms",
                 old.settled_after_ms == new.settled_after_ms,
             ),
+            ("first_start", old.is_first_start == new.is_first_start),
             ("revocation", old.revocation == new.revocation),
             ("log_level", old.log_level == new.log_level),
         ];
--- a/src/hosted/schema.rs
+++ b/src/hosted/schema.rs
@@ -66,5 +66,6 @@
             required("window_ms", MILLISECONDS),
         ]),
     ),
+    Field::optional("first_start", Kind::Flag),
     Field::optional("log_level", Kind::Text(text::log_level)),
 ]);
--- a/src/hosted/settings.rs
+++ b/src/hosted/settings.rs
@@ -123,6 +123,9 @@
     pub revocation: Option<Revocation>,
     /// What is tolerated beyond the allowances of client accounts.
     pub excess: Option<Excess>,
+    /// Whether the whole system starts for the first time: no request was served before.
+    #[serde(default, rename = "first_start")]
+    pub is_first_start: bool,
     /// Log level: error, warn, info or debug.
     #[serde(default = "default_log_level")]
     pub log_level: String,
--- a/src/hub/port.rs
+++ b/src/hub/port.rs
@@ -278,6 +278,9 @@
         hub.quarantine
             .record_own(std::mem::take(&mut demand.facts), now);
         hub.ledgers.record_own(connection, &demand.spendings, now);
+        if let Some(history) = &demand.history {
+            hub.relay.versions.learn(history, now);
+        }
         if let Some(description) = demand.engine.take() {
             hub.description.borrow_mut().update(description);
         } else if let Some(version) = demand.engine_version
@@ -306,6 +309,9 @@
 ) -> io::Result<()> {
     loop {
         let mut status: Status = reader.next(LOADER_TIMEOUT).await?;
+        if let Some(history) = &status.history {
+            hub.relay.versions.learn(history, Time::now());
+        }
         let is_observer = status.is_observer;
         let wants_engine = status.wants_engine;
         hub.relay.record_others(&status.origins, Time::now());
@@ -337,6 +343,7 @@
     let mut answered = hub.relay.answered.subscribe();
     let mut quarantine = hub.quarantine.changed.subscribe();
     let mut quarantine_version = 0;
+    let mut history_told = 0;
     let mut sent = Sent::default();
     loop {
         version.mark_unchanged();
@@ -351,6 +358,7 @@
         update.findings = hub.quarantine.news(&mut quarantine_version, Time::now());
         update.spendings = hub.ledgers.news(connection, Time::now());
         update.heard_fraction = hub.ledgers.fraction(Time::now());
+        update.history = hub.relay.versions.news(&mut history_told, Time::now());
         writer.send(&update).await?;
         sleep(GATEWAY_BATCH).await;
         // Waiting for changes can't fail: the hub owns the senders.
--- a/src/hub/relay.rs
+++ b/src/hub/relay.rs
@@ -9,6 +9,7 @@
 use tokio::sync::watch;
 
 use crate::{
+    dispatch::Versions,
     link::{
         Origin,
         Origins, //
@@ -29,6 +30,8 @@
 #[derive(Debug)]
 pub(crate) struct Relay {
     started_at: Time,
+    /// Software versions that the process has seen, or has been told of.
+    pub(crate) versions: Versions,
     /// Origins from the hub's gateways.
     own: RefCell<Origins>,
     /// Origins from other hubs.
@@ -45,6 +48,7 @@
     fn default() -> Self {
         Self {
             started_at: Time::now(),
+            versions: Versions::default(),
             own: RefCell::default(),
             others: RefCell::default(),
             questions: RefCell::default(),
--- a/src/hub/table.rs
+++ b/src/hub/table.rs
@@ -352,6 +352,7 @@
             findings: None,
             spendings: Vec::new(),
             heard_fraction: 1.0,
+            history: None,
             is_full: since == 0,
             servers: changed.map(|entry| entry.state(since)).collect(),
             removed: self.removed.since(since),
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -12,6 +12,7 @@
 use siphasher::sip::SipHasher13;
 
 use super::{
+    History,
     Origin,
     Spending, //
 };
@@ -116,6 +117,8 @@
     pub facts: Vec<Fact>,
     /// What requests of accounts have used at the gateway.
     pub spendings: Vec<Spending>,
+    /// Software versions that the gateway has seen, if that changed.
+    pub history: Option<History>,
 }
 
 /// Message of a hub to a loader: what the requests of the hub's gateways need.
@@ -199,6 +202,8 @@
     pub spendings: Vec<Spending>,
     /// Part of all gateways that the hub hears of, itself or from other hubs.
     pub heard_fraction: f32,
+    /// Software versions that the hub has seen, if that changed.
+    pub history: Option<History>,
 }
 
 /// Version of an engine description.
@@ -366,4 +371,6 @@
     pub spendings: Vec<Spending>,
     /// Number of that hub's gateways.
     pub gateways: u32,
+    /// Software versions that the loader has seen, if that changed.
+    pub history: Option<History>,
 }
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -6,6 +6,7 @@
 
 mod codec;
 mod connection;
+mod history;
 mod message;
 mod origin;
 mod spending;
@@ -16,6 +17,10 @@
     open,
     split, //
 };
+pub use history::{
+    History,
+    Listed, //
+};
 pub use message::{
     Backlog,
     Contact,
--- a/src/loader/mod.rs
+++ b/src/loader/mod.rs
@@ -66,6 +66,9 @@
     };
     let follower = Rc::new(Follower::new(store, periods));
     let state = Rc::new(State::new(live.clone(), engine, follower.clone()));
+    if settings.is_first_start {
+        state.relay.versions.begin();
+    }
     let hub = Rc::new(Hub::new(
         follower.clone(),
         state.description.clone(),
--- a/src/loader/state.rs
+++ b/src/loader/state.rs
@@ -68,6 +68,8 @@
     pub(super) quarantine: Rc<Quarantine>,
     /// What accounts have used, as the hub in this process knows it.
     pub(super) ledgers: Rc<Ledgers>,
+    /// When the list was read whose software versions were recorded last.
+    versions_listed_at: Cell<Option<Time>>,
     next_connection: Cell<u64>,
     /// The hub at which the loader follows the other servers.
     pub(super) observed: Cell<Option<SocketAddr>>,
@@ -93,6 +95,7 @@
             relay: Rc::default(),
             quarantine: Rc::default(),
             ledgers: Rc::default(),
+            versions_listed_at: Cell::new(None),
             next_connection: Cell::new(0),
             observed: Cell::new(None),
             mirror: RefCell::default(),
@@ -112,6 +115,23 @@
         })
     }
 
+    /// Records the software versions of the servers if the list of servers was read again.
+    pub(super) fn record_versions(&self) {
+        let listed_at = self.follower.listed_at();
+        if listed_at.is_none() || self.versions_listed_at.replace(listed_at) == listed_at {
+            return;
+        }
+        let now = Time::now();
+        self.relay.versions.record_list(now);
+        self.follower.with_roster(|roster| {
+            for server in roster.servers().values() {
+                self.relay
+                    .versions
+                    .record(&server.service, &server.software, now);
+            }
+        });
+    }
+
     /// Adds a connection to a hub and returns its key.
     pub(super) fn connect(&self) -> u64 {
         let connection = self.next_connection.get();
--- a/src/loader/uplink.rs
+++ b/src/loader/uplink.rs
@@ -90,6 +90,7 @@
 pub(super) async fn maintain(state: Rc<State>) {
     let links = Rc::new(Links::default());
     loop {
+        state.record_versions();
         links.set_wanted(wanted(&state), Time::now());
         state.follower.set_max_age(max_listing_age(&state));
         let wanted = links.wanted.borrow().clone();
@@ -202,6 +203,7 @@
     let mut origins_sent = 0;
     let mut facts = state.quarantine.own_changed.subscribe();
     let mut facts_sent = 0;
+    let mut history_told = 0;
     let mut spendings_told = state.ledgers.begin();
     // The hub in this process knows what its own gateways tell.
     let is_own = state
@@ -223,6 +225,7 @@
                 state.ledgers.own_news(&mut spendings_told, Time::now())
             },
             gateways: if is_own { 0 } else { state.ledgers.gateways() },
+            history: state.relay.versions.news(&mut history_told, Time::now()),
         };
         writer.send(&status).await?;
         sleep(BATCH_DELAY).await;
--- a/tests/hosted/deployment.rs
+++ b/tests/hosted/deployment.rs
@@ -94,10 +94,11 @@
         let peer_port = free_port();
         let caller_addr = SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()));
         let ready_addr = SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()));
-        let loaders = start_loaders(&site, loader_count, peer_port);
+        let loaders = start_loaders(&site, loader_count, peer_port, true);
         let mut settings = settings(site.store_addr(), "front-1", caller_addr, peer_port);
         let metrics_port = free_port();
         settings["metrics_port"] = json!(metrics_port);
+        settings["first_start"] = json!(true);
         settings["listen"] =
             json!({ "callers": caller_addr.to_string(), "ready": ready_addr.to_string() });
         for (name, value) in extra.as_object().into_iter().flatten() {
@@ -119,7 +120,7 @@
     pub(crate) fn restart_loaders(&mut self) {
         let count = self.loaders.len();
         self.loaders.clear();
-        self.loaders = start_loaders(&self.site, count, self.peer_port);
+        self.loaders = start_loaders(&self.site, count, self.peer_port, false);
     }
 
     /// Starts a further gateway for the clients at the address that is returned, and waits until it
@@ -184,12 +185,13 @@
 }
 
 /// Starts a loader beside each of the first `count` engines.
-fn start_loaders(site: &Site, count: usize, peer_port: u16) -> Vec<Daemon> {
+fn start_loaders(site: &Site, count: usize, peer_port: u16, is_first_start: bool) -> Vec<Daemon> {
     let start = |index| {
         let engine = site.engine_addr(index);
         let name = format!("side-{index}");
         let mut settings = settings(site.store_addr(), &name, engine, peer_port);
         settings["engine_addr"] = json!(engine.to_string());
+        settings["first_start"] = json!(is_first_start);
         Daemon::start("loader", &settings, log(&settings))
     };
     (0..count).map(start).collect()
--- a/tests/hosted/main.rs
+++ b/tests/hosted/main.rs
@@ -11,6 +11,7 @@
 mod failing;
 mod machine;
 mod readers;
+mod rejoined;
 #[path = "../site_support/mod.rs"]
 mod site_support;
 mod stopping;
--- a/tests/lineage.rs
+++ b/tests/lineage.rs
@@ -24,6 +24,9 @@
 /// Number of schedules.
 const SCHEDULES: u64 = 1_000;
 
+/// Versions that servers may have are below this.
+const VERSIONS: u64 = 4;
+
 /// Length of a schedule and of its steps in ms.
 const LENGTH_MS: u64 = 30_000;
 const STEP_MS: u64 = 40;
@@ -65,6 +68,9 @@
     begun: Origins,
     /// Position in `begun` up to which the hub has been sent origins.
     sent: u64,
+    /// Editions of `versions` and of the hub's that the other of them has been told.
+    told: u64,
+    heard: u64,
 }
 
 struct World {
@@ -76,11 +82,14 @@
     cut_until_ms: [u64; GATEWAYS],
     store_cut_until_ms: [u64; GATEWAYS],
     hub: Origins,
+    /// Software versions that the hub has read of or has been told.
+    hub_versions: Versions,
+    hub_listed_ms: u64,
     hub_started_ms: u64,
+    hub_cut_until_ms: u64,
     /// Versions that serve. A server that starts anew gets another id, and the list follows at once.
     servers: [u64; SERVERS],
     disturbed_ms: u64,
-    has_lost_gateway: bool,
     /// Streams that were taken up in touch while two servers of their version served, and those of
     /// them that went on.
     taken_up: u32,
@@ -102,16 +111,23 @@
             cut_until_ms: [0; GATEWAYS],
             store_cut_until_ms: [0; GATEWAYS],
             hub: Origins::default(),
+            hub_versions: Versions::default(),
+            hub_listed_ms: 0,
             hub_started_ms: 0,
+            hub_cut_until_ms: 0,
             servers: [1; SERVERS],
             disturbed_ms: 0,
-            has_lost_gateway: false,
             taken_up: 0,
             went_on: 0,
         };
+        for gateway in &world.gateways {
+            gateway.versions.begin();
+        }
+        world.hub_versions.begin();
         for step in 0..=RETENTION_MS / LISTING_AGE_MS {
             world.now_ms = START_MS + step * LISTING_AGE_MS;
             (0..GATEWAYS).for_each(|index| world.read_list(index));
+            world.read_hub_list();
         }
         world
     }
@@ -129,23 +145,53 @@
         let gateway = &mut self.gateways[index];
         gateway.list = self.servers.to_vec();
         gateway.listed_ms = self.now_ms;
+        gateway.versions.record_list(now);
         for version in &gateway.list {
             gateway.versions.record(SERVICE, &version.to_string(), now);
         }
     }
 
-    /// Lets time pass: gateways read the list and send origins to the hub.
+    fn read_hub_list(&mut self) {
+        let now = self.now();
+        self.hub_listed_ms = self.now_ms;
+        self.hub_versions.record_list(now);
+        for version in self.servers {
+            let version = version.to_string();
+            self.hub_versions.record(SERVICE, &version, now);
+        }
+    }
+
+    /// Lets a gateway and the hub tell each other which versions they have seen.
+    fn exchange_versions(&mut self, index: usize) {
+        let now = self.now();
+        let gateway = &mut self.gateways[index];
+        if let Some(history) = gateway.versions.news(&mut gateway.told, now) {
+            self.hub_versions.learn(&history, now);
+        }
+        if let Some(history) = self.hub_versions.news(&mut gateway.heard, now) {
+            gateway.versions.learn(&history, now);
+        }
+    }
+
+    /// Lets time pass: gateways and the hub read the list, and tell each other what they know.
     fn step(&mut self) {
         self.now_ms += STEP_MS;
+        let is_outdated = self.now_ms - self.hub_listed_ms >= LISTING_AGE_MS;
+        if is_outdated && self.now_ms >= self.hub_cut_until_ms {
+            self.read_hub_list();
+        }
         for index in 0..GATEWAYS {
             let is_outdated = self.now_ms - self.gateways[index].listed_ms >= LISTING_AGE_MS;
             let reaches_store = self.now_ms >= self.store_cut_until_ms[index];
             if is_outdated && reaches_store && !self.is_cut(index) {
                 self.read_list(index);
             }
+            let is_cut = self.is_cut(index);
+            if !is_cut {
+                self.exchange_versions(index);
+            }
             let now = self.now();
             let gateway = &mut self.gateways[index];
-            let is_cut = self.now_ms < self.cut_until_ms[index];
             let are_several = gateway.versions.are_several(SERVICE, now);
             if !is_cut && (are_several || self.hub.has_recent(now)) {
                 let (origins, next) = gateway.begun.since(gateway.sent);
@@ -161,25 +207,24 @@
     fn disturb(&mut self) {
         let index = self.rng.usize(..GATEWAYS);
         let until_ms = self.now_ms + self.rng.u64(500..10_000);
-        match self.rng.u32(..12) {
-            0 if !self.is_cut(index) => {
-                self.gateways[index] = Gateway::default();
-                self.has_lost_gateway = true;
-                self.read_list(index);
-            }
+        match self.rng.u32(..16) {
+            0 if !self.is_cut(index) => self.restart_gateway(index),
             1 => self.cut_until_ms[index] = until_ms,
             2 => self.store_cut_until_ms[index] = until_ms,
-            // Nobody knows what a lost gateway knew if all hubs are lost as well.
-            3 if !self.has_lost_gateway => {
-                self.hub = Origins::default();
-                self.hub_started_ms = self.now_ms;
-                self.gateways
-                    .iter_mut()
-                    .for_each(|gateway| gateway.sent = 0);
+            3 => self.restart_hub(),
+            4 => self.hub_cut_until_ms = until_ms,
+            5 => self.restart_gateways(),
+            6 => {
+                self.restart_hub();
+                self.restart_gateways();
             }
-            4..=9 => {
+            7 => {
+                self.servers = [self.rng.u64(1..VERSIONS); SERVERS];
+                return;
+            }
+            8..=13 => {
                 let server = self.rng.usize(..SERVERS);
-                self.servers[server] = self.rng.u64(1..3);
+                self.servers[server] = self.rng.u64(1..VERSIONS);
                 return;
             }
             _ => return,
@@ -187,6 +232,30 @@
         self.disturbed_ms = until_ms;
     }
 
+    /// Kills a gateway that reaches the store, which starts anew.
+    fn restart_gateway(&mut self, index: usize) {
+        self.gateways[index] = Gateway::default();
+        self.store_cut_until_ms[index] = 0;
+        self.read_list(index);
+    }
+
+    /// Kills all gateways; those that are cut off are reached again.
+    fn restart_gateways(&mut self) {
+        self.cut_until_ms = [0; GATEWAYS];
+        (0..GATEWAYS).for_each(|index| self.restart_gateway(index));
+    }
+
+    fn restart_hub(&mut self) {
+        self.hub = Origins::default();
+        self.hub_versions = Versions::default();
+        self.hub_started_ms = self.now_ms;
+        self.hub_cut_until_ms = 0;
+        self.read_hub_list();
+        for gateway in &mut self.gateways {
+            (gateway.sent, gateway.told, gateway.heard) = (0, 0, 0);
+        }
+    }
+
     /// Chooses a server as listed; `None` if the chosen one is no longer the one that is listed.
     fn choose(&mut self, gateway: usize, fits: impl Fn(u64) -> bool) -> Option<u64> {
         let list = &self.gateways[gateway].list;
@@ -228,6 +297,7 @@
         let mut lineage = Lineage {
             version: gateway.begun.version(stream.id),
             are_several: gateway.versions.are_several(SERVICE, now),
+            is_complete: gateway.versions.is_complete(now),
             is_list_recent,
             hub: Knowledge::Unasked,
         };
@@ -237,7 +307,7 @@
             false if is_hub_settled => Knowledge::Empty,
             false => Knowledge::Unsettled,
         };
-        if knowledge == Knowledge::Empty && !lineage.are_several {
+        if knowledge == Knowledge::Empty && lineage.is_complete && !lineage.are_several {
             lineage.hub = knowledge;
         }
         if lineage.continuation() == Continuation::Ask {
