--- a/src/loader/driver.rs
+++ b/src/loader/driver.rs
@@ -107,6 +107,10 @@
         return;
     };
     let rate = pool.rate(&order.model);
+    let resident = pool.hosts[planner.host].resident.iter();
+    let losses: Vec<_> = resident
+        .map(|(name, _)| format!("{name}:{}", pool.loss_ms(name, planner.host).round()))
+        .collect();
     let waiting = planner.backlogs.iter();
     let waiting = waiting.filter(|backlog| backlog.model == order.model);
     report::info(
@@ -119,6 +123,7 @@
                 "waiting",
                 &waiting.map(|backlog| backlog.waiting).sum::<u32>(),
             ),
+            ("resident_loss_ms", &losses.join(",")),
             ("replicas", &pool.replicas(&order.model)),
             ("in_flight", &rate.in_flight),
             ("per_s", &rate.per_s),
--- a/src/loader/plan.rs
+++ b/src/loader/plan.rs
@@ -25,6 +25,9 @@
 /// Estimated delay of a request if another model is loaded before the one it waits for, in ms.
 const WAITING_COST_MS: f64 = 3_000.0;
 
+/// Delay that each ms of waiting of the first request for a model counts as, in ms.
+const AGE_WEIGHT: f64 = 2.0;
+
 /// Maximum number of adapters being loaded by one server at once.
 const MAX_PENDING_ADAPTERS: usize = 4;
 
@@ -76,13 +79,15 @@
     let spare = may_load_spare.and_then(|()| planner.pool.spare_replica(planner.host));
     if let Some((model, gain_ms)) = spare
         && gain_ms > planner.waiting_cost_ms()
-        && let Some(order) = planner.load_order(model)
+        && let Some(order) = planner.load_order(model, f64::INFINITY)
     {
         return Some(order);
     }
-    let backlogs = planner.backlogs.iter();
-    let mut models = backlogs.filter_map(|backlog| planner.missing_model(&backlog.model));
-    models.find_map(|model| planner.load_order(model))
+    let mut backlogs = planner.backlogs.iter();
+    backlogs.find_map(|backlog| {
+        let model = planner.missing_model(&backlog.model)?;
+        planner.load_order(model, planner.worth_ms(model))
+    })
 }
 
 impl Planner<'_> {
@@ -109,14 +114,29 @@
             .sum()
     }
 
+    /// Returns the delay that loading a model saves the requests that wait for it here and those to
+    /// come, in ms. It grows with the time that the first has waited, so that none waits for ever.
+    fn worth_ms(&self, model: &Model) -> f64 {
+        let backlogs = self.backlogs.iter();
+        let own = backlogs.filter(|backlog| backlog.model == model.name);
+        let (waiting, oldest_ms) = own.fold((0, 0), |(waiting, oldest_ms), backlog| {
+            (waiting + backlog.waiting, backlog.oldest_ms.max(oldest_ms))
+        });
+        let waiting_ms = f64::from(waiting) * WAITING_COST_MS;
+        self.pool.gain_ms(model) + waiting_ms + f64::from(oldest_ms) * AGE_WEIGHT
+    }
+
     /// Returns the next order towards loading a model: its load, or an unload that frees memory for
     /// it.
-    fn load_order(&self, model: &Model) -> Option<Order> {
+    fn load_order(&self, model: &Model, max_cost_ms: f64) -> Option<Order> {
         let from_store = self.pool.hosts[self.host].loads_from_store(&model.name);
         if from_store && !(self.may_use_store && self.pool.may_load_from_store()) {
             return None;
         }
         let eviction = evict(&self.pool, self.host, model.weights_mb)?;
+        if eviction.cost_ms > max_cost_ms {
+            return None;
+        }
         match eviction.victims.first() {
             Some(victim) => Some(self.order(Operation::Unload, victim, None)),
             None => Some(self.order(Operation::Load, &model.name, None)),
--- a/tests/loader.rs
+++ b/tests/loader.rs
@@ -461,3 +461,45 @@
     assert!((at_once.per_s - in_steps.per_s).abs() < 1e-4);
     assert!(at_once.recent_per_s < 0.2 && at_once.per_s > 1.0);
 }
+
+/// Guards against the only copy of a busy model that is unloaded for a request for a rare one, and
+/// against a rare one that waits for ever beside it: what its requests have waited counts as well.
+#[test]
+fn a_busy_model_is_unloaded_only_for_what_it_is_worth() {
+    let engine = engine();
+    // Both busy models and one more fill the memory; requests wait for the third as well.
+    let replica = |name: &str| Replica {
+        model: name.to_owned(),
+        adapters: Vec::new(),
+    };
+    let report = Report {
+        replicas: ["m05", "m04"].map(replica).to_vec(),
+        ..Report::default()
+    };
+    let uses = BTreeMap::new();
+    let ordered = |per_s: f64, waiting: u32, oldest_ms: u32| {
+        let backlog = |model: &str, waiting, oldest_ms| Backlog {
+            model: model.to_owned(),
+            adapter: None,
+            waiting,
+            priority: 1,
+            oldest_ms,
+        };
+        let backlogs = [backlog("m03", waiting, oldest_ms), backlog("m04", 1, 0)];
+        let mut planner = planner(&engine, &report, &backlogs, &uses, None, &[]);
+        let busy = Rate {
+            per_s,
+            recent_per_s: per_s,
+            prefill_ms: 0.0,
+            in_flight: 0.0,
+        };
+        planner.pool.rates.insert("m05".to_owned(), busy);
+        plan(&planner).map(|order| (order.operation, order.model))
+    };
+    assert_eq!(ordered(10.0, 1, 0), None);
+    assert_eq!(ordered(10.0, 1, 10_000), None);
+    let unload = Some((Operation::Unload, "m05".to_owned()));
+    assert_eq!(ordered(0.0, 1, 0), unload);
+    assert_eq!(ordered(10.0, 40, 0), unload);
+    assert_eq!(ordered(10.0, 1, 60_000), unload);
+}
