--- a/src/deployment/configuration.rs
+++ b/src/deployment/configuration.rs
@@ -75,6 +75,8 @@
     pub timeout: Duration,
     /// Time within which a response has its full value.
     pub latency_objective: Duration,
+    /// Longest silence before the first event or between two events after which clients leave.
+    pub max_silence: Option<Duration>,
     /// Priority of the requests; 0 is the highest.
     pub priority: u8,
     /// Maximum number of servers to which one attempt of a client is sent.
--- a/src/gateway/cold.rs
+++ b/src/gateway/cold.rs
@@ -30,8 +30,9 @@
 pub(super) enum Decision {
     /// Wait for the load at this server.
     Wait(Rc<Backend>),
-    /// The load takes too long; the client may retry after this time.
-    Refuse(Duration),
+    /// The load takes longer than the client waits; the client may retry after this time, until which
+    /// the load is requested at the server, if there is one.
+    Refuse(Duration, Option<Rc<Backend>>),
     /// Decide again soon, because a server that is expected to be reachable again has the weights.
     Defer,
     /// No loader can be reached.
@@ -73,7 +74,7 @@
         let has_backlog = backend.has_backlog(&name.model) && backend.has_loader();
         has_backlog && backend.is_usable(now) && !is_excluded(backend)
     };
-    let remaining = job.remaining(now);
+    let remaining = job.patience(now);
     let is_in_time = |ready: Duration| ready + MIN_RUN_TIME <= remaining;
     let joined = question.current.filter(|current| can_join(current));
     let joined = joined.or_else(|| backends.iter().find(can_join));
@@ -93,7 +94,7 @@
     let best = unlimited.or_else(|| allowed().next());
     let Some(best) = best else {
         return match joined {
-            Some((_, ready)) => Decision::Refuse(ready),
+            Some((backend, ready)) => Decision::Refuse(ready, Some(backend.clone())),
             None => Decision::NoLoader,
         };
     };
@@ -102,8 +103,12 @@
     }
     let ready = Duration::from_secs_f64(best.ready_ms / 1_000.0);
     if !is_in_time(ready) {
-        let joined = joined.map_or(ready, |(_, joined)| joined);
-        return Decision::Refuse(ready.min(joined));
+        return match joined {
+            Some((backend, joined)) if joined <= ready => {
+                Decision::Refuse(joined, Some(backend.clone()))
+            }
+            _ => Decision::Refuse(ready, Some(backends[best.host].clone())),
+        };
     }
     Decision::Wait(backends[best.host].clone())
 }
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -241,6 +241,9 @@
         parts.headers.remove(AUTHORIZATION);
     }
     let (body, hold) = body::read(state, &configuration, body, deadline).await?;
+    let leaves_at = route
+        .max_silence
+        .map_or(deadline, |silence| deadline.min(started + silence));
     let target = parts
         .uri
         .path_and_query()
@@ -257,6 +260,7 @@
         body,
         _hold: hold,
         deadline,
+        leaves_at,
         marks: OnceCell::new(),
     })
 }
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -83,6 +83,8 @@
     pub(super) _hold: Hold,
     /// Time after which the response is of no use to the client.
     pub(super) deadline: Time,
+    /// Time after which the client leaves if its response has not begun.
+    pub(super) leaves_at: Time,
     /// Marks of the request, once they are needed.
     pub(super) marks: OnceCell<Vec<Mark>>,
 }
@@ -124,6 +126,11 @@
         self.deadline.remaining(now)
     }
 
+    /// Returns the time for which the client waits for its response to begin.
+    pub(super) fn patience(&self, now: Time) -> Duration {
+        self.leaves_at.remaining(now)
+    }
+
     pub(super) fn model(&self) -> Option<&ModelName> {
         self.head.model.as_ref()
     }
--- a/src/gateway/pick.rs
+++ b/src/gateway/pick.rs
@@ -6,6 +6,8 @@
     time::Duration, //
 };
 
+use tokio::time::sleep;
+
 use super::{
     backend::Backend,
     cold::{
@@ -45,6 +47,9 @@
 /// Maximum time for which a request waits until a server at its limit takes it.
 const MAX_LIMIT_WAIT: Duration = Duration::from_millis(1_000);
 
+/// Time after the end of the time to retry after within which a client is back.
+const RETURN_MARGIN: Duration = Duration::from_millis(300);
+
 /// Time within which servers or loaders are expected to be reachable again after all of them became
 /// unreachable at once.
 const RECOVERY_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -251,6 +256,16 @@
         }
     }
 
+    /// Requests the load until the client is back.
+    fn keep_place(&mut self, backend: &Rc<Backend>, after: Duration) {
+        self.request_load(backend);
+        let place = self.requested.take();
+        tokio::task::spawn_local(async move {
+            sleep(after + RETURN_MARGIN).await;
+            drop(place);
+        });
+    }
+
     /// Lets the search continue if one of the servers at their limits soon takes the request, or if
     /// another server can load the model. Else refuses the request.
     fn wait_for_limit(
@@ -307,11 +322,14 @@
                 self.refuse_if_all_rest(Duration::ZERO, now)?;
                 Err(self.progress.final_failure("no loader answers"))
             }
-            Decision::Refuse(_) if self.progress.attempts.ending() == Ending::Unknown => {
+            Decision::Refuse(..) if self.progress.attempts.ending() == Ending::Unknown => {
                 Err(Failure::Unknown("no other server has the model"))
             }
-            Decision::Refuse(after) => {
+            Decision::Refuse(after, backend) => {
                 log_refusal(self.job, name, after, remaining);
+                if let Some(backend) = backend.filter(|_| after + RETURN_MARGIN < remaining) {
+                    self.keep_place(&backend, after);
+                }
                 Err(Failure::Refused("the model can't be loaded in time", after))
             }
         }
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -48,6 +48,7 @@
     kind: String,
     timeout_ms: f64,
     target_latency_ms: Option<f64>,
+    gap_target_ms: Option<f64>,
     #[serde(default)]
     priority: f64,
     service: Option<String>,
@@ -205,6 +206,7 @@
 
 fn route(wire: WireRoute) -> Route {
     let timeout = millis(wire.timeout_ms);
+    let max_silence = max_silence(&wire);
     let mut targets: Vec<_> = wire.split.into_iter().map(target).collect();
     if let Some(service) = wire.service.filter(|_| targets.is_empty()) {
         let weight = 1.0;
@@ -217,6 +219,7 @@
         kind: kind(&wire.kind, wire.resumable),
         timeout,
         latency_objective: wire.target_latency_ms.map_or(timeout, millis),
+        max_silence,
         priority: wire.priority as u8,
         attempts: wire.attempts.map_or(1, |attempts| attempts as u32),
         is_public: wire.public,
@@ -224,6 +227,22 @@
     }
 }
 
+/// Returns the longest silence that clients bear on a route for streams.
+fn max_silence(wire: &WireRoute) -> Option<Duration> {
+    /// Silence that every client bears.
+    const MIN_SILENCE: Duration = Duration::from_secs(2);
+    /// Multiple of the latency objective that clients bear.
+    const OBJECTIVE_FACTOR: u32 = 4;
+    /// Multiple of the longest pause between events that clients bear.
+    const GAP_FACTOR: u32 = 8;
+    let objective = wire.target_latency_ms.map(millis).unwrap_or_default();
+    let gap = wire.gap_target_ms.map(millis).unwrap_or_default();
+    let max_silence = MIN_SILENCE
+        .max(objective * OBJECTIVE_FACTOR)
+        .max(gap * GAP_FACTOR);
+    (wire.kind == "stream").then_some(max_silence)
+}
+
 fn target(wire: WireTarget) -> Target {
     Target {
         service: wire.service,
--- a/tests/hosted/main.rs
+++ b/tests/hosted/main.rs
@@ -3,6 +3,7 @@
 mod accounts;
 mod allowance;
 mod announcement;
+mod cold;
 mod copies;
 mod crashing;
 mod delivery;
