--- a/src/gateway/demand.rs
+++ b/src/gateway/demand.rs
@@ -22,21 +22,47 @@
 /// Model and adapter that requests use or wait for.
 pub(super) type Key = (String, Option<String>);
 
+/// Maximum number of latency objectives that are told for a model.
+const MAX_DUE: usize = 16;
+
+/// A request that waits for a model or adapter.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct Arrival {
+    /// When it arrived.
+    pub(super) at: Time,
+    /// Time until which its response has its full value.
+    pub(super) due: Time,
+    /// When its client leaves.
+    pub(super) leaves_at: Time,
+}
+
 /// Requests that wait for a model or adapter.
 #[derive(Debug, Default)]
 pub(super) struct Waiting {
     /// Priority of the most urgent of them.
     priority: u8,
-    /// When each of them arrived.
-    arrivals: Vec<Time>,
+    /// Those that wait.
+    arrivals: Vec<Arrival>,
 }
 
 impl Waiting {
-    /// Returns the time for which the request that arrived first has waited, in ms.
-    fn oldest_ms(&self, now: Time) -> u32 {
-        let oldest = self.arrivals.iter().min();
-        let age = oldest.map_or(Duration::ZERO, |oldest| now - *oldest);
-        u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
+    /// Returns the time for which the request that arrived first has waited.
+    fn oldest(&self, now: Time) -> Duration {
+        let oldest = self.arrivals.iter().map(|arrival| arrival.at).min();
+        oldest.map_or(Duration::ZERO, |oldest| now - oldest)
+    }
+
+    /// Returns the time until the first client leaves.
+    fn leaves(&self, now: Time) -> Duration {
+        let first = self.arrivals.iter().map(|arrival| arrival.leaves_at).min();
+        first.map_or(Duration::ZERO, |first| first.remaining(now))
+    }
+
+    /// Returns the times until the latency objectives that can still be met, in ms.
+    fn due_ms(&self, now: Time) -> Vec<u32> {
+        let due = self.arrivals.iter().map(|arrival| arrival.due);
+        let due = due.filter(|due| *due > now).take(MAX_DUE);
+        due.map(|due| millis(due.remaining(now))).collect()
     }
 }
 
@@ -74,7 +100,7 @@
         self: &Rc<Self>,
         name: &ModelName,
         priority: u8,
-        arrival: Time,
+        arrival: Arrival,
     ) -> BacklogEntry {
         let key = key(name);
         let mut backlog = self.backlog.borrow_mut();
@@ -127,7 +153,9 @@
             adapter: adapter.clone(),
             waiting: waiting.arrivals.len() as u32,
             priority: waiting.priority,
-            oldest_ms: waiting.oldest_ms(now),
+            oldest_ms: millis(waiting.oldest(now)),
+            due_ms: waiting.due_ms(now),
+            leaves_ms: millis(waiting.leaves(now)),
         });
         ServerDemand {
             server: self.server.borrow().id.clone(),
@@ -180,7 +208,7 @@
 pub(super) struct BacklogEntry {
     backend: Rc<Backend>,
     key: Key,
-    arrival: Time,
+    arrival: Arrival,
 }
 
 impl Drop for BacklogEntry {
@@ -198,3 +226,7 @@
         self.backend.notify_demand();
     }
 }
+
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- a/src/gateway/pick.rs
+++ b/src/gateway/pick.rs
@@ -17,6 +17,7 @@
     },
     demand::{
         self,
+        Arrival,
         BacklogEntry, //
     },
     job::{
@@ -251,7 +252,12 @@
         let requested = self.requested.as_ref();
         let is_same = requested.is_some_and(|(requested, _)| Rc::ptr_eq(requested, backend));
         if let Some(name) = self.job.model().filter(|_| !is_same) {
-            let entry = backend.add_to_backlog(name, self.job.priority(), self.started);
+            let arrival = Arrival {
+                at: self.started,
+                due: self.started + self.job.route.latency_objective,
+                leaves_at: self.job.leaves_at,
+            };
+            let entry = backend.add_to_backlog(name, self.job.priority(), arrival);
             self.requested = Some((backend.clone(), entry));
         }
     }
--- a/src/hub/table.rs
+++ b/src/hub/table.rs
@@ -467,6 +467,10 @@
             waiting: same().map(|backlog| backlog.waiting).sum(),
             priority: same().map(|backlog| backlog.priority).min().unwrap_or(0),
             oldest_ms: same().map(|backlog| backlog.oldest_ms).max().unwrap_or(0),
+            leaves_ms: same().map(|backlog| backlog.leaves_ms).min().unwrap_or(0),
+            due_ms: same()
+                .flat_map(|backlog| backlog.due_ms.iter().copied())
+                .collect(),
             model: model.clone(),
             adapter: adapter.clone(),
         }
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -60,6 +60,10 @@
     pub priority: u8,
     /// Time for which the one that arrived first has waited, in ms.
     pub oldest_ms: u32,
+    /// Times until the latency objectives of the requests that can still meet them, in ms.
+    pub due_ms: Vec<u32>,
+    /// Time until the client of the one that arrived first leaves, in ms.
+    pub leaves_ms: u32,
 }
 
 impl Backlog {
@@ -68,6 +72,12 @@
         let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
         Self {
             oldest_ms: self.oldest_ms.saturating_add(age_ms),
+            due_ms: self
+                .due_ms
+                .iter()
+                .filter_map(|due| due.checked_sub(age_ms))
+                .collect(),
+            leaves_ms: self.leaves_ms.saturating_sub(age_ms),
             ..self.clone()
         }
     }
--- a/src/loader/state.rs
+++ b/src/loader/state.rs
@@ -226,11 +226,25 @@
                     other.waiting += backlog.waiting;
                     other.priority = other.priority.min(backlog.priority);
                     other.oldest_ms = other.oldest_ms.max(backlog.oldest_ms);
+                    other.due_ms.extend(backlog.due_ms);
+                    other.leaves_ms = other.leaves_ms.min(backlog.leaves_ms);
                 }
                 None => merged.push(backlog),
             }
         }
-        precedence::sort(&mut merged);
+        let engine = self.engine();
+        let holdings = self.holdings.borrow();
+        let load_ms = |model: &str| {
+            let model = engine.as_ref()?.model(model)?;
+            let has = |copies: &[String]| copies.contains(&model.name);
+            let load = match &holdings.copies {
+                copies if has(&copies.in_memory) => model.memory_load,
+                copies if has(&copies.on_disk) => model.disk_load,
+                _ => model.store_load,
+            };
+            u32::try_from(load.as_millis()).ok()
+        };
+        precedence::sort(&mut merged, |model| load_ms(model).unwrap_or_default());
         merged
     }
 
--- a/tests/hub.rs
+++ b/tests/hub.rs
@@ -262,6 +262,8 @@
         waiting,
         priority,
         oldest_ms: 0,
+        due_ms: Vec::new(),
+        leaves_ms: 10_000,
     });
     ServerDemand {
         server: server.to_owned(),
--- a/tests/loader.rs
+++ b/tests/loader.rs
@@ -258,6 +258,8 @@
         waiting: 1,
         priority: random.u8(..3),
         oldest_ms: 0,
+        due_ms: Vec::new(),
+        leaves_ms: 10_000,
     }
 }
 
@@ -349,6 +351,8 @@
             waiting: 1,
             priority: 1,
             oldest_ms: 0,
+            due_ms: Vec::new(),
+            leaves_ms: 10_000,
         }];
         let uses = BTreeMap::new();
         let is_loaded = |fake: &FakeEngine| {
@@ -378,6 +382,8 @@
         waiting: 1,
         priority: 1,
         oldest_ms: 0,
+        due_ms: Vec::new(),
+        leaves_ms: 10_000,
     }];
     let uses = BTreeMap::new();
     let mut planner = planner(&engine, &report, &backlogs, &uses, None, &[]);
@@ -484,6 +490,8 @@
             waiting,
             priority: 1,
             oldest_ms,
+            due_ms: Vec::new(),
+            leaves_ms: 10_000,
         };
         let backlogs = [backlog("m03", waiting, oldest_ms), backlog("m04", 1, 0)];
         let mut planner = planner(&engine, &report, &backlogs, &uses, None, &[]);
