--- a/src/gateway/demand.rs
+++ b/src/gateway/demand.rs
@@ -22,9 +22,6 @@
 /// Model and adapter that requests use or wait for.
 pub(super) type Key = (String, Option<String>);
 
-/// Maximum number of latency objectives that are told for a model.
-const MAX_DUE: usize = 16;
-
 /// A request that waits for a model or adapter.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) struct Arrival {
@@ -61,7 +58,7 @@
     /// Returns the times until the latency objectives that can still be met, in ms.
     fn due_ms(&self, now: Time) -> Vec<u32> {
         let due = self.arrivals.iter().map(|arrival| arrival.due);
-        let due = due.filter(|due| *due > now).take(MAX_DUE);
+        let due = due.filter(|due| *due > now).take(Backlog::MAX_DUE);
         due.map(|due| millis(due.remaining(now))).collect()
     }
 }
--- a/src/gateway/pick.rs
+++ b/src/gateway/pick.rs
@@ -251,21 +251,26 @@
     fn request_load(&mut self, backend: &Rc<Backend>) {
         let requested = self.requested.as_ref();
         let is_same = requested.is_some_and(|(requested, _)| Rc::ptr_eq(requested, backend));
-        if let Some(name) = self.job.model().filter(|_| !is_same) {
-            let arrival = Arrival {
-                at: self.started,
-                due: self.started + self.job.route.latency_objective,
-                leaves_at: self.job.leaves_at,
-            };
-            let entry = backend.add_to_backlog(name, self.job.priority(), arrival);
-            self.requested = Some((backend.clone(), entry));
+        if !is_same {
+            let entry = self.backlog_entry(backend, self.job.leaves_at);
+            self.requested = entry.map(|entry| (backend.clone(), entry));
         }
     }
 
+    fn backlog_entry(&self, backend: &Rc<Backend>, leaves_at: Time) -> Option<BacklogEntry> {
+        let arrival = Arrival {
+            at: self.started,
+            due: self.started + self.job.route.latency_objective,
+            leaves_at,
+        };
+        let name = self.job.model()?;
+        Some(backend.add_to_backlog(name, self.job.priority(), arrival))
+    }
+
     /// Requests the load until the client is back.
     fn keep_place(&mut self, backend: &Rc<Backend>, after: Duration) {
-        self.request_load(backend);
-        let place = self.requested.take();
+        self.requested = None;
+        let place = self.backlog_entry(backend, self.job.deadline);
         tokio::task::spawn_local(async move {
             sleep(after + RETURN_MARGIN).await;
             drop(place);
--- a/src/hub/table.rs
+++ b/src/hub/table.rs
@@ -470,6 +470,7 @@
             leaves_ms: same().map(|backlog| backlog.leaves_ms).min().unwrap_or(0),
             due_ms: same()
                 .flat_map(|backlog| backlog.due_ms.iter().copied())
+                .take(Backlog::MAX_DUE)
                 .collect(),
             model: model.clone(),
             adapter: adapter.clone(),
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -67,6 +67,9 @@
 }
 
 impl Backlog {
+    /// Maximum number of latency objectives that are told.
+    pub(crate) const MAX_DUE: usize = 16;
+
     /// Returns the backlog after a time in which no request arrived or left.
     pub(crate) fn after(&self, age: Duration) -> Self {
         let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
