--- a/review/standin/drain.rs
+++ b/review/standin/drain.rs
@@ -15,13 +15,21 @@
     Port, Record, Store, DRAIN_MS, HEARTBEAT_MS, HOST,
 };
 
-/// Time for which the store turns the machine away; the site file has up to 9 s.
-const REJECT_MS: u64 = 1_500;
-/// The server leaves this long after that began.
-const LEAVES_AFTER_MS: u64 = 850;
+/// Time for which the store turns the machine away (the site file has 9 s), and after which the
+/// server leaves, in ms.
+const ROUNDS: [(u64, u64); 9] = [
+    (1_500, 850),
+    (8_000, 2_500),
+    (1_500, 850),
+    (1_500, 850),
+    (8_000, 2_500),
+    (1_500, 850),
+    (1_500, 850),
+    (8_000, 2_500),
+    (1_500, 850),
+];
 /// The leaving server runs on for drainMs and this long.
-const LONGER_MS: u64 = 1_500;
-const ROUNDS: usize = 11;
+const LONGER_MS: u64 = 2_000;
 
 const CONFIG: &str = r#"{"version":7,"routes":[
 {"name":"book","host":"a.example","pathPrefix":"/book/","kind":"unsafe","timeoutMs":1200,"targetLatencyMs":250,"priority":2,"service":"desk","attempts":1,"sticky":false,"resumable":false},
@@ -175,29 +183,36 @@
     let traffic = start_clients(record, clients, &stops);
     let mut broken = 0;
     let mut shown = 0;
-    for round in 1..=ROUNDS {
+    for (round, (rejected_for, leaves_after)) in (1..).zip(ROUNDS) {
         let id = format!("desk-{round}");
         let arrivals = Arc::default();
         let leaver = desk(record, &id, &arrivals);
         beats.add(&store, &id, "desk", leaver.addr, "z1");
         record.add(format!("{id} joins"));
-        sleep_ms(2_500);
-        if trouble {
-            is_rejected.store(true, Ordering::SeqCst);
-            record.add("the store turns side-z1-1 away");
-        }
-        sleep_ms(LEAVES_AFTER_MS);
+        // The rounds begin at different points of the interval at which the hub reads the list.
+        sleep_ms(2_500 + 270 * (round % 4));
+        let turn_away = thread::spawn({
+            let (is_rejected, record) = (is_rejected.clone(), record.clone());
+            move || {
+                if trouble {
+                    is_rejected.store(true, Ordering::SeqCst);
+                    record.add("the store turns side-z1-1 away");
+                    sleep_ms(rejected_for);
+                    is_rejected.store(false, Ordering::SeqCst);
+                    record.add("the store serves side-z1-1 again");
+                } else {
+                    sleep_ms(rejected_for);
+                }
+            }
+        });
+        sleep_ms(leaves_after);
         beats.remove(&store, &id);
         let left_at = record.now();
         record.add(format!("{id} leaves: its entry is removed, confirmed by the store"));
-        sleep_ms(REJECT_MS - LEAVES_AFTER_MS);
-        if trouble {
-            is_rejected.store(false, Ordering::SeqCst);
-            record.add("the store serves side-z1-1 again");
-        }
-        sleep_ms(DRAIN_MS + LONGER_MS - (REJECT_MS - LEAVES_AFTER_MS));
+        sleep_ms(DRAIN_MS + LONGER_MS);
         leaver.end();
         record.add(format!("{id} has ended"));
+        let _ = turn_away.join();
         let arrivals = arrivals.lock().unwrap();
         shown += usize::from(!arrivals.is_empty());
         let late: Vec<_> = arrivals.iter().filter(|(at, _)| *at > left_at + DRAIN_MS).collect();
@@ -208,11 +223,11 @@
         ));
         broken += late.len();
         drop(arrivals);
-        sleep_ms(2_000);
+        sleep_ms(1_500);
     }
     stops.store(true, Ordering::SeqCst);
     let _ = traffic.join();
-    if shown < ROUNDS {
+    if shown < ROUNDS.len() {
         return None;
     }
     record.add(format!("requests that reached a leaving server too late: {broken}"));
