--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,6 +1,7 @@
 //! Runs one case: `standin CASE FOLDER`. Exits with 1 if the rule was broken, 0 if it held, 2 if
 //! the case could not run.
 
+mod clock;
 mod drain;
 mod limit;
 mod site;
@@ -13,6 +14,7 @@
     let work = std::env::temp_dir().join(format!("review-{}", std::process::id()));
     std::fs::create_dir_all(&work).expect("the folder is made");
     let run = match case.as_str() {
+        "clock" => clock::run,
         "drain" => drain::run,
         "limit" => limit::run,
         _ => std::process::exit(2),
