--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2021 -O --crate-name standin -o target/review/standin review/standin/main.rs
+rustc --edition 2021 -O -D warnings --crate-name standin -o target/review/standin review/standin/main.rs
--- a/review/standin/clock.rs
+++ b/review/standin/clock.rs
@@ -90,7 +90,11 @@
         if state.is_busy || expect.parse() != Ok(state.orders) {
             return 409;
         }
-        let model = if body.contains("\"model\":\"m1\"") { "m1" } else { "m2" };
+        let model = if body.contains("\"model\":\"m1\"") {
+            "m1"
+        } else {
+            "m2"
+        };
         state.orders += 1;
         if body.contains("\"operation\":\"unload\"") {
             state.models.retain(|name| name != model);
@@ -110,8 +114,13 @@
     }
 
     fn handle(self: &Arc<Self>, call: &Call) -> Answer {
-        if call.header("Target-Instance").is_some_and(|target| target != self.id) {
-            return Answer::new(421, "").with("Instance-Id", self.id).with("Not-Executed", "1");
+        if call
+            .header("Target-Instance")
+            .is_some_and(|target| target != self.id)
+        {
+            return Answer::new(421, "")
+                .with("Instance-Id", self.id)
+                .with("Not-Executed", "1");
         }
         if call.target == "/api/report" {
             let state = self.state.lock().unwrap();
@@ -123,20 +132,33 @@
         if call.target == "/api/order" {
             let body = String::from_utf8_lossy(&call.body).into_owned();
             let status = self.order(&body);
-            self.record.add(format!("{}: order {body}: {status}", self.id));
+            self.record
+                .add(format!("{}: order {body}: {status}", self.id));
             return Answer::new(status, "{}");
         }
         let request = call.header("Request-Id").unwrap_or_default().to_owned();
         let model = call.header("Model").unwrap_or_default();
-        if !self.state.lock().unwrap().models.iter().any(|name| name == model) {
-            return Answer::new(421, "").with("Instance-Id", self.id).with("Not-Executed", "1").with("Request-Id", request);
+        if !self
+            .state
+            .lock()
+            .unwrap()
+            .models
+            .iter()
+            .any(|name| name == model)
+        {
+            return Answer::new(421, "")
+                .with("Instance-Id", self.id)
+                .with("Not-Executed", "1")
+                .with("Request-Id", request);
         }
         self.arrivals.lock().unwrap().push(self.record.now());
         self.record.add(format!("{} runs {request}", self.id));
         sleep_ms(20);
         let answer = Answer::new(200, "id: 0\ndata: done\n\n").with("Request-Id", request.clone());
         let answer = answer.with("Response-Signature", format!("s-{request}"));
-        answer.with("Content-Type", "text/event-stream").with("Server-Load", "1,0,96")
+        answer
+            .with("Content-Type", "text/event-stream")
+            .with("Server-Load", "1,0,96")
     }
 
     fn start(self: &Arc<Self>, born: u64) -> Port {
@@ -150,7 +172,8 @@
         }
         let engine = self.clone();
         let port = serve(self.addr, move |call| Some(engine.handle(&call)));
-        self.record.add(format!("{} starts; born is {born}", self.id));
+        self.record
+            .add(format!("{} starts; born is {born}", self.id));
         self.beat();
         port
     }
@@ -168,7 +191,9 @@
     let store = Arc::new(Store::default());
     store.put("keyed.op", "config", CONFIG);
     let handled = store.clone();
-    let store_port = serve("127.0.0.1:0".parse().unwrap(), move |call| Some(handled.handle(&call)));
+    let store_port = serve("127.0.0.1:0".parse().unwrap(), move |call| {
+        Some(handled.handle(&call))
+    });
     let engine = |id, zone, number| {
         Arc::new(Engine {
             id,
@@ -200,7 +225,10 @@
     let peer_port = free_port();
     let mut daemons = Vec::new();
     for engine in [&first, &second] {
-        let (name, ip) = (format!("side-{}-1", engine.zone), engine.addr.ip().to_string());
+        let (name, ip) = (
+            format!("side-{}-1", engine.zone),
+            engine.addr.ip().to_string(),
+        );
         let role = format!("\"engine_addr\":\"{}\"", engine.addr);
         let place = Place {
             name: &name,
@@ -224,22 +252,26 @@
         role: format!("\"listen\":{{\"callers\":\"{clients}\",\"ready\":\"{ready}\"}}"),
         first_start: true,
     };
-    daemons.push(Daemon::start(folder, "gateway", "front-z1-1", &settings(&place)));
+    daemons.push(Daemon::start(
+        folder,
+        "gateway",
+        "front-z1-1",
+        &settings(&place),
+    ));
     if !wait_ready(ready) {
         return None;
     }
     record.add("the gateway is ready");
     sleep_ms(4_000);
     let stops = Arc::new(AtomicBool::new(false));
-    let mut port = if trouble {
+    let port = if trouble {
         record.add("the clock of the machine side-z1-1 is ahead by 2.4 s");
-        let mut port = first.start(EPOCH_MS + record.now() + AHEAD_MS);
+        let port = first.start(EPOCH_MS + record.now() + AHEAD_MS);
         sleep_ms(CRASHES_AFTER_MS);
         record.add("the clock of the machine side-z1-1 is right again; i-1 crashes");
         first.end(&port);
         sleep_ms(BACK_AFTER_MS - CRASHES_AFTER_MS);
-        port = first.start(EPOCH_MS + record.now());
-        port
+        first.start(EPOCH_MS + record.now())
     } else {
         first.start(EPOCH_MS + record.now())
     };
@@ -282,7 +314,10 @@
     if !arrivals.iter().any(|at| *at < left_at) {
         return None;
     }
-    let late = arrivals.iter().filter(|at| **at > left_at + DRAIN_MS).count();
+    let late = arrivals
+        .iter()
+        .filter(|at| **at > left_at + DRAIN_MS)
+        .count();
     let last = arrivals.last().map_or(0, |at| at.saturating_sub(left_at));
     record.add(format!(
         "DRAIN at i-1: {late} requests later than {DRAIN_MS} ms; the last one came {last} ms after the report"
--- a/review/standin/drain.rs
+++ b/review/standin/drain.rs
@@ -11,8 +11,8 @@
 };
 
 use crate::site::{
-    free_port, send, serve, settings, sleep_ms, wait_ready, Answer, Call, Daemon, Place,
-    Port, Record, Store, DRAIN_MS, HEARTBEAT_MS, HOST,
+    free_port, send, serve, settings, sleep_ms, wait_ready, Answer, Call, Daemon, Place, Port,
+    Record, Store, DRAIN_MS, HEARTBEAT_MS, HOST,
 };
 
 /// Time for which the store turns the machine away (the site file has 9 s), and after which the
@@ -54,7 +54,14 @@
 }
 
 impl Beats {
-    fn add(&self, store: &Store, id: &str, service: &'static str, addr: SocketAddr, zone: &'static str) {
+    fn add(
+        &self,
+        store: &Store,
+        id: &str,
+        service: &'static str,
+        addr: SocketAddr,
+        zone: &'static str,
+    ) {
         let beat = Beat {
             service,
             addr,
@@ -88,7 +95,13 @@
 }
 
 fn put(store: &Store, id: &str, beat: &Beat) {
-    let Beat { service, addr, zone, seq, .. } = beat;
+    let Beat {
+        service,
+        addr,
+        zone,
+        seq,
+        ..
+    } = beat;
     let models = if *service == "llm" {
         r#","stage":"unified","models":[{"name":"m1","version":1,"adapters":[]}],"cachedModels":{"inMemory":["m1"],"onDisk":["m1"]}"#
     } else {
@@ -104,7 +117,10 @@
 fn engine(addr: SocketAddr) -> Port {
     serve(addr, |call: Call| {
         if call.target.starts_with("/api/report") {
-            return Some(Answer::new(200, r#"{"stage":"unified","models":[{"name":"m1","version":1,"adapters":[]}],"busy":false,"seq":0,"queued":0,"running":0,"kvUsed":0,"kvTotal":232000,"handles":0,"born":1700000000000,"pending":[],"cachedModels":{"inMemory":["m1"],"onDisk":["m1"]}}"#));
+            return Some(Answer::new(
+                200,
+                r#"{"stage":"unified","models":[{"name":"m1","version":1,"adapters":[]}],"busy":false,"seq":0,"queued":0,"running":0,"kvUsed":0,"kvTotal":232000,"handles":0,"born":1700000000000,"pending":[],"cachedModels":{"inMemory":["m1"],"onDisk":["m1"]}}"#,
+            ));
         }
         Some(Answer::new(421, "").with("Not-Executed", "1"))
     })
@@ -115,15 +131,26 @@
     let (record, id, arrivals) = (record.clone(), id.to_owned(), arrivals.clone());
     serve("127.0.0.1:0".parse().unwrap(), move |call: Call| {
         let request = call.header("Request-Id").unwrap_or_default().to_owned();
-        if call.header("Target-Instance").is_some_and(|target| target != id) {
-            return Some(Answer::new(421, "").with("Instance-Id", id.clone()).with("Not-Executed", "1"));
+        if call
+            .header("Target-Instance")
+            .is_some_and(|target| target != id)
+        {
+            return Some(
+                Answer::new(421, "")
+                    .with("Instance-Id", id.clone())
+                    .with("Not-Executed", "1"),
+            );
         }
         let now = record.now();
         arrivals.lock().unwrap().push((now, request.clone()));
         record.add(format!("{id} runs {request}"));
         sleep_ms(30);
         let answer = Answer::new(200, call.body).with("Request-Id", request.clone());
-        Some(answer.with("Response-Signature", format!("s-{request}")).with("Server-Load", "1,0,6"))
+        Some(
+            answer
+                .with("Response-Signature", format!("s-{request}"))
+                .with("Server-Load", "1,0,6"),
+        )
     })
 }
 
@@ -132,13 +159,19 @@
     let store = Arc::new(Store::default());
     store.put("keyed.op", "config", CONFIG);
     let handled = store.clone();
-    let store_port = serve("127.0.0.1:0".parse().unwrap(), move |call| Some(handled.handle(&call)));
+    let store_port = serve("127.0.0.1:0".parse().unwrap(), move |call| {
+        Some(handled.handle(&call))
+    });
     let beats = Arc::new(Beats::default());
     // The way of the machine side-z1-1 to the store.
     let is_rejected = Arc::new(AtomicBool::new(false));
     let (handled, rejected) = (store.clone(), is_rejected.clone());
     let own_port = serve("127.0.0.1:0".parse().unwrap(), move |call| {
-        Some(if rejected.load(Ordering::SeqCst) { Answer::new(503, "") } else { handled.handle(&call) })
+        Some(if rejected.load(Ordering::SeqCst) {
+            Answer::new(503, "")
+        } else {
+            handled.handle(&call)
+        })
     });
     let mut engines = Vec::new();
     for (zone, number) in [("z1", 1), ("z2", 2), ("z3", 3)] {
@@ -154,10 +187,22 @@
     let peer_port = free_port();
     let mut daemons = Vec::new();
     for (zone, number, port) in &engines {
-        let store = if *number == 1 { own_port.addr } else { store_port.addr };
+        let store = if *number == 1 {
+            own_port.addr
+        } else {
+            store_port.addr
+        };
         let (name, ip) = (format!("side-{zone}-1"), port.addr.ip().to_string());
         let role = format!("\"engine_addr\":\"{}\"", port.addr);
-        let place = Place { name: &name, zone, ip: &ip, peer_port, store, role, first_start: true };
+        let place = Place {
+            name: &name,
+            zone,
+            ip: &ip,
+            peer_port,
+            store,
+            role,
+            first_start: true,
+        };
         daemons.push(Daemon::start(folder, "loader", &name, &settings(&place)));
     }
     let clients = SocketAddr::from(([127, 0, 0, 1], free_port()));
@@ -172,7 +217,12 @@
         role,
         first_start: true,
     };
-    daemons.push(Daemon::start(folder, "gateway", "front-z1-1", &settings(&place)));
+    daemons.push(Daemon::start(
+        folder,
+        "gateway",
+        "front-z1-1",
+        &settings(&place),
+    ));
     if !wait_ready(ready) {
         return None;
     }
@@ -208,15 +258,22 @@
         sleep_ms(leaves_after);
         beats.remove(&store, &id);
         let left_at = record.now();
-        record.add(format!("{id} leaves: its entry is removed, confirmed by the store"));
+        record.add(format!(
+            "{id} leaves: its entry is removed, confirmed by the store"
+        ));
         sleep_ms(DRAIN_MS + LONGER_MS);
         leaver.end();
         record.add(format!("{id} has ended"));
         let _ = turn_away.join();
         let arrivals = arrivals.lock().unwrap();
         shown += usize::from(!arrivals.is_empty());
-        let late: Vec<_> = arrivals.iter().filter(|(at, _)| *at > left_at + DRAIN_MS).collect();
-        let last = arrivals.last().map_or(0, |(at, _)| at.saturating_sub(left_at));
+        let late: Vec<_> = arrivals
+            .iter()
+            .filter(|(at, _)| *at > left_at + DRAIN_MS)
+            .collect();
+        let last = arrivals
+            .last()
+            .map_or(0, |(at, _)| at.saturating_sub(left_at));
         record.add(format!(
             "DRAIN at {id}: {} requests later than {DRAIN_MS} ms; the last one came {last} ms after it left",
             late.len()
@@ -230,12 +287,18 @@
     if shown < ROUNDS.len() {
         return None;
     }
-    record.add(format!("requests that reached a leaving server too late: {broken}"));
+    record.add(format!(
+        "requests that reached a leaving server too late: {broken}"
+    ));
     Some(broken > 0)
 }
 
 /// Sends some 40 bookings a second, each on a connection of its own.
-fn start_clients(record: &Arc<Record>, addr: SocketAddr, stops: &Arc<AtomicBool>) -> thread::JoinHandle<()> {
+fn start_clients(
+    record: &Arc<Record>,
+    addr: SocketAddr,
+    stops: &Arc<AtomicBool>,
+) -> thread::JoinHandle<()> {
     let (record, stops) = (record.clone(), stops.clone());
     thread::spawn(move || {
         for number in 0.. {
--- a/review/standin/limit.rs
+++ b/review/standin/limit.rs
@@ -99,9 +99,15 @@
     }
 
     fn handle(self: &Arc<Self>, call: &Call) -> Option<Answer> {
-        let is_other = call.header("Target-Instance").is_some_and(|target| target != ID);
+        let is_other = call
+            .header("Target-Instance")
+            .is_some_and(|target| target != ID);
         if is_other {
-            return Some(Answer::new(421, "").with("Instance-Id", ID).with("Not-Executed", "1"));
+            return Some(
+                Answer::new(421, "")
+                    .with("Instance-Id", ID)
+                    .with("Not-Executed", "1"),
+            );
         }
         if call.target == "/api/report" {
             let state = self.state.lock().unwrap();
@@ -149,19 +155,37 @@
         }
         let request = call.header("Request-Id").unwrap_or_default().to_owned();
         let model = call.header("Model").unwrap_or_default();
-        if !self.state.lock().unwrap().models.iter().any(|name| name == model) {
-            return Some(Answer::new(421, "").with("Instance-Id", ID).with("Not-Executed", "1").with("Request-Id", request));
+        if !self
+            .state
+            .lock()
+            .unwrap()
+            .models
+            .iter()
+            .any(|name| name == model)
+        {
+            return Some(
+                Answer::new(421, "")
+                    .with("Instance-Id", ID)
+                    .with("Not-Executed", "1")
+                    .with("Request-Id", request),
+            );
         }
         self.record.add(format!("{ID} runs {request} for {model}"));
         let answer = Answer::new(200, "id: 0\ndata: done\n\n").with("Request-Id", request.clone());
         let answer = answer.with("Response-Signature", format!("s-{request}"));
-        Some(answer.with("Content-Type", "text/event-stream").with("Server-Load", "1,0,96"))
+        Some(
+            answer
+                .with("Content-Type", "text/event-stream")
+                .with("Server-Load", "1,0,96"),
+        )
     }
 }
 
 /// Returns the text of a field of a flat object.
 fn text<'a>(body: &'a str, name: &str) -> &'a str {
-    let rest = body.split_once(&format!("\"{name}\":\"")).map_or("", |(_, rest)| rest);
+    let rest = body
+        .split_once(&format!("\"{name}\":\""))
+        .map_or("", |(_, rest)| rest);
     rest.split('"').next().unwrap_or_default()
 }
 
@@ -181,9 +205,18 @@
     let store = Arc::new(Store::default());
     store.put("keyed.op", "config", CONFIG);
     let handled = store.clone();
-    let store_port = serve("127.0.0.1:0".parse().unwrap(), move |call| Some(handled.handle(&call)));
-    let state = State { born: 1_700_000_000_000, models: vec!["m1".to_owned()], ..State::default() };
-    let engine = Arc::new(Engine { state: Mutex::new(state), record: record.clone() });
+    let store_port = serve("127.0.0.1:0".parse().unwrap(), move |call| {
+        Some(handled.handle(&call))
+    });
+    let state = State {
+        born: 1_700_000_000_000,
+        models: vec!["m1".to_owned()],
+        ..State::default()
+    };
+    let engine = Arc::new(Engine {
+        state: Mutex::new(state),
+        record: record.clone(),
+    });
     let mut port = start(&engine, SocketAddr::from(([127, 0, 1, 1], free_port())));
     let addr = port.addr;
     let is_up = Arc::new(Mutex::new(true));
@@ -211,7 +244,12 @@
         role: format!("\"engine_addr\":\"{addr}\""),
         first_start,
     };
-    let mut loader = Daemon::start(folder, "loader", "side-z1-1", &settings(&loader_place(true)));
+    let mut loader = Daemon::start(
+        folder,
+        "loader",
+        "side-z1-1",
+        &settings(&loader_place(true)),
+    );
     let clients = SocketAddr::from(([127, 0, 0, 1], free_port()));
     let ready = SocketAddr::from(([127, 0, 0, 1], free_port()));
     let place = Place {
@@ -262,12 +300,21 @@
         sleep_ms(DOWN_MS);
         {
             let mut state = engine.state.lock().unwrap();
-            *state = State { born: state.born + 60_000, has_left: state.has_left, ..State::default() };
+            *state = State {
+                born: state.born + 60_000,
+                has_left: state.has_left,
+                ..State::default()
+            };
         }
         port = start(&engine, addr);
         *is_up.lock().unwrap() = true;
         record.add("power is back: the server starts anew under its id, empty, with seq 0");
-        loader = Daemon::start(folder, "loader", "side-z1-1", &settings(&loader_place(false)));
+        loader = Daemon::start(
+            folder,
+            "loader",
+            "side-z1-1",
+            &settings(&loader_place(false)),
+        );
     });
     let mut served = false;
     for number in 0..8 {
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 mod drain;
 mod limit;
 mod site;
+mod twice;
 
 fn main() {
     let mut words = std::env::args().skip(1);
@@ -17,6 +18,7 @@
         "clock" => clock::run,
         "drain" => drain::run,
         "limit" => limit::run,
+        "twice" => twice::run,
         _ => std::process::exit(2),
     };
     let record = site::Record::new();
--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -60,7 +60,6 @@
 
 /// A request that a stand-in received.
 pub struct Call {
-    pub method: String,
     pub target: String,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
@@ -194,8 +193,7 @@
                 while let Some((first, headers, body)) = read_message(&mut stream, &mut buffer) {
                     let mut words = first.split(' ');
                     let call = Call {
-                        method: words.next().unwrap_or_default().to_owned(),
-                        target: words.next().unwrap_or_default().to_owned(),
+                        target: words.nth(1).unwrap_or_default().to_owned(),
                         headers,
                         body,
                     };
@@ -337,53 +335,6 @@
     }
 }
 
-/// A proxy that stands for the link of one machine: while it is cut, bytes are held in both
-/// directions and arrive when it heals.
-pub struct Link {
-    pub addr: SocketAddr,
-    pub is_cut: Arc<AtomicBool>,
-}
-
-impl Link {
-    pub fn to(target: SocketAddr) -> Self {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
-        let addr = listener.local_addr().unwrap();
-        let is_cut = Arc::new(AtomicBool::new(false));
-        let cut = is_cut.clone();
-        thread::spawn(move || {
-            for near in listener.incoming().flatten() {
-                let Ok(far) = TcpStream::connect(target) else {
-                    continue;
-                };
-                let (near2, far2) = (near.try_clone().unwrap(), far.try_clone().unwrap());
-                let (cut1, cut2) = (cut.clone(), cut.clone());
-                thread::spawn(move || pump(near, far, &cut1));
-                thread::spawn(move || pump(far2, near2, &cut2));
-            }
-        });
-        Self { addr, is_cut }
-    }
-
-    pub fn cut(&self, is_cut: bool) {
-        self.is_cut.store(is_cut, Ordering::SeqCst);
-    }
-}
-
-fn pump(mut from: TcpStream, mut to: TcpStream, is_cut: &AtomicBool) {
-    let mut chunk = [0; 16384];
-    loop {
-        let count = from.read(&mut chunk).unwrap_or(0);
-        while is_cut.load(Ordering::SeqCst) {
-            sleep_ms(2);
-        }
-        if count == 0 || to.write_all(&chunk[..count]).is_err() {
-            let _ = to.shutdown(Shutdown::Write);
-            let _ = from.shutdown(Shutdown::Read);
-            return;
-        }
-    }
-}
-
 static NEXT_PORT: AtomicU64 = AtomicU64::new(0);
 
 /// Returns a port that is free on all addresses, below the range of ephemeral ports.
@@ -423,11 +374,6 @@
         Self { child }
     }
 
-    pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        let _ = Command::new("kill").args(["-s", name, &id]).status();
-    }
-
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
