--- a/review/standin/clock.rs
+++ b/review/standin/clock.rs
@@ -214,19 +214,28 @@
         })
     };
     let first = engine("i-1", "z1", 1);
-    let second = engine("i-2", "z2", 2);
-    second.state.lock().unwrap().models.push("m2".to_owned());
-    let second_port = second.start(EPOCH_MS - 60_000);
-    let beating = [first.clone(), second.clone()];
+    // Four servers, so that the one that is disturbed is a quarter of them.
+    let others = [
+        engine("i-2", "z2", 2),
+        engine("i-3", "z3", 3),
+        engine("i-4", "z3", 4),
+    ];
+    let mut ports = Vec::new();
+    for other in &others {
+        other.state.lock().unwrap().models.push("m2".to_owned());
+        ports.push(other.start(EPOCH_MS - 60_000));
+    }
+    let all: Vec<_> = others.iter().chain([&first]).cloned().collect();
+    let beating = all.clone();
     thread::spawn(move || loop {
         sleep_ms(HEARTBEAT_MS);
         beating.iter().for_each(|engine| engine.beat());
     });
     let peer_port = free_port();
     let mut daemons = Vec::new();
-    for engine in [&first, &second] {
+    for engine in &all {
         let (name, ip) = (
-            format!("side-{}-1", engine.zone),
+            format!("side-{}-{}", engine.zone, engine.id),
             engine.addr.ip().to_string(),
         );
         let role = format!("\"engine_addr\":\"{}\"", engine.addr);
@@ -275,6 +284,8 @@
     } else {
         first.start(EPOCH_MS + record.now())
     };
+    // All gateways and loaders know the server.
+    sleep_ms(2_500);
     let (r, s) = (record.clone(), stops.clone());
     let traffic = thread::spawn(move || {
         for number in 0.. {
@@ -309,7 +320,7 @@
     stops.store(true, Ordering::SeqCst);
     let _ = traffic.join();
     drop(daemons);
-    second_port.end();
+    ports.iter().for_each(|port| port.end());
     let arrivals = first.arrivals.lock().unwrap();
     if !arrivals.iter().any(|at| *at < left_at) {
         return None;
--- a/review/standin/limit.rs
+++ b/review/standin/limit.rs
@@ -16,6 +16,8 @@
 const MODEL_MB: f64 = 34_300.0;
 /// Time of a load from the disk.
 const LOAD_MS: u64 = 400;
+/// Time of a load from the weight store.
+const STORE_LOAD_MS: u64 = 6_000;
 /// The unanswered order is carried out this long after it arrived: 2 to 12 s are allowed.
 const LATE_MS: u64 = 9_000;
 /// Time without power.
@@ -24,7 +26,7 @@
 const CONFIG: &str = r#"{"version":7,"routes":[
 {"name":"chat","host":"a.example","pathPrefix":"/chat/","kind":"stream","timeoutMs":11000,"targetLatencyMs":2000,"priority":2,"service":"llm","attempts":1,"sticky":true,"resumable":false,"gapTargetMs":400}],
 "services":[
-{"name":"llm","healthPath":"/health","maxConns":360,"protocol":"h1","tls":false,"engine":{"slots":96,"kvTokens":202446,"weightsMb":58000.0,"adapterSlots":8,"loadsPerS":2.1,"models":[{"name":"m1","weightsMb":34300.0,"loadS":6.0,"adapters":0,"adapterMb":40.0,"warmS":0.28,"diskS":0.4},{"name":"m2","weightsMb":34300.0,"loadS":6.0,"adapters":0,"adapterMb":40.0,"warmS":0.28,"diskS":0.4}]}}],
+{"name":"llm","healthPath":"/health","maxConns":360,"protocol":"h1","tls":false,"engine":{"slots":96,"kvTokens":202446,"weightsMb":58000.0,"adapterSlots":8,"loadsPerS":2.1,"models":[{"name":"m1","weightsMb":34300.0,"loadS":6.0,"adapters":0,"adapterMb":40.0,"warmS":0.28,"diskS":0.4},{"name":"m2","weightsMb":34300.0,"loadS":6.0,"adapters":0,"adapterMb":40.0,"warmS":0.28,"diskS":0.4},{"name":"m3","weightsMb":34300.0,"loadS":6.0,"adapters":0,"adapterMb":40.0,"warmS":0.28,"diskS":0.4}]}}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}"#;
 
 #[derive(Default)]
@@ -41,6 +43,11 @@
 }
 
 struct Engine {
+    id: String,
+    /// Models with a copy on the disk, as a list of JSON.
+    on_disk: &'static str,
+    /// Time of a load.
+    load_ms: u64,
     state: Mutex<State>,
     record: Arc<Record>,
 }
@@ -50,14 +57,14 @@
         models.iter().map(form).collect::<Vec<_>>().join(",")
     }
 
-    fn fields(state: &State) -> String {
+    fn fields(&self, state: &State) -> String {
         let models = Self::names(&state.models, |name| {
             format!("{{\"name\":\"{name}\",\"version\":1,\"adapters\":[]}}")
         });
         format!(
             "\"stage\":\"unified\",\"models\":[{models}],\"born\":{},\
-             \"cachedModels\":{{\"inMemory\":[],\"onDisk\":[\"m1\",\"m2\"]}}",
-            state.born
+             \"cachedModels\":{{\"inMemory\":[],\"onDisk\":[{}]}}",
+            state.born, self.on_disk
         )
     }
 
@@ -88,7 +95,7 @@
         state.is_busy = true;
         let (engine, model, born) = (self.clone(), model.to_owned(), state.born);
         thread::spawn(move || {
-            sleep_ms(LOAD_MS);
+            sleep_ms(engine.load_ms);
             let mut state = engine.state.lock().unwrap();
             if state.born == born {
                 state.is_busy = false;
@@ -101,11 +108,11 @@
     fn handle(self: &Arc<Self>, call: &Call) -> Option<Answer> {
         let is_other = call
             .header("Target-Instance")
-            .is_some_and(|target| target != ID);
+            .is_some_and(|target| target != self.id);
         if is_other {
             return Some(
                 Answer::new(421, "")
-                    .with("Instance-Id", ID)
+                    .with("Instance-Id", self.id.clone())
                     .with("Not-Executed", "1"),
             );
         }
@@ -113,7 +120,7 @@
             let state = self.state.lock().unwrap();
             return Some(Answer::new(200, format!(
                 "{{{},\"busy\":{},\"seq\":{},\"queued\":0,\"running\":0,\"kvUsed\":0,\"kvTotal\":202446,\"handles\":0,\"pending\":[]}}",
-                Self::fields(&state), state.is_busy, state.seq
+                self.fields(&state), state.is_busy, state.seq
             )));
         }
         if call.target == "/api/order" {
@@ -131,7 +138,8 @@
                 is_next
             };
             if is_unanswered {
-                self.record.add(format!("order {body}: left unanswered"));
+                self.record
+                    .add(format!("{}: order {body}: left unanswered", self.id));
                 let engine = self.clone();
                 thread::spawn(move || {
                     sleep_ms(LATE_MS);
@@ -150,7 +158,8 @@
                 return None;
             }
             let status = self.order(&operation, &model, expect);
-            self.record.add(format!("order {body}: {status}"));
+            self.record
+                .add(format!("{}: order {body}: {status}", self.id));
             return Some(Answer::new(status, "{}"));
         }
         let request = call.header("Request-Id").unwrap_or_default().to_owned();
@@ -165,12 +174,13 @@
         {
             return Some(
                 Answer::new(421, "")
-                    .with("Instance-Id", ID)
+                    .with("Instance-Id", self.id.clone())
                     .with("Not-Executed", "1")
                     .with("Request-Id", request),
             );
         }
-        self.record.add(format!("{ID} runs {request} for {model}"));
+        self.record
+            .add(format!("{} runs {request} for {model}", self.id));
         let answer = Answer::new(200, "id: 0\ndata: done\n\n").with("Request-Id", request.clone());
         let answer = answer.with("Response-Signature", format!("s-{request}"));
         Some(
@@ -200,6 +210,60 @@
     serve(addr, move |call| engine.handle(&call))
 }
 
+/// Starts three servers that hold another model, with their loaders, so that the one that loses power
+/// is a quarter of them.
+fn start_others(
+    record: &Arc<Record>,
+    store: &Arc<Store>,
+    store_port: &Port,
+    folder: &str,
+    peer_port: u16,
+) -> Vec<Daemon> {
+    let start_other = |(zone, number): (&'static str, u8)| {
+        let id = format!("i-{number}");
+        let state = State {
+            born: 1_700_000_000_000,
+            models: vec!["m3".to_owned()],
+            ..State::default()
+        };
+        let engine = Arc::new(Engine {
+            id: id.clone(),
+            on_disk: "\"m3\"",
+            load_ms: STORE_LOAD_MS,
+            state: Mutex::new(state),
+            record: record.clone(),
+        });
+        let addr = start(
+            &engine,
+            SocketAddr::from(([127, 0, 1, number], free_port())),
+        )
+        .addr;
+        let beaten = store.clone();
+        thread::spawn(move || {
+            for seq in 1.. {
+                let fields = engine.fields(&engine.state.lock().unwrap());
+                beaten.put("keyed.servers", &id, &format!(
+                    "{{\"service\":\"llm\",\"address\":\"{addr}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":96,\
+                     \"state\":\"ready\",\"coldLeftMs\":0,\"seq\":{seq},{fields}}}"
+                ));
+                sleep_ms(1_200);
+            }
+        });
+        let (name, ip) = (format!("side-{zone}-{number}"), addr.ip().to_string());
+        let place = Place {
+            name: &name,
+            zone,
+            ip: &ip,
+            peer_port,
+            store: store_port.addr,
+            role: format!("\"engine_addr\":\"{addr}\""),
+            first_start: true,
+        };
+        Daemon::start(folder, "loader", &name, &settings(&place))
+    };
+    [("z2", 2), ("z2", 3), ("z3", 4)].map(start_other).into()
+}
+
 /// Returns whether the server was ordered to load more than it holds.
 pub fn run(record: &Arc<Record>, folder: &str, trouble: bool) -> Option<bool> {
     let store = Arc::new(Store::default());
@@ -214,6 +278,9 @@
         ..State::default()
     };
     let engine = Arc::new(Engine {
+        id: ID.to_owned(),
+        on_disk: "\"m1\",\"m2\"",
+        load_ms: LOAD_MS,
         state: Mutex::new(state),
         record: record.clone(),
     });
@@ -224,7 +291,7 @@
     thread::spawn(move || {
         for seq in 1.. {
             if *u.lock().unwrap() {
-                let fields = Engine::fields(&e.state.lock().unwrap());
+                let fields = e.fields(&e.state.lock().unwrap());
                 s.put("keyed.servers", ID, &format!(
                     "{{\"service\":\"llm\",\"address\":\"{addr}\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":96,\
                      \"state\":\"ready\",\"coldLeftMs\":0,\"seq\":{seq},{fields}}}"
@@ -234,6 +301,7 @@
         }
     });
     let peer_port = free_port();
+    let others = start_others(record, &store, &store_port, folder, peer_port);
     let ip = addr.ip().to_string();
     let loader_place = |first_start| Place {
         name: "side-z1-1",
@@ -272,17 +340,20 @@
         record.add(format!("a client sends {id} for {model}"));
         let text = format!(
             "POST /chat/1 HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nModel: {model}\r\n\
-             Token-Count: 1460,80\r\nPrompt-Prefix: 5c1e07a2:1460\r\nDeadline-Ms: 11000\r\n\
+             Token-Count: 1460,80\r\nPrompt-Prefix: 5c1e07a2:1460\r\nDeadline-Ms: 5000\r\n\
              Content-Length: 2\r\nConnection: close\r\n\r\nhi"
         );
-        let status = send(clients, &text, 12_000).map(|answer| answer.status);
+        let status = send(clients, &text, 6_000).map(|answer| answer.status);
         record.add(format!("{id} gets {status:?}"));
         status == Some(200)
     };
+    // The window of late orders: an unload and a load are answered, then an unload is, and the load
+    // after it is not; one order of four.
     ask("a1", "m1");
+    ask("a2", "m2");
     engine.state.lock().unwrap().leaves_unanswered = trouble;
     thread::scope(|scope| {
-        scope.spawn(|| ask("a2", "m2"));
+        scope.spawn(|| ask("a3", "m1"));
         if !trouble {
             return;
         }
@@ -317,17 +388,20 @@
         );
     });
     let mut served = false;
-    for number in 0..8 {
-        served = ask(&format!("b{number}"), "m1");
-        if served {
-            break;
+    for model in ["m1", "m2"] {
+        for number in 0..8 {
+            served = ask(&format!("b{number}-{model}"), model);
+            if served {
+                break;
+            }
+            sleep_ms(300);
         }
-        sleep_ms(300);
     }
     sleep_ms(LATE_MS);
     let state = engine.state.lock().unwrap();
     if !served || (trouble && !state.has_left) {
         return None;
     }
+    drop(others);
     Some(state.is_overloaded)
 }
