review: a drain is not heeded after a server's clock jumped back

Cause: entries of servers are ordered by the time of day of their start, so every entry of a later start with a lower time is ignored.

Nothing is fixed.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -14,6 +14,7 @@
     time::{Duration, Instant},
 };
 
+mod clock;
 mod engine;
 mod late;
 mod server;
@@ -355,6 +356,7 @@
         "lossy" if trouble => unframed::run(Trouble::CrashAtLossyLink),
         "notice" | "lossy" => unframed::run(Trouble::None),
         "late" => late::run(trouble),
+        "clock" => clock::run(trouble),
         _ => None,
     };
     ExitCode::from(match result {
