review: cases 6 and 7 play the same without their disruption

Cause: TROUBLE=0 left out the idle channels of case 7 and kept the losses of the link.

Change: the case and whether its disruption happens are told apart.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -362,9 +362,8 @@
     let result = match case.as_str() {
         "server" => server::run(),
         "partition" => partition::run(trouble),
-        "notice" if trouble => unframed::run(Trouble::Notice),
-        "lossy" if trouble => unframed::run(Trouble::CrashAtLossyLink),
-        "notice" | "lossy" => unframed::run(Trouble::None),
+        "notice" => unframed::run(Trouble::Notice, trouble),
+        "lossy" => unframed::run(Trouble::CrashAtLossyLink, trouble),
         _ => None,
     };
     ExitCode::from(match result {
--- a/review/standin-2/unframed.rs
+++ b/review/standin-2/unframed.rs
@@ -25,7 +25,6 @@
     Notice,
     /// It crashes, while the link to it loses packets.
     CrashAtLossyLink,
-    None,
 }
 
 /// Number of servers that end one after the other.
@@ -46,7 +45,8 @@
 
 const BORN: u64 = 1_700_000_000_000;
 
-pub fn run(trouble: Trouble) -> Option<bool> {
+/// Plays the case; without the trouble if `happens` is false.
+pub fn run(trouble: Trouble, happens: bool) -> Option<bool> {
     let record = Record::new();
     let store = Arc::new(Store::default());
     store.configure(CONFIGURATION);
@@ -57,11 +57,11 @@
     }
     let trials = match trouble {
         Trouble::CrashAtLossyLink => TRIALS_AT_LOSSY_LINK,
-        Trouble::Notice | Trouble::None => TRIALS,
+        Trouble::Notice => TRIALS,
     };
     let mut broken = 0;
     for trial in 0..trials {
-        broken += u32::from(!attempt(trial, trouble, &store, &gateway, &record)?);
+        broken += u32::from(!attempt(trial, trouble, happens, &store, &gateway, &record)?);
     }
     record.add(&format!("{broken} of {trials} streams ended as complete before their last piece"));
     record.write();
@@ -72,6 +72,7 @@
 fn attempt(
     trial: u32,
     trouble: Trouble,
+    happens: bool,
     store: &Store,
     gateway: &Gateway,
     record: &Arc<Record>,
@@ -79,7 +80,11 @@
     let id = format!("i-{trial}a");
     let born = BORN + u64::from(trial) * 10_000;
     let server = Server::start(&id, 11)?;
-    let link = Link::start(server.address, record)?;
+    let loss = match trouble {
+        Trouble::CrashAtLossyLink if happens => LOSS,
+        _ => 0.0,
+    };
+    let link = Link::start(server.address, loss, record)?;
     store.list(&id, &entry(link.address, "ready", 1, born, ""));
     record.add(&format!("server {id} runs at {}", link.address));
     // The gateway knows the server.
@@ -91,15 +96,18 @@
     let other = Server::start(&other_id, 12)?;
     if trouble == Trouble::CrashAtLossyLink {
         open_idle_channels(trial, gateway, record)?;
-        store.list(&other_id, &entry(other.address, "ready", 1, born + 1, ""));
-        thread::sleep(Duration::from_millis(1_250));
-        record.add(&format!("server {id} crashes; the link loses {LOSS} of the packets"));
-        link.refuse();
-        drop(server);
-        store.remove(&id);
-    } else {
-        store.list(&other_id, &entry(other.address, "ready", 1, born + 1, ""));
-        if trouble == Trouble::Notice {
+    }
+    store.list(&other_id, &entry(other.address, "ready", 1, born + 1, ""));
+    match trouble {
+        _ if !happens => (),
+        Trouble::CrashAtLossyLink => {
+            thread::sleep(Duration::from_millis(1_250));
+            record.add(&format!("server {id} crashes; the link loses {LOSS} of the packets"));
+            link.refuse();
+            drop(server);
+            store.remove(&id);
+        }
+        Trouble::Notice => {
             let left = format!(r#","remainingMs":{}"#, NOTICE.as_millis());
             store.list(&id, &entry(link.address, "draining", 2, born, &left));
             record.add(&format!("server {id} reports draining{left}"));
@@ -126,7 +134,7 @@
     let is_whole = (0..EVENTS).all(|number| {
         answer.matches(&format!("data: piece {number} of ")).count() == 1
     });
-    Some(if trouble == Trouble::None { ended && is_whole } else { !ended || is_whole })
+    Some(if happens { !ended || is_whole } else { ended && is_whole })
 }
 
 /// Sends requests at once, whose channels the gateway then keeps.
@@ -156,14 +164,14 @@
 }
 
 /// The link to a server: a proxy that passes everything on. The packet that tells the end of a channel
-/// is lost with the share [`LOSS`], and comes when it is sent again.
+/// is lost with a share, and comes when it is sent again.
 struct Link {
     address: SocketAddr,
     is_refusing: Arc<AtomicBool>,
 }
 
 impl Link {
-    fn start(server: SocketAddr, record: &Arc<Record>) -> Option<Self> {
+    fn start(server: SocketAddr, loss: f64, record: &Arc<Record>) -> Option<Self> {
         let listener = TcpListener::bind(loopback(11, 0)).ok()?;
         listener.set_nonblocking(true).ok()?;
         let address = listener.local_addr().ok()?;
@@ -179,9 +187,9 @@
                         let (Ok(near2), Ok(far2)) = (near.try_clone(), far.try_clone()) else {
                             continue;
                         };
-                        let record = record.clone();
-                        thread::spawn(move || pass(near2, far2, None));
-                        thread::spawn(move || pass(far, near, Some(&record)));
+                        let (own, record) = (record.clone(), record.clone());
+                        thread::spawn(move || pass(near2, far2, 0.0, &own));
+                        thread::spawn(move || pass(far, near, loss, &record));
                     }
                     Err(_) => thread::sleep(Duration::from_micros(500)),
                 }
@@ -198,14 +206,14 @@
 }
 
 /// Passes bytes on until the channel ends.
-fn pass(mut from: TcpStream, mut to: TcpStream, loses: Option<&Record>) {
+fn pass(mut from: TcpStream, mut to: TcpStream, loss: f64, record: &Record) {
     let mut bytes = [0; 4096];
     while let Ok(count) = from.read(&mut bytes) {
         if count == 0 || to.write_all(&bytes[..count]).is_err() {
             break;
         }
     }
-    if let Some(record) = loses.filter(|_| random() < LOSS) {
+    if random() < loss {
         record.add("the packet that ends a channel to the server is lost");
         thread::sleep(RETRANSMISSION);
     }
