review: ports of the scripts lie below those of outgoing channels

Cause: a port that was free when asked for could go to an outgoing channel before a daemon took it; the case could not have run then.

Change: ports below the operating system's range, as the project's tests do.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -11,7 +11,7 @@
     process::{Child, Command, ExitCode, Stdio},
     sync::{
         Arc, Condvar, Mutex,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -220,10 +220,17 @@
     SocketAddr::from((Ipv4Addr::new(127, 0, 0, machine), port))
 }
 
-/// Returns a port that is free on all loopback addresses of a case.
+/// Returns a port that is free on all loopback addresses. It lies below the ports that the operating
+/// system gives to outgoing channels, so that none of them takes it before a daemon does.
 pub fn free_port() -> u16 {
-    let listener = TcpListener::bind((Ipv4Addr::UNSPECIFIED, 0)).expect("a port is free");
-    listener.local_addr().expect("the port is known").port()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let number = std::process::id() * 97 + NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = (12_000 + number % 18_000) as u16;
+        if TcpListener::bind((Ipv4Addr::UNSPECIFIED, port)).is_ok() {
+            return port;
+        }
+    }
 }
 
 /// What was sent, answered and run, for `record.txt`.
