review: cases 6 and 7 run before model engines with loaders

Change: eight engines with loaders, one of which ends at a time; the idle channels of case 7 are those of short streams that have ended.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -315,26 +315,39 @@
     let ready = loopback(machine, free_port());
     let name = format!("front-{machine}");
     let listen = format!(r#""listen": {{ "callers": "{callers}", "ready": "{ready}" }},"#);
-    let settings = settings(store, &name, machine, peer_port, &format!("{listen}{extra}"));
+    let settings = settings(store, &name, machine, "z1", peer_port, &format!("{listen}{extra}"));
     let daemon = Daemon::start("gateway", &name, &settings);
     Gateway { daemon, callers, ready }
 }
 
 /// Starts a loader on the machine of an engine.
-pub fn start_loader(store: SocketAddr, engine: SocketAddr, machine: u8, peer_port: u16) -> Daemon {
+pub fn start_loader(
+    store: SocketAddr,
+    engine: SocketAddr,
+    machine: u8,
+    zone: &str,
+    peer_port: u16,
+) -> Daemon {
     let name = format!("side-{machine}");
     let extra = format!(r#""engine_addr": "{engine}","#);
-    let settings = settings(store, &name, machine, peer_port, &extra);
+    let settings = settings(store, &name, machine, zone, peer_port, &extra);
     Daemon::start("loader", &name, &settings)
 }
 
 /// Returns settings as `deploy/settings.jsonc` gives them on the small sites.
-fn settings(store: SocketAddr, name: &str, machine: u8, peer_port: u16, extra: &str) -> String {
+fn settings(
+    store: SocketAddr,
+    name: &str,
+    machine: u8,
+    zone: &str,
+    peer_port: u16,
+    extra: &str,
+) -> String {
     let ip = loopback(machine, 0).ip();
     let metrics = free_port();
     format!(
         r#"{{
-    "instance": "{name}", "failure_domain": "z1", "regions": {{ "z1": "r1", "z2": "r2" }},
+    "instance": "{name}", "failure_domain": "{zone}", "regions": {{ "z1": "r1", "z2": "r2" }},
     "peer_ip": "{ip}", "peer_port": {peer_port}, "metrics_port": {metrics},
     "store_addr": "{store}", {extra}
     "grace_ms": 8e3, "retry": {{ "ratio": 0.2, "slack": 56, "window_ms": 10e3 }},
--- a/review/standin-2/partition.rs
+++ b/review/standin-2/partition.rs
@@ -123,7 +123,7 @@
         let is_cut = Arc::new(AtomicBool::new(false));
         // The loader's own port is behind the link.
         let link = Link::start(101 + number, 151 + number, peer_port)?;
-        let loader = start_loader(store.start_until_cut(&is_cut), address, 151 + number, peer_port);
+        let loader = start_loader(store.start_until_cut(&is_cut), address, 151 + number, "z1", peer_port);
         Some(Self { _loader: loader, link, is_cut })
     }
 }
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -1,9 +1,9 @@
-//! A server of a service in a process of its own, which a case may kill. Its arguments are its id and
-//! its address.
+//! A model engine in a process of its own, which a case may kill. Its arguments are its id, its address
+//! and its start. It holds one model and takes no orders, since there is none to give.
 //!
 //! A request whose path ends with `/stream` is answered with events and without a length: the answer
-//! ends with its channel. It goes on after `Last-Event-Id`. Any other request is answered after 100 ms
-//! with a length, and its channel is kept.
+//! ends with its channel. It goes on after `Last-Event-Id`. Any other request is answered with a few
+//! events in chunks, and its channel is kept.
 
 use std::{
     io::{BufRead, BufReader, Write},
@@ -21,8 +21,8 @@
 /// Time between two events.
 const INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time that another request takes.
-const WORK: Duration = Duration::from_millis(100);
+/// Number of events in any other answer.
+const FEW: u32 = 3;
 
 /// A server process, which is killed when this value is dropped.
 pub struct Server {
@@ -31,10 +31,10 @@
 }
 
 impl Server {
-    pub fn start(id: &str, machine: u8) -> Option<Self> {
+    pub fn start(id: &str, machine: u8, born: u64) -> Option<Self> {
         let program = std::env::current_exe().ok()?;
         let mut child = Command::new(program)
-            .args(["server", id, &loopback(machine, 0).to_string()])
+            .args(["server", id, &loopback(machine, 0).to_string(), &born.to_string()])
             .stdout(Stdio::piped())
             .spawn()
             .ok()?;
@@ -62,7 +62,7 @@
     more: &str,
 ) -> String {
     format!(
-        r#"{{"service":"app","address":"{address}","zone":"{zone}","version":"v1","slots":64,"state":"{state}","coldLeftMs":0,"seq":{seq},"born":{born}{more}}}"#
+        r#"{{"service":"llm","address":"{address}","zone":"{zone}","version":"v1","slots":64,"state":"{state}","coldLeftMs":0,"seq":{seq},"born":{born},"stage":"unified","models":[{{"name":"m1","version":1,"adapters":[]}}]{more}}}"#
     )
 }
 
@@ -71,18 +71,26 @@
     let mut arguments = std::env::args().skip(2);
     let id = arguments.next()?;
     let address: SocketAddr = arguments.next()?.parse().ok()?;
+    let born: u64 = arguments.next()?.parse().ok()?;
     let listener = TcpListener::bind(address).ok()?;
     println!("{}", listener.local_addr().ok()?);
     for stream in listener.incoming().flatten() {
         let id = id.clone();
         let _ = stream.set_nodelay(true);
-        thread::spawn(move || handle(stream, &id));
+        thread::spawn(move || handle(stream, &id, born));
     }
     None
 }
 
-fn handle(mut stream: TcpStream, id: &str) {
+fn handle(mut stream: TcpStream, id: &str, born: u64) {
     while let Some(request) = read_message(&mut stream) {
+        if request.first.starts_with("GET /api/report ") {
+            let body = format!(
+                r#"{{"stage":"unified","models":[{{"name":"m1","version":1,"adapters":[]}}],"busy":false,"seq":0,"queued":0,"running":0,"kvUsed":0,"kvTotal":200000,"handles":0,"born":{born}}}"#
+            );
+            let _ = stream.write_all(&response(200, "application/json", body.as_bytes()));
+            continue;
+        }
         let request_id = request.header("request-id");
         let own = format!("Request-Id: {request_id}\r\nInstance-Id: {id}\r\n");
         let target = request.header("target-instance");
@@ -93,9 +101,14 @@
         }
         let own = format!("{own}Response-Signature: {id}.{request_id}\r\n");
         if !request.first.contains("/stream ") {
-            thread::sleep(WORK);
-            let answer = format!("HTTP/1.1 200 OK\r\n{own}Keep-Alive: timeout=20\r\nContent-Length: 2\r\n\r\nok");
-            let _ = stream.write_all(answer.as_bytes());
+            let head = format!("HTTP/1.1 200 OK\r\n{own}Keep-Alive: timeout=20\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+            let _ = stream.write_all(head.as_bytes());
+            for number in 0..FEW {
+                thread::sleep(INTERVAL / 2);
+                let event = format!("id: {number}\ndata: x\n\n");
+                let _ = stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes());
+            }
+            let _ = stream.write_all(b"0\r\n\r\n");
             continue;
         }
         let head = format!("HTTP/1.1 200 OK\r\n{own}Content-Type: text/event-stream\r\n\r\n");
--- a/review/standin-2/unframed.rs
+++ b/review/standin-2/unframed.rs
@@ -31,7 +31,7 @@
 const TRIALS: u32 = 5;
 
 /// The same at a link that loses packets, where not each of them ends so.
-const TRIALS_AT_LOSSY_LINK: u32 = 12;
+const TRIALS_AT_LOSSY_LINK: u32 = 14;
 
 /// Number of servers of the service beside the one that ends. They are in another region, so that the
 /// gateway prefers that one.
@@ -40,8 +40,9 @@
 /// Time from the notice until the server is gone.
 const NOTICE: Duration = Duration::from_millis(2_000);
 
-/// Idle channels of the gateway to the server.
-const IDLE_CHANNELS: u32 = 24;
+/// Number of short streams at once, a third of which run at the server that is to end. Their channels
+/// are idle afterwards.
+const SHORT_STREAMS: u32 = 60;
 
 /// Share of the packets that the link loses, and the time after which a lost one is sent again.
 const LOSS: f64 = 0.025;
@@ -54,15 +55,18 @@
     let record = Record::new();
     let store = Arc::new(Store::default());
     store.configure(CONFIGURATION);
+    let address = store.start();
+    let peer_port = free_port();
     let mut others = Vec::new();
     for number in 0..OTHERS {
         let id = format!("i-{number}b");
-        let server = Server::start(&id, 12)?;
+        let machine = 31 + number as u8;
+        let server = Server::start(&id, machine, BORN + number)?;
         store.list(&id, &entry(server.address, "z2", "ready", 1, BORN + number, ""));
-        others.push(server);
+        let loader = start_loader(address, server.address, machine, "z2", peer_port);
+        others.push((server, loader));
     }
-    let address = store.start();
-    let gateway = start_gateway(address, 21, free_port(), r#""first_start": true,"#);
+    let gateway = start_gateway(address, 21, peer_port, r#""first_start": true,"#);
     if !wait_until_ready(&gateway) {
         return None;
     }
@@ -72,7 +76,7 @@
     };
     let mut broken = 0;
     for trial in 0..trials {
-        broken += u32::from(!attempt(trial, trouble, happens, &store, &gateway, &record)?);
+        broken += u32::from(!attempt(trial, trouble, happens, (&store, address, peer_port), &gateway, &record)?);
     }
     record.add(&format!("{broken} of {trials} streams ended as complete before their last piece"));
     record.write();
@@ -84,19 +88,21 @@
     trial: u32,
     trouble: Trouble,
     happens: bool,
-    store: &Store,
+    (store, store_address, peer_port): (&Store, SocketAddr, u16),
     gateway: &Gateway,
     record: &Arc<Record>,
 ) -> Option<bool> {
     let id = format!("i-{trial}a");
     let born = BORN + 60_000 + u64::from(trial) * 10_000;
-    let server = Server::start(&id, 11)?;
+    let machine = 61 + trial as u8;
+    let server = Server::start(&id, machine, born)?;
     let loss = match trouble {
         Trouble::CrashAtLossyLink if happens => LOSS,
         _ => 0.0,
     };
-    let link = Link::start(server.address, loss, record)?;
+    let link = Link::start(server.address, machine, loss, record)?;
     store.list(&id, &entry(link.address, "z1", "ready", 1, born, ""));
+    let _loader = start_loader(store_address, link.address, machine, "z1", peer_port);
     record.add(&format!("server {id} runs at {}", link.address));
     // The gateway knows the server.
     thread::sleep(Duration::from_millis(1_800));
@@ -145,24 +151,26 @@
 
 /// Sends requests at once, whose channels the gateway then keeps.
 fn open_idle_channels(trial: u32, gateway: &Gateway, record: &Record) -> Option<()> {
-    let requests = 0..IDLE_CHANNELS;
+    let requests = 0..SHORT_STREAMS;
     let streams: Vec<_> = requests
-        .filter_map(|number| send(gateway, &format!("p{trial}.{number}"), "/plain/x", record))
+        .filter_map(|number| send(gateway, &format!("p{trial}.{number}"), "/text/short", record))
         .collect();
     for mut stream in streams {
-        let answer = read_message(&mut stream)?;
-        if !answer.first.contains(" 200 ") {
-            return None;
+        let mut bytes = [0; 4096];
+        let mut answer = Vec::new();
+        while !answer.ends_with(b"0\r\n\r\n") {
+            let count = stream.read(&mut bytes).ok().filter(|count| *count > 0)?;
+            answer.extend_from_slice(&bytes[..count]);
         }
     }
-    record.add(&format!("{IDLE_CHANNELS} requests were answered; their channels are idle"));
+    record.add(&format!("{SHORT_STREAMS} short streams have ended; their channels are idle"));
     Some(())
 }
 
 fn send(gateway: &Gateway, id: &str, path: &str, record: &Record) -> Option<TcpStream> {
     let mut stream = TcpStream::connect(gateway.callers).ok()?;
     let text = format!(
-        "POST {path} HTTP/1.1\r\nHost: a.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 15000\r\nContent-Length: 2\r\n\r\nhi"
+        "POST {path} HTTP/1.1\r\nHost: a.example\r\nRequest-Id: {id}\r\nModel: m1\r\nToken-Count: 100,80\r\nDeadline-Ms: 11000\r\nContent-Length: 2\r\n\r\nhi"
     );
     stream.write_all(text.as_bytes()).ok()?;
     record.add(&format!("{id} sent"));
@@ -177,8 +185,8 @@
 }
 
 impl Link {
-    fn start(server: SocketAddr, loss: f64, record: &Arc<Record>) -> Option<Self> {
-        let listener = TcpListener::bind(loopback(11, 0)).ok()?;
+    fn start(server: SocketAddr, machine: u8, loss: f64, record: &Arc<Record>) -> Option<Self> {
+        let listener = TcpListener::bind(loopback(machine, 0)).ok()?;
         listener.set_nonblocking(true).ok()?;
         let address = listener.local_addr().ok()?;
         let is_refusing = Arc::new(AtomicBool::new(false));
@@ -235,4 +243,4 @@
     (hasher.finish() >> 11) as f64 / (1_u64 << 53) as f64
 }
 
-const CONFIGURATION: &str = r#"{"version":1,"routes":[{"name":"text","host":"a.example","pathPrefix":"/text/","kind":"stream","resumable":true,"timeoutMs":15000,"targetLatencyMs":600,"gapTargetMs":400,"priority":1,"service":"app","attempts":2},{"name":"plain","host":"a.example","pathPrefix":"/plain/","kind":"safe","timeoutMs":3000,"targetLatencyMs":400,"priority":1,"service":"app","attempts":2}],"services":[{"name":"app","healthPath":"/health","maxConns":500}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}"#;
+const CONFIGURATION: &str = r#"{"version":1,"routes":[{"name":"text","host":"a.example","pathPrefix":"/text/","kind":"stream","resumable":true,"timeoutMs":11000,"targetLatencyMs":2000,"gapTargetMs":400,"priority":1,"service":"llm","attempts":2,"sticky":true}],"services":[{"name":"llm","healthPath":"/health","maxConns":500,"engine":{"slots":64,"kvTokens":200000,"weightsMb":58000.0,"adapterSlots":8,"loadsPerS":2.1,"models":[{"name":"m1","weightsMb":34300.0,"loadS":6.0,"adapters":0,"adapterMb":40.0,"warmS":0.4,"diskS":0.5}]}}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}"#;
