--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -315,7 +315,7 @@
     let ready = loopback(machine, free_port());
     let name = format!("front-{machine}");
     let listen = format!(r#""listen": {{ "callers": "{callers}", "ready": "{ready}" }},"#);
-    let settings = settings(store, &name, machine, "z1", peer_port, &format!("{listen}{extra}"));
+    let settings = settings(store, &name, machine, "z0", peer_port, &format!("{listen}{extra}"));
     let daemon = Daemon::start("gateway", &name, &settings);
     Gateway { daemon, callers, ready }
 }
@@ -347,7 +347,7 @@
     let metrics = free_port();
     format!(
         r#"{{
-    "instance": "{name}", "failure_domain": "{zone}", "regions": {{ "z1": "r1", "z2": "r2" }},
+    "instance": "{name}", "failure_domain": "{zone}", "regions": {{ "z0": "r1", "z1": "r1", "z2": "r2" }},
     "peer_ip": "{ip}", "peer_port": {peer_port}, "metrics_port": {metrics},
     "store_addr": "{store}", {extra}
     "grace_ms": 8e3, "retry": {{ "ratio": 0.2, "slack": 56, "window_ms": 10e3 }},
--- a/review/standin-2/unframed.rs
+++ b/review/standin-2/unframed.rs
@@ -9,7 +9,7 @@
         atomic::{AtomicBool, Ordering},
     },
     thread,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use crate::{
@@ -31,10 +31,10 @@
 const TRIALS: u32 = 5;
 
 /// The same at a link that loses packets, where not each of them ends so.
-const TRIALS_AT_LOSSY_LINK: u32 = 14;
+const TRIALS_AT_LOSSY_LINK: u32 = 13;
 
-/// Number of servers of the service beside the one that ends. They are in another region, so that the
-/// gateway prefers that one.
+/// Number of servers of the service beside the one that ends. They are in another region, and that one in
+/// another zone of the gateway's region, so that the gateway prefers it.
 const OTHERS: u64 = 7;
 
 /// Time from the notice until the server is gone.
@@ -44,6 +44,9 @@
 /// are idle afterwards.
 const SHORT_STREAMS: u32 = 60;
 
+/// Time after which the entry of a server that is silent is removed: three intervals of its reports.
+const EXPIRY: Duration = Duration::from_millis(3_600);
+
 /// Share of the packets that the link loses, and the time after which a lost one is sent again.
 const LOSS: f64 = 0.025;
 const RETRANSMISSION: Duration = Duration::from_millis(200);
@@ -96,11 +99,7 @@
     let born = BORN + 60_000 + u64::from(trial) * 10_000;
     let machine = 61 + trial as u8;
     let server = Server::start(&id, machine, born)?;
-    let loss = match trouble {
-        Trouble::CrashAtLossyLink if happens => LOSS,
-        _ => 0.0,
-    };
-    let link = Link::start(server.address, machine, loss, record)?;
+    let link = Link::start(server.address, machine, record)?;
     store.list(&id, &entry(link.address, "z1", "ready", 1, born, ""));
     let _loader = start_loader(store_address, link.address, machine, "z1", peer_port);
     record.add(&format!("server {id} runs at {}", link.address));
@@ -114,11 +113,13 @@
     match trouble {
         _ if !happens => (),
         Trouble::CrashAtLossyLink => {
-            thread::sleep(Duration::from_millis(1_250));
-            record.add(&format!("server {id} crashes; the link loses {LOSS} of the packets"));
+            thread::sleep(Duration::from_millis(1_000));
+            record.add(&format!("the link between the zones loses {LOSS} of the packets"));
+            link.is_lossy.store(true, Ordering::Release);
+            thread::sleep(Duration::from_millis(250));
+            record.add(&format!("server {id} crashes"));
             link.refuse();
             drop(server);
-            store.remove(&id);
         }
         Trouble::Notice => {
             let left = format!(r#","remainingMs":{}"#, NOTICE.as_millis());
@@ -127,10 +128,10 @@
             thread::sleep(NOTICE + Duration::from_millis(50));
             link.refuse();
             drop(server);
-            store.remove(&id);
             record.add(&format!("server {id} is gone"));
         }
     }
+    let gone = Instant::now();
     let mut answer = Vec::new();
     let end = stream.read_to_end(&mut answer);
     let answer = String::from_utf8_lossy(&answer).into_owned();
@@ -139,6 +140,10 @@
     let ended = end.is_ok() && (!is_chunked || answer.ends_with("0\r\n\r\n"));
     let first = answer.lines().next().unwrap_or_default().to_owned();
     record.add(&format!("s{trial}: {first}, {pieces} of {EVENTS} pieces, end of the channel: {end:?}"));
+    if happens {
+        thread::sleep(EXPIRY.saturating_sub(gone.elapsed()));
+    }
+    link.is_lossy.store(false, Ordering::Release);
     store.remove(&id);
     if !first.contains(" 200 ") {
         return None;
@@ -182,15 +187,17 @@
 struct Link {
     address: SocketAddr,
     is_refusing: Arc<AtomicBool>,
+    is_lossy: Arc<AtomicBool>,
 }
 
 impl Link {
-    fn start(server: SocketAddr, machine: u8, loss: f64, record: &Arc<Record>) -> Option<Self> {
+    fn start(server: SocketAddr, machine: u8, record: &Arc<Record>) -> Option<Self> {
         let listener = TcpListener::bind(loopback(machine, 0)).ok()?;
         listener.set_nonblocking(true).ok()?;
         let address = listener.local_addr().ok()?;
         let is_refusing = Arc::new(AtomicBool::new(false));
-        let (flag, record) = (is_refusing.clone(), record.clone());
+        let is_lossy = Arc::new(AtomicBool::new(false));
+        let (flag, lossy, record) = (is_refusing.clone(), is_lossy.clone(), record.clone());
         thread::spawn(move || {
             while !flag.load(Ordering::Acquire) {
                 match listener.accept() {
@@ -201,15 +208,15 @@
                         let (Ok(near2), Ok(far2)) = (near.try_clone(), far.try_clone()) else {
                             continue;
                         };
-                        let (own, record) = (record.clone(), record.clone());
-                        thread::spawn(move || pass(near2, far2, 0.0, &own));
-                        thread::spawn(move || pass(far, near, loss, &record));
+                        let (own, record, lossy) = (record.clone(), record.clone(), lossy.clone());
+                        thread::spawn(move || pass(near2, far2, None, &own));
+                        thread::spawn(move || pass(far, near, Some(&lossy), &record));
                     }
                     Err(_) => thread::sleep(Duration::from_micros(500)),
                 }
             }
         });
-        Some(Self { address, is_refusing })
+        Some(Self { address, is_refusing, is_lossy })
     }
 
     /// Closes the port, as that of a process that has ended is closed.
@@ -220,14 +227,14 @@
 }
 
 /// Passes bytes on until the channel ends.
-fn pass(mut from: TcpStream, mut to: TcpStream, loss: f64, record: &Record) {
+fn pass(mut from: TcpStream, mut to: TcpStream, is_lossy: Option<&AtomicBool>, record: &Record) {
     let mut bytes = [0; 4096];
     while let Ok(count) = from.read(&mut bytes) {
         if count == 0 || to.write_all(&bytes[..count]).is_err() {
             break;
         }
     }
-    if random() < loss {
+    if is_lossy.is_some_and(|is_lossy| is_lossy.load(Ordering::Acquire)) && random() < LOSS {
         record.add("the packet that ends a channel to the server is lost");
         thread::sleep(RETRANSMISSION);
     }
